--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SOURCES := src tests benchmarks
+
+.PHONY: test lint format bench demo clean
+
+$(VENV)/.installed: requirements/pinned.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements/pinned.txt
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps --editable .
+	touch $@
+
+test: lint
+	$(BIN)/pytest -n 4
+
+lint: $(VENV)/.installed
+	$(BIN)/black --quiet --check $(SOURCES)
+	$(BIN)/ruff check --quiet $(SOURCES)
+	$(BIN)/mypy
+
+format: $(VENV)/.installed
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet --fix $(SOURCES)
+	$(BIN)/black --quiet $(SOURCES)
+
+demo: $(VENV)/.installed
+	$(BIN)/radishmount-trial examples/demo.jsonc
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m pytest benchmarks --benchmark-only
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/src/radishmount/border/__init__.py
@@ -0,0 +1,49 @@
+"""The border: bytes become data classes here, and data classes bytes."""
+
+from radishmount.border._callers import CallerService, make_caller_app
+from radishmount.border._endpoint_client import EndpointChannel, open_endpoint_channel
+from radishmount.border._jsonc import read_jsonc
+from radishmount.border._models import BorderModel, describe_fault, read_json
+from radishmount.border._objects import (
+    digest_of,
+    object_from,
+    publication_from,
+    read_bundle,
+    write_bundle,
+)
+from radishmount.border._operators import OperatorService, make_operator_app
+from radishmount.border._platform_client import CONFIGURATION_KEY, HttpPlatform
+from radishmount.border._serve import Server, serve
+from radishmount.border._settings import (
+    EntrySettings,
+    Listen,
+    read_entry_settings,
+    split_address,
+)
+
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "BorderModel",
+    "CallerService",
+    "EndpointChannel",
+    "EntrySettings",
+    "HttpPlatform",
+    "Listen",
+    "OperatorService",
+    "Server",
+    "describe_fault",
+    "digest_of",
+    "make_caller_app",
+    "make_operator_app",
+    "object_from",
+    "open_endpoint_channel",
+    "publication_from",
+    "read_bundle",
+    "read_entry_settings",
+    "read_json",
+    "read_jsonc",
+    "serve",
+    "split_address",
+    "write_bundle",
+]
--- /dev/null
+++ b/src/radishmount/border/_endpoint_client.py
@@ -0,0 +1,139 @@
+"""The client of the endpoint protocol: HTTP with JSON, one connection for each channel."""
+
+from typing import Annotated, Any
+
+import aiohttp
+import orjson
+from pydantic import Field, ValidationError
+from result import Err, Ok, Result
+
+from radishmount.border._models import BorderModel, describe_fault
+from radishmount.codes import Code, Ran
+from radishmount.endpoints import Channel, Failure, LoadReport, Outcome, Row, SubReply, SubRequest
+
+
+__all__ = ["EndpointChannel", "open_endpoint_channel"]
+
+CONNECT_TIMEOUT_S = 0.25
+CODE_BY_OUTCOME = {
+    "shed": Code.SHED,
+    "draining": Code.ENDPOINT_LEAVING,
+    "version": Code.WRONG_VERSION,
+    "deadline": Code.DEADLINE_PASSED,
+    "error": Code.ENDPOINT_ERROR,
+}
+
+
+class LoadModel(BorderModel):
+    """The load report in every reply."""
+
+    slots: int = 0
+    in_flight: int = 0
+    queued: int = 0
+    draining: bool = False
+    versions: list[int]
+
+    def to_data(self) -> LoadReport:
+        """Return the report as a data class."""
+        return LoadReport(
+            self.slots, self.in_flight, self.queued, self.draining, frozenset(self.versions)
+        )
+
+
+class ReplyModel(BorderModel):
+    """A reply of an endpoint to a sub-request."""
+
+    outcome: str
+    ran: bool
+    request_id: str
+    attempt: int
+    shard: str
+    index_version: int
+    rows: list[tuple[str, float, dict[str, Any]]] = []
+    detail: Annotated[str, Field(max_length=1000)] = ""
+    load: LoadModel
+
+
+class EndpointChannel:
+    """One connection to one endpoint, opened when it is first needed and after each loss."""
+
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}"
+        self._session: aiohttp.ClientSession | None = None
+
+    async def exchange(self, request: SubRequest, remaining_ms: float) -> Outcome:
+        """Send `request` and return the reply, checked to be the one for this request."""
+        body = orjson.dumps(_body_of(request, remaining_ms))
+        try:
+            async with self._open().post(f"{self._url}/v1/search", data=body) as response:
+                content = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return Err(Failure(Code.NOT_CONNECTED, detail=str(error)))
+        except (aiohttp.ClientError, OSError) as error:
+            return Err(Failure(Code.CONNECTION_LOST, Ran.UNKNOWN, detail=repr(error)))
+        return _outcome_of(content, request)
+
+    async def probe(self) -> Result[LoadReport, Failure]:
+        """Ask for the endpoint's state."""
+        try:
+            async with self._open().get(f"{self._url}/v1/state") as response:
+                content = await response.read()
+        except (aiohttp.ClientError, OSError) as error:
+            return Err(Failure(Code.NOT_CONNECTED, detail=repr(error)))
+        try:
+            return Ok(LoadModel.model_validate(orjson.loads(content)).to_data())
+        except (orjson.JSONDecodeError, ValidationError):
+            return Err(Failure(Code.BAD_REPLY))
+
+    async def close(self) -> None:
+        """Close the connection."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=1),
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+            )
+        return self._session
+
+
+def open_endpoint_channel(address: str) -> Channel:
+    """Return a channel to the endpoint at `address`."""
+    return EndpointChannel(address)
+
+
+def _body_of(request: SubRequest, remaining_ms: float) -> dict[str, Any]:
+    return {
+        "request_id": request.request_id,
+        "attempt": request.attempt,
+        "shard": request.shard,
+        "index_version": request.index_version,
+        "deadline_ms": remaining_ms,
+        "text": request.terms.text,
+        "limit": request.terms.limit,
+        "keys": {"from": request.terms.keys.low, "to": request.terms.keys.high},
+    }
+
+
+def _outcome_of(content: bytes, request: SubRequest) -> Outcome:
+    try:
+        reply = ReplyModel.model_validate_json(content)
+    except ValidationError as error:
+        return Err(Failure(Code.BAD_REPLY, Ran.UNKNOWN, detail=describe_fault(error)))
+    if (reply.request_id, reply.attempt) != (request.request_id, request.attempt):
+        return Err(Failure(Code.BAD_REPLY, Ran.UNKNOWN, detail="for another request"))
+    load = reply.load.to_data()
+    if reply.outcome != "ok":
+        code = CODE_BY_OUTCOME.get(reply.outcome, Code.BAD_REPLY)
+        ran = Ran.RAN if reply.ran else Ran.NOT_RUN
+        return Err(Failure(code, ran, detail=reply.detail, load=load))
+    if (reply.shard, reply.index_version) != (request.shard, request.index_version):
+        return Err(Failure(Code.BAD_REPLY, Ran.RAN, detail="of another shard or version"))
+    rows = tuple(Row(key, score, fields) for key, score, fields in reply.rows)
+    return Ok(
+        SubReply(reply.request_id, reply.attempt, reply.shard, reply.index_version, rows, load)
+    )
--- /dev/null
+++ b/src/radishmount/border/_refusals.py
@@ -0,0 +1,67 @@
+"""Refusals as callers see them: number, name, text, and whether the request ran."""
+
+from http import HTTPStatus
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from radishmount.codes import TEXT_BY_CODE, Code, Refusal
+
+
+__all__ = ["json_response", "refusal_response", "status_of"]
+
+STATUS_BY_CODE = {
+    Code.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Code.BODY_TOO_SLOW: HTTPStatus.REQUEST_TIMEOUT,
+    Code.UNKNOWN_COLLECTION: HTTPStatus.NOT_FOUND,
+    Code.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
+    Code.UNKNOWN_PATH: HTTPStatus.NOT_FOUND,
+    Code.UNKNOWN_TICKET: HTTPStatus.NOT_FOUND,
+    Code.BAD_METHOD: HTTPStatus.METHOD_NOT_ALLOWED,
+    Code.UNKNOWN_CALLER: HTTPStatus.FORBIDDEN,
+    Code.NO_RULE: HTTPStatus.FORBIDDEN,
+    Code.OVER_QUOTA: HTTPStatus.TOO_MANY_REQUESTS,
+    Code.DEADLINE_PASSED: HTTPStatus.GATEWAY_TIMEOUT,
+    Code.OUTCOME_UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
+    Code.KEY_CONFLICT: HTTPStatus.CONFLICT,
+    Code.TICKET_EXPIRED: HTTPStatus.GONE,
+    Code.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+FIRST_UNAVAILABLE_CODE = 2000
+
+
+def status_of(code: Code) -> HTTPStatus:
+    """Return the HTTP status that goes with `code`."""
+    if code in STATUS_BY_CODE:
+        return STATUS_BY_CODE[code]
+    if code < FIRST_UNAVAILABLE_CODE:
+        return HTTPStatus.BAD_REQUEST
+    return HTTPStatus.SERVICE_UNAVAILABLE
+
+
+def refusal_response(refusal: Refusal, request_id: str) -> web.Response:
+    """Return the response that tells a caller of `refusal`."""
+    content = {
+        "request_id": request_id,
+        "error": {
+            "number": refusal.code.value,
+            "name": refusal.code.name,
+            "text": TEXT_BY_CODE[refusal.code],
+            "detail": refusal.detail,
+            "ran": refusal.ran.value,
+        },
+    }
+    return json_response(content, request_id, status_of(refusal.code))
+
+
+def json_response(
+    content: dict[str, Any], request_id: str, status: HTTPStatus = HTTPStatus.OK
+) -> web.Response:
+    """Return `content` as JSON under `request_id`."""
+    return web.Response(
+        body=orjson.dumps(content),
+        status=status,
+        content_type="application/json",
+        headers={"X-Request-Id": request_id},
+    )
--- /dev/null
+++ b/src/radishmount/border/_settings.py
@@ -0,0 +1,86 @@
+"""The settings of an entry instance."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import Field, ValidationError
+from result import Err, Ok, Result
+
+from radishmount.border._jsonc import read_jsonc
+from radishmount.border._models import BorderModel, describe_fault
+from radishmount.codes import Code, Refusal
+
+
+__all__ = ["EntrySettings", "Listen", "read_entry_settings", "split_address"]
+
+ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+
+Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
+
+
+@dataclass(frozen=True, slots=True)
+class Listen:
+    """An IP number and a port to listen on; port 0 takes a free one."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return the address as `host:port`."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """What an entry instance is told at its start; all else it reads from the platform."""
+
+    name: str
+    data_centre: str
+    caller_listen: Listen
+    operator_listen: Listen
+    peer_listen: Listen
+    platform: str
+    peer_key: str
+
+
+class EntrySettingsModel(BorderModel):
+    """The settings file, before it becomes a data class."""
+
+    name: Annotated[str, Field(min_length=1, max_length=100)]
+    data_centre: Annotated[str, Field(min_length=1, max_length=100)]
+    caller_address: Address
+    operator_address: Address
+    peer_address: Address
+    platform: Address
+    peer_key: Annotated[str, Field(min_length=16)]
+
+
+def split_address(address: str) -> Listen:
+    """Return `host:port` in two."""
+    host, _, port = address.rpartition(":")
+    return Listen(host, int(port))
+
+
+def read_entry_settings(path: Path) -> Result[EntrySettings, Refusal]:
+    """Return the settings in `path`, or a refusal that names file and field."""
+    match read_jsonc(path):
+        case Err(refusal):
+            return Err(refusal)
+        case Ok(value):
+            pass
+    try:
+        model = EntrySettingsModel.model_validate(value)
+    except ValidationError as error:
+        return Err(Refusal(Code.BAD_SETTING, detail=f"{path}: {describe_fault(error)}"))
+    return Ok(
+        EntrySettings(
+            name=model.name,
+            data_centre=model.data_centre,
+            caller_listen=split_address(model.caller_address),
+            operator_listen=split_address(model.operator_address),
+            peer_listen=split_address(model.peer_address),
+            platform=model.platform,
+            peer_key=model.peer_key,
+        )
+    )
--- /dev/null
+++ b/src/radishmount/clock.py
@@ -0,0 +1,61 @@
+"""The one clock of the code base, in milliseconds."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+
+__all__ = ["Clock", "PauseWatch", "loop_clock"]
+
+PAUSE_THRESHOLD_MS = 500.0
+
+
+@dataclass(frozen=True, slots=True)
+class Clock:
+    """Reads time in milliseconds from the sources that it was given.
+
+    `now_ms` is monotonic and serves deadlines; `wall_ms` is the time of day and serves records
+    that people read. Nothing outside this module reads the system clock.
+
+        clock = loop_clock(asyncio.get_running_loop())
+        deadline_at_ms = clock.now_ms() + 190.0
+    """
+
+    now_ms: Callable[[], float]
+    wall_ms: Callable[[], float]
+
+    def remaining_ms(self, deadline_at_ms: float) -> float:
+        """Return the milliseconds left until `deadline_at_ms`, never less than zero."""
+        return max(0.0, deadline_at_ms - self.now_ms())
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Suspend the calling task for `duration_ms`."""
+        await asyncio.sleep(duration_ms / 1000.0)
+
+
+def loop_clock(loop: asyncio.AbstractEventLoop) -> Clock:
+    """Return a clock over the time of `loop`, so that virtual loops carry virtual time."""
+    return Clock(now_ms=lambda: loop.time() * 1000.0, wall_ms=lambda: time.time() * 1000.0)
+
+
+@dataclass(slots=True)
+class PauseWatch:
+    """Recognises that the process was suspended, by ticks that come late.
+
+    `tick` is called at a fixed interval and answers how long the process stood still, in
+    milliseconds, or zero when the tick came in time.
+    """
+
+    interval_ms: float
+    last_tick_at_ms: float
+    last_pause_ended_at_ms: float | None = None
+
+    def tick(self, now_ms: float) -> float:
+        """Record a tick at `now_ms` and return the length of the pause before it."""
+        late_ms = now_ms - self.last_tick_at_ms - self.interval_ms
+        self.last_tick_at_ms = now_ms
+        if late_ms < PAUSE_THRESHOLD_MS:
+            return 0.0
+        self.last_pause_ended_at_ms = now_ms
+        return late_ms
--- /dev/null
+++ b/src/radishmount/endpoints/_exchange.py
@@ -0,0 +1,105 @@
+"""What is sent to an endpoint and what comes back, without any encoding."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from result import Result
+
+from radishmount.codes import Code, Ran
+from radishmount.publication import ALL_KEYS, KeyRange
+
+
+__all__ = [
+    "Channel",
+    "Failure",
+    "LoadReport",
+    "OpenChannel",
+    "Outcome",
+    "Row",
+    "SearchTerms",
+    "SubReply",
+    "SubRequest",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class SearchTerms:
+    """What a caller searches for: endpoints read `text`, the system reads `keys` and `limit`."""
+
+    text: str
+    limit: int = 20
+    keys: KeyRange = ALL_KEYS
+
+
+@dataclass(frozen=True, slots=True)
+class SubRequest:
+    """The part of a search that one shard answers, at exactly one index version."""
+
+    request_id: str
+    attempt: int
+    shard: str
+    index_version: int
+    deadline_at_ms: float
+    terms: SearchTerms
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an endpoint says of itself. It may lag or mislead."""
+
+    slots: int = 0
+    in_flight: int = 0
+    queued: int = 0
+    draining: bool = False
+    versions: frozenset[int] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One hit; a higher `score` goes first, equal scores go by `key`."""
+
+    key: str
+    score: float
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class SubReply:
+    """The rows of one shard at one index version, best first."""
+
+    request_id: str
+    attempt: int
+    shard: str
+    index_version: int
+    rows: tuple[Row, ...]
+    load: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Why an attempt brought no reply; `load` is there when the endpoint itself answered."""
+
+    code: Code
+    ran: Ran = Ran.NOT_RUN
+    detail: str = ""
+    load: LoadReport | None = None
+
+
+Outcome = Result[SubReply, Failure]
+
+
+class Channel(Protocol):
+    """One connection to an endpoint. It carries one exchange at a time."""
+
+    async def exchange(self, request: SubRequest, remaining_ms: float) -> Outcome:
+        """Send `request` and return the reply, or why there is none."""
+
+    async def probe(self) -> Result[LoadReport, Failure]:
+        """Ask the endpoint for its state without any work."""
+
+    async def close(self) -> None:
+        """Close the connection."""
+
+
+OpenChannel = Callable[[str], Channel]
--- /dev/null
+++ b/src/radishmount/programs/__init__.py
@@ -0,0 +1,3 @@
+"""The console scripts."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/src/radishmount/programs/entry.py
@@ -0,0 +1,129 @@
+"""`radishmount-entry`: one entry instance, run from its settings."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from random import Random
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+from result import Err, Ok, Result
+
+from radishmount import __version__
+from radishmount.audit import AuditTrail
+from radishmount.border import (
+    EntrySettings,
+    HttpPlatform,
+    Server,
+    make_caller_app,
+    make_operator_app,
+    open_endpoint_channel,
+    read_bundle,
+    read_entry_settings,
+    serve,
+)
+from radishmount.clock import Clock, loop_clock
+from radishmount.codes import Refusal
+from radishmount.node import Node, NodeParts, make_node
+from radishmount.programs._logging import audit_log, log_state_change, set_up_logging
+
+
+__all__ = ["RunningEntry", "main", "start_entry"]
+
+EXIT_BAD_SETTINGS = 2
+EXIT_CANNOT_START = 3
+
+
+class RunningEntry:
+    """An entry that is being served, in this process."""
+
+    def __init__(self, node: Node, callers: Server, operators: Server) -> None:
+        self.node = node
+        self.callers = callers
+        self.operators = operators
+
+    async def stop(self) -> None:
+        """Finish the requests in flight and stop."""
+        await self.callers.stop()
+        await self.node.stop()
+        await self.operators.stop()
+
+
+async def start_entry(
+    settings: EntrySettings, clock: Clock, random: Random, audit: AuditTrail
+) -> Result[RunningEntry, Refusal]:
+    """Start an entry from its settings."""
+    node = make_node(
+        NodeParts(
+            name=settings.name,
+            data_centre=settings.data_centre,
+            clock=clock,
+            random=random,
+            platform=HttpPlatform(settings.platform),
+            open_channel=open_endpoint_channel,
+            read_bundle=read_bundle,
+        ),
+        audit,
+    )
+    callers = await serve(make_caller_app(node), settings.caller_listen)
+    if isinstance(callers, Err):
+        return callers
+    operators = await serve(make_operator_app(node), settings.operator_listen)
+    if isinstance(operators, Err):
+        await callers.ok_value.stop()
+        return operators
+    node.start()
+    return Ok(RunningEntry(node, callers.ok_value, operators.ok_value))
+
+
+class RunCommand(Command):
+    """The only command of the program."""
+
+    name = "run"
+    description = "Runs one entry instance from its settings."
+    options = [option("settings", "s", "The settings, JSON with comments.", flag=False)]
+
+    def handle(self) -> int:
+        """Run until a signal asks for a graceful stop."""
+        path = self.option("settings")
+        if not path:
+            self.line_error("radishmount-entry needs --settings FILE")
+            return EXIT_BAD_SETTINGS
+        match read_entry_settings(Path(path)):
+            case Err(refusal):
+                self.line_error(str(refusal))
+                return EXIT_BAD_SETTINGS
+            case Ok(settings):
+                return asyncio.run(_run(settings))
+
+
+async def _run(settings: EntrySettings) -> int:
+    set_up_logging(settings.name)
+    loop = asyncio.get_running_loop()
+    clock = loop_clock(loop)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    started = await start_entry(settings, clock, Random(), AuditTrail(clock, emit=audit_log))
+    if isinstance(started, Err):
+        sys.stderr.write(f"{started.err_value}\n")
+        return EXIT_CANNOT_START
+    entry = started.ok_value
+    log_state_change("serving", callers=str(entry.callers.address))
+    await stop.wait()
+    log_state_change("leaving")
+    await entry.stop()
+    log_state_change("stopped")
+    return 0
+
+
+def main() -> None:
+    """Run the program."""
+    application = Application("radishmount-entry", __version__)
+    command = RunCommand()
+    application.add(command)
+    application._default_command = command.name or ""  # cleo has no public setter
+    application._single_command = True
+    application.run()
--- /dev/null
+++ b/src/radishmount/publication/__init__.py
@@ -0,0 +1,55 @@
+"""The published objects, their check as one, and the version that only grows."""
+
+from radishmount.publication._check import (
+    Fault,
+    PublishedObject,
+    check_objects,
+    check_publication,
+    subject_of,
+)
+from radishmount.publication._in_force import (
+    ConfigurationSource,
+    InForce,
+    ReadBundle,
+    watch_configuration,
+)
+from radishmount.publication._keys import ALL_KEYS, KeyRange, covers
+from radishmount.publication._objects import (
+    Caller,
+    Collection,
+    DataCentre,
+    EndpointSpec,
+    Part,
+    Preference,
+    Rule,
+    Service,
+    Shard,
+)
+from radishmount.publication._publication import EMPTY_PUBLICATION, Publication
+
+
+__all__ = [
+    "ALL_KEYS",
+    "EMPTY_PUBLICATION",
+    "Caller",
+    "Collection",
+    "ConfigurationSource",
+    "DataCentre",
+    "EndpointSpec",
+    "Fault",
+    "InForce",
+    "KeyRange",
+    "Part",
+    "Preference",
+    "Publication",
+    "PublishedObject",
+    "ReadBundle",
+    "Rule",
+    "Service",
+    "Shard",
+    "check_objects",
+    "check_publication",
+    "covers",
+    "subject_of",
+    "watch_configuration",
+]
--- /dev/null
+++ b/src/radishmount/snapshots/__init__.py
@@ -0,0 +1,7 @@
+"""Snapshots: index versions, the shard map of a version, and coverage."""
+
+from radishmount.snapshots._coverage import Coverage, coverage_of
+from radishmount.snapshots._snapshot import Snapshot, choose_snapshot
+
+
+__all__ = ["Coverage", "Snapshot", "choose_snapshot", "coverage_of"]
--- /dev/null
+++ b/src/radishmount/standins/__init__.py
@@ -0,0 +1,15 @@
+"""Small stand-ins of the platform and of endpoints, for tests and trials."""
+
+from radishmount.standins._endpoint import EndpointBehaviour, EndpointRecord, EndpointStandIn
+from radishmount.standins._platform import ListedInstance, PlatformStandIn
+from radishmount.standins._serve import serve_stand_in
+
+
+__all__ = [
+    "EndpointBehaviour",
+    "EndpointRecord",
+    "EndpointStandIn",
+    "ListedInstance",
+    "PlatformStandIn",
+    "serve_stand_in",
+]
--- /dev/null
+++ b/src/radishmount/standins/_platform.py
@@ -0,0 +1,102 @@
+"""A small stand-in of the platform: published values and the instance list, with long polls."""
+
+import asyncio
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from radishmount.border import CONFIGURATION_KEY
+
+
+__all__ = ["ListedInstance", "PlatformStandIn"]
+
+
+@dataclass(slots=True)
+class ListedInstance:
+    """One line of the instance list; `role` is `entry` or `endpoint`."""
+
+    name: str
+    role: str
+    data_centre: str
+    state: str = "live"
+    caller_address: str = ""
+    peer_address: str = ""
+
+
+@dataclass(slots=True)
+class PlatformStandIn:
+    """Holds what is published. Tests and trials change it; instances can only read it."""
+
+    bundle: bytes = b""
+    bundle_version: int = 0
+    list_version: int = 0
+    listed_by_name: dict[str, ListedInstance] = field(default_factory=dict)
+    reads: int = 0
+    down: bool = False
+    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+    async def publish(self, version: int, bundle: bytes) -> None:
+        """Publish a bundle."""
+        async with self.changed:
+            self.bundle_version = version
+            self.bundle = bundle
+            self.changed.notify_all()
+
+    async def list_instances(self, *instances: ListedInstance) -> None:
+        """Add or replace lines of the instance list."""
+        async with self.changed:
+            for instance in instances:
+                self.listed_by_name[instance.name] = instance
+            self.list_version += 1
+            self.changed.notify_all()
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_get(f"/v1/values/{CONFIGURATION_KEY}", self._get_bundle)
+        app.router.add_get("/v1/instances", self._get_instances)
+        return app
+
+    async def _get_bundle(self, request: web.Request) -> web.Response:
+        after = await self._wait(request, lambda: self.bundle_version)
+        if self.down:
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        if self.bundle_version <= after:
+            return web.Response(status=HTTPStatus.NOT_MODIFIED)
+        return web.Response(body=self.bundle, content_type="application/json")
+
+    async def _get_instances(self, request: web.Request) -> web.Response:
+        after = await self._wait(request, lambda: self.list_version)
+        if self.down:
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        if self.list_version <= after:
+            return web.Response(status=HTTPStatus.NOT_MODIFIED)
+        lines = [_line(instance) for instance in self.listed_by_name.values()]
+        content = {"version": self.list_version, "instances": lines}
+        return web.Response(body=orjson.dumps(content), content_type="application/json")
+
+    async def _wait(self, request: web.Request, version: Any) -> int:
+        """Wait until the version passes `after`, at most as long as the reader asked."""
+        self.reads += 1
+        after = int(request.query.get("after", "0"))
+        wait_s = int(request.query.get("wait_ms", "0")) / 1000.0
+        try:
+            async with asyncio.timeout(wait_s), self.changed:
+                await self.changed.wait_for(lambda: self.down or version() > after)
+        except TimeoutError:
+            pass
+        return after
+
+
+def _line(instance: ListedInstance) -> dict[str, Any]:
+    return {
+        "name": instance.name,
+        "role": instance.role,
+        "data_centre": instance.data_centre,
+        "state": instance.state,
+        "caller_address": instance.caller_address,
+        "peer_address": instance.peer_address,
+    }
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,34 @@
+"""The rule that only the border and the stand-ins know HTTP and codecs."""
+
+import ast
+from pathlib import Path
+
+import radishmount
+
+
+ROOT = Path(radishmount.__file__).parent
+BORDER_ONLY = {"aiohttp", "msgpack", "pydantic", "orjson", "pyjson5", "aioprometheus"}
+ALLOWED_FOLDERS = {"border", "standins"}
+
+
+def imported_by(path: Path) -> set[str]:
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names.update(alias.name.split(".")[0] for alias in node.names)
+        if isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module.split(".")[0])
+    return names
+
+
+class TestImports:
+    """Decisions stay apart from encodings."""
+
+    def test_only_the_border_imports_codecs(self) -> None:
+        offenders = []
+        for path in ROOT.rglob("*.py"):
+            if path.relative_to(ROOT).parts[0] in ALLOWED_FOLDERS:
+                continue
+            offenders.extend((path.name, name) for name in imported_by(path) & BORDER_ONLY)
+
+        assert offenders == []
