--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,267 @@
+"""Fakes at the interfaces, for whole sessions on virtual time."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+
+from result import Err, Ok, Result
+
+from radishmount.audit import AuditTrail
+from radishmount.border import digest_of, object_from, publication_from
+from radishmount.clock import Clock
+from radishmount.codes import Code, Ran, Refusal
+from radishmount.endpoints import (
+    Channel,
+    Failure,
+    LoadReport,
+    Outcome,
+    Row,
+    SearchTerms,
+    SubReply,
+    SubRequest,
+)
+from radishmount.fleet import Instance, InstanceList
+from radishmount.node import Node, NodeParts, make_node
+from radishmount.publication import Fault, Publication
+from radishmount.queries import SearchCall
+from support import objects_for
+
+
+@dataclass
+class SessionLog:
+    """Every event of a session, a line each, for golden files."""
+
+    clock: Clock
+    lines: list[str] = field(default_factory=list)
+
+    def add(self, text: str) -> None:
+        """Append one event with the time at which it happened."""
+        self.lines.append(f"{self.clock.now_ms():9.1f}  {text}")
+
+    def text(self) -> str:
+        """Return the whole session."""
+        return "\n".join(self.lines)
+
+
+@dataclass
+class FakeEndpoint:
+    """One endpoint as a test sets it. All fields may change while it runs."""
+
+    name: str
+    log: SessionLog
+    versions: set[int] = field(default_factory=lambda: {1})
+    service_ms: float = 10.0
+    slots: int = 2
+    silent: bool = False
+    lost: bool = False
+    shedding: bool = False
+    draining: bool = False
+    in_flight: int = 0
+    connections: int = 0
+
+    def load(self) -> LoadReport:
+        """Return what the endpoint says of itself."""
+        return LoadReport(self.slots, self.in_flight, 0, self.draining, frozenset(self.versions))
+
+
+class FakeChannel:
+    """One connection to a fake endpoint."""
+
+    def __init__(self, endpoint: FakeEndpoint) -> None:
+        self._endpoint = endpoint
+
+    async def exchange(self, request: SubRequest, remaining_ms: float) -> Outcome:
+        """Answer as the endpoint is set to."""
+        endpoint = self._endpoint
+        what = f"#{request.attempt} {request.shard} v{request.index_version}"
+        endpoint.log.add(f"{endpoint.name} <- {request.request_id} {what}")
+        if endpoint.lost:
+            return Err(Failure(Code.NOT_CONNECTED))
+        await self._be_silent()
+        refused = self._refusal(request)
+        if refused is not None:
+            endpoint.log.add(f"{endpoint.name} -> {request.request_id} {what} {refused.code.name}")
+            return Err(refused)
+        endpoint.in_flight += 1
+        try:
+            await asyncio.sleep(endpoint.service_ms / 1000.0)
+        except asyncio.CancelledError:
+            endpoint.log.add(f"{endpoint.name} -- {request.request_id} {what} cancelled")
+            raise
+        finally:
+            endpoint.in_flight -= 1
+        endpoint.log.add(f"{endpoint.name} -> {request.request_id} {what} ok")
+        row = Row(request.terms.keys.low + request.shard, 1.0, {"v": request.index_version})
+        return Ok(
+            SubReply(
+                request.request_id,
+                request.attempt,
+                request.shard,
+                request.index_version,
+                (row,),
+                endpoint.load(),
+            )
+        )
+
+    async def probe(self) -> Result[LoadReport, Failure]:
+        """Answer a probe as the endpoint is set to."""
+        if self._endpoint.lost:
+            return Err(Failure(Code.NOT_CONNECTED))
+        await self._be_silent()
+        return Ok(self._endpoint.load())
+
+    async def close(self) -> None:
+        """Close the connection."""
+
+    def _refusal(self, request: SubRequest) -> Failure | None:
+        load = self._endpoint.load()
+        if self._endpoint.draining:
+            return Failure(Code.ENDPOINT_LEAVING, Ran.NOT_RUN, load=load)
+        if self._endpoint.shedding:
+            return Failure(Code.SHED, Ran.NOT_RUN, load=load)
+        if request.index_version not in self._endpoint.versions:
+            return Failure(Code.WRONG_VERSION, Ran.NOT_RUN, load=load)
+        return None
+
+    async def _be_silent(self) -> None:
+        while self._endpoint.silent:
+            await asyncio.sleep(0.1)
+
+
+@dataclass
+class FakePlatform:
+    """The platform; `publish` and `list_instances` wake the watches."""
+
+    body: bytes = b""
+    version: int = 0
+    instances: InstanceList = InstanceList(0, ())
+    down: bool = False
+    reads: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def publish(self, version: int) -> None:
+        """Publish version `version`; the body is its number."""
+        self.version = version
+        self.body = str(version).encode()
+        self._wake()
+
+    def list_instances(self, instances: InstanceList) -> None:
+        """Publish a newer instance list."""
+        self.instances = instances
+        self._wake()
+
+    async def bundle(self, after: int, wait_ms: int) -> Result[bytes | None, Refusal]:
+        """Return the bundle newer than `after`."""
+        if not await self._wait(lambda: self.version > after, wait_ms):
+            return Err(Refusal(Code.PLATFORM_DOWN))
+        return Ok(self.body if self.version > after else None)
+
+    async def instance_list(self, after: int, wait_ms: int) -> Result[InstanceList | None, Refusal]:
+        """Return the list newer than `after`."""
+        if not await self._wait(lambda: self.instances.version > after, wait_ms):
+            return Err(Refusal(Code.PLATFORM_DOWN))
+        return Ok(self.instances if self.instances.version > after else None)
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _wait(self, is_there, wait_ms: int) -> bool:  # type: ignore[no-untyped-def]
+        self.reads += 1
+        try:
+            async with asyncio.timeout(wait_ms / 1000.0):
+                while not self.down and not is_there():
+                    await self.changed.wait()
+        except TimeoutError:
+            pass
+        return not self.down
+
+
+@dataclass
+class World:
+    """Some instances and endpoints on one virtual loop, with one log of the whole session."""
+
+    log: SessionLog
+    platform: FakePlatform
+    endpoints_by_address: dict[str, FakeEndpoint]
+    nodes_by_name: dict[str, Node] = field(default_factory=dict)
+
+    @property
+    def endpoints_by_name(self) -> dict[str, FakeEndpoint]:
+        """Return the endpoints by name."""
+        return {endpoint.name: endpoint for endpoint in self.endpoints_by_address.values()}
+
+    async def search(self, node: str = "entry-a", **fields) -> None:  # type: ignore[no-untyped-def]
+        """Send one search and log the answer."""
+        call = SearchCall(
+            caller=fields.pop("caller", "workshop"),
+            collection="catalogue",
+            terms=SearchTerms("washi"),
+            deadline_ms=fields.pop("deadline_ms", 190.0),
+        )
+        request_id = fields.pop("request_id", "r1")
+        self.log.add(f"{node} <= {request_id}")
+        match await self.nodes_by_name[node].search(request_id, call):
+            case Err(refusal):
+                self.log.add(f"{node} => {request_id} {refusal.code.name} {refusal.ran.value}")
+            case Ok(answer):
+                missing = ",".join(answer.coverage.missing) or "none"
+                told = f"v{answer.index_version} missing {missing}"
+                self.log.add(f"{node} => {request_id} {told} of {answer.sub_requests} sub-requests")
+
+    async def stop(self) -> None:
+        """Stop every instance."""
+        for node in self.nodes_by_name.values():
+            await node.stop()
+
+
+def virtual_clock() -> Clock:
+    """Return a clock over the running loop; the time of day is the loop's too."""
+    loop = asyncio.get_running_loop()
+    return Clock(now_ms=lambda: loop.time() * 1000.0, wall_ms=lambda: loop.time() * 1000.0)
+
+
+def publication_of(version: int, addresses: dict[str, list[str]]) -> Publication:
+    """Return the small set of `support.objects_for` as a publication."""
+    raw = objects_for(addresses)
+    objects = [object_from(item).unwrap() for item in raw]
+    return publication_from(version, digest_of(raw), objects).unwrap()
+
+
+async def start_world(
+    services: int = 2, replicas: int = 2, nodes: tuple[str, ...] = ("entry-a",)
+) -> World:
+    """Start instances over fake endpoints, and wait until every endpoint was probed."""
+    clock = virtual_clock()
+    log = SessionLog(clock)
+    addresses: dict[str, list[str]] = {}
+    endpoints_by_address = {}
+    for index in range(services):
+        for n in range(replicas):
+            address = f"127.0.{index}.{n}:80"
+            endpoints_by_address[address] = FakeEndpoint(f"catalogue-{index}-{n}", log)
+            addresses.setdefault(f"catalogue-{index}", []).append(address)
+    platform = FakePlatform()
+    world = World(log, platform, endpoints_by_address)
+
+    def open_channel(address: str) -> Channel:
+        return FakeChannel(endpoints_by_address[address])
+
+    def read_bundle(body: bytes) -> Result[Publication, list[Fault]]:
+        return Ok(publication_of(int(body), addresses))
+
+    for number, name in enumerate(nodes):
+        audit = AuditTrail(clock, emit=lambda line: log.add(f"audit {line.subject} {line.change}"))
+        parts = NodeParts(
+            name, "milano", clock, Random(number), platform, open_channel, read_bundle
+        )
+        world.nodes_by_name[name] = make_node(parts, audit)
+        world.nodes_by_name[name].start()
+    platform.publish(1)
+    listed = tuple(Instance(name, "milano", f"{name}:1", f"{name}:2") for name in nodes)
+    platform.list_instances(InstanceList(1, listed))
+    await asyncio.sleep(0.1)
+    return world
