--- /dev/null
+++ b/benchmarks/test_decisions.py
@@ -0,0 +1,45 @@
+"""Processor time of the decisions on the path of a search."""
+
+from typing import Any
+
+import pytest
+
+from radishmount.endpoints import Endpoint, LoadReport, Row, SubReply, make_choice
+from radishmount.publication import EndpointSpec
+from radishmount.queries import merge_rows
+
+
+REPLICAS = 3
+SHARDS = 100
+ROWS = 20
+
+
+@pytest.fixture
+def endpoints() -> list[Endpoint]:
+    specs = [EndpointSpec(f"e-{n}", "milano", f"127.0.0.1:{n + 1}") for n in range(REPLICAS)]
+    listed = [Endpoint(spec, slots=2) for spec in specs]
+    for endpoint in listed:
+        endpoint.reported(LoadReport(versions=frozenset({1})), now_ms=0.0)
+    return listed
+
+
+def test_choose_among_three(benchmark: Any, endpoints: list[Endpoint]) -> None:
+    choose = make_choice("milano")
+
+    assert benchmark(choose, endpoints, (), 1.0) is endpoints[0]
+
+
+def test_merge_hundred_shards(benchmark: Any) -> None:
+    replies = [
+        SubReply(
+            "r",
+            n,
+            f"s{n}",
+            1,
+            tuple(Row(f"k{n}-{i}", 1.0 / (i + 1)) for i in range(ROWS)),
+            LoadReport(),
+        )
+        for n in range(SHARDS)
+    ]
+
+    assert len(benchmark(merge_rows, replies, ROWS)) == ROWS
