Carry orders to endpoints at most once, with tickets and recorded outcomes

Cause: non-idempotent requests had only their data classes.

An order uses the counted connections of the searches. Its body leaves only after 100 Continue, through a gate that is passed or withdrawn once: a withdrawn gate means that the order did not run there, so only then another endpoint is tried. Tickets are sealed with a keyed digest; whatever their one order came to is recorded and replayed.

--- a/src/radishmount/border/_callers.py
+++ b/src/radishmount/border/_callers.py
@@ -7,6 +7,7 @@
 from pydantic import Field
 from result import Err, Ok, Result
 
+from radishmount.border._caller_orders import OrderService, add_order_routes
 from radishmount.border._models import BorderModel, read_json
 from radishmount.border._refusals import json_response, refusal_response
 from radishmount.codes import Code, Refusal
@@ -38,6 +39,10 @@
     async def search(self, request_id: str, call: SearchCall) -> Result[Answer, Refusal]:
         """Answer a search."""
 
+    @property
+    def orders(self) -> OrderService:
+        """Return what takes orders."""
+
 
 class KeysModel(BorderModel):
     """The keys that a search is narrowed to."""
@@ -91,6 +96,7 @@
     app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[_numbered_errors(service)])
     app.router.add_get("/v1/addresses", addresses)
     app.router.add_post("/v1/search", search)
+    add_order_routes(app, service.orders, lambda request: _request_id(request, service))
     return app
 
 
--- a/src/radishmount/border/_endpoint_client.py
+++ b/src/radishmount/border/_endpoint_client.py
@@ -7,9 +7,21 @@
 from pydantic import Field, ValidationError
 from result import Err, Ok, Result
 
+from radishmount.border._endpoint_orders import place_order
+from radishmount.border._load_model import LoadModel
 from radishmount.border._models import BorderModel, describe_fault
 from radishmount.codes import Code, Ran
-from radishmount.endpoints import Channel, Failure, LoadReport, Outcome, Row, SubReply, SubRequest
+from radishmount.endpoints import (
+    Channel,
+    Failure,
+    LoadReport,
+    OrderExchange,
+    OrderRequest,
+    Outcome,
+    Row,
+    SubReply,
+    SubRequest,
+)
 
 
 __all__ = ["EndpointChannel", "open_endpoint_channel"]
@@ -24,22 +36,6 @@
 }
 
 
-class LoadModel(BorderModel):
-    """The load report in every reply."""
-
-    slots: int = 0
-    in_flight: int = 0
-    queued: int = 0
-    draining: bool = False
-    versions: list[int]
-
-    def to_data(self) -> LoadReport:
-        """Return the report as a data class."""
-        return LoadReport(
-            self.slots, self.in_flight, self.queued, self.draining, frozenset(self.versions)
-        )
-
-
 class ReplyModel(BorderModel):
     """A reply of an endpoint to a sub-request."""
 
@@ -73,6 +69,10 @@
             return Err(Failure(Code.CONNECTION_LOST, Ran.UNKNOWN, detail=repr(error)))
         return _outcome_of(content, request)
 
+    async def place(self, request: OrderRequest, remaining_ms: float) -> OrderExchange:
+        """Send an order, whose body leaves only when the endpoint is ready for it."""
+        return await place_order(self._open(), self._url, request, remaining_ms)
+
     async def probe(self) -> Result[LoadReport, Failure]:
         """Ask for the endpoint's state."""
         try:
--- /dev/null
+++ b/src/radishmount/border/_endpoint_orders.py
@@ -0,0 +1,118 @@
+"""The endpoint protocol for orders: the body leaves only after `100 Continue`."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Annotated, Any
+
+import aiohttp
+import orjson
+from pydantic import Field, ValidationError
+from result import Err, Ok
+
+from radishmount.border._load_model import LoadModel
+from radishmount.border._models import BorderModel, describe_fault
+from radishmount.codes import Code, Ran
+from radishmount.endpoints import Failure, OrderExchange, OrderReply, OrderRequest
+
+
+__all__ = ["place_order"]
+
+CONTINUE_TIMEOUT_MS = 250.0
+CONTINUE_SHARE_OF_DEADLINE = 0.3
+DEADLINE_WIDTH = 12
+CODE_BY_OUTCOME = {
+    "shed": Code.SHED,
+    "draining": Code.ENDPOINT_LEAVING,
+    "deadline": Code.DEADLINE_PASSED,
+    "error": Code.ENDPOINT_ERROR,
+}
+
+
+class BodyWithheld(Exception):
+    """Raised in place of the body, when its gate does not let it go."""
+
+
+class OrderReplyModel(BorderModel):
+    """A reply of an endpoint to an order."""
+
+    outcome: str
+    ran: bool
+    request_id: str
+    attempt: int
+    result: dict[str, Any] = {}
+    detail: Annotated[str, Field(max_length=1000)] = ""
+    load: LoadModel
+
+
+async def place_order(
+    session: aiohttp.ClientSession, url: str, request: OrderRequest, remaining_ms: float
+) -> OrderExchange:
+    """Send the headers, then the body once the endpoint is ready for it, and read the reply.
+
+    An endpoint that does not grant the body in time never gets it, so the order did not run.
+    """
+    started = asyncio.get_running_loop().time()
+    ends_at = started + remaining_ms / 1000.0
+    continue_ms = min(CONTINUE_TIMEOUT_MS, remaining_ms * CONTINUE_SHARE_OF_DEADLINE)
+    opening = _opening_of(request)
+    headers = {
+        "Content-Length": str(len(opening) + DEADLINE_WIDTH + 1),
+        "Content-Type": "application/json",
+    }
+    try:
+        async with asyncio.timeout_at(started + continue_ms / 1000.0) as timeout:
+
+            async def body() -> AsyncIterator[bytes]:
+                if not request.gate.leave():
+                    raise BodyWithheld
+                timeout.reschedule(ends_at)
+                left_ms = max(0.0, (ends_at - asyncio.get_running_loop().time()) * 1000.0)
+                yield opening + f"{left_ms:{DEADLINE_WIDTH}.1f}}}".encode()
+
+            async with session.post(
+                f"{url}/v1/orders",
+                data=body(),
+                headers=headers,
+                expect100=True,
+                allow_redirects=False,
+            ) as response:
+                content = await response.read()
+                if request.gate.withdraw() is Ran.NOT_RUN:
+                    response.close()
+    except TimeoutError:
+        return Err(Failure(Code.TIMED_OUT, request.gate.withdraw()))
+    except aiohttp.ClientConnectorError as error:
+        return Err(Failure(Code.NOT_CONNECTED, request.gate.withdraw(), detail=str(error)))
+    except (aiohttp.ClientError, OSError) as error:
+        return Err(Failure(Code.CONNECTION_LOST, request.gate.withdraw(), detail=repr(error)))
+    return _outcome_of(content, request)
+
+
+def _opening_of(request: OrderRequest) -> bytes:
+    """Return the body up to the remaining time, which is written when the body leaves."""
+    content = {
+        "request_id": request.request_id,
+        "attempt": request.attempt,
+        "caller": request.caller,
+        "order": request.body,
+    }
+    return orjson.dumps(content)[:-1] + b',"deadline_ms":'
+
+
+def _outcome_of(content: bytes, request: OrderRequest) -> OrderExchange:
+    """Return what the endpoint said. Without a readable reply only the gate tells what ran."""
+    unanswered = request.gate.withdraw()
+    try:
+        reply = OrderReplyModel.model_validate_json(content)
+    except ValidationError as error:
+        return Err(Failure(Code.BAD_REPLY, unanswered, detail=describe_fault(error)))
+    if (reply.request_id, reply.attempt) != (request.request_id, request.attempt):
+        return Err(Failure(Code.BAD_REPLY, unanswered, detail="for another request"))
+    load = reply.load.to_data()
+    if reply.outcome == "ok" and reply.ran:
+        return Ok(OrderReply(reply.request_id, reply.attempt, reply.result, load))
+    code = CODE_BY_OUTCOME.get(reply.outcome)
+    if code is None or reply.outcome == "ok":
+        return Err(Failure(Code.BAD_REPLY, unanswered, detail=reply.outcome, load=load))
+    ran = Ran.RAN if reply.ran else Ran.NOT_RUN
+    return Err(Failure(code, ran, detail=reply.detail, load=load))
--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -53,6 +53,10 @@
     UNKNOWN_TICKET = 4002
     TICKET_EXPIRED = 4003
     KEY_CONFLICT = 4004
+    INSTANCE_UNREACHABLE = 4005
+    OUTCOME_PENDING = 4006
+    TICKET_VOID = 4007
+    KEY_UNCERTAIN = 4008
 
     BROKEN_SYNTAX = 5001
     BROKEN_OBJECT = 5002
@@ -115,6 +119,10 @@
     Code.UNKNOWN_TICKET: "no such ticket was issued",
     Code.TICKET_EXPIRED: "the ticket has expired",
     Code.KEY_CONFLICT: "the key was used for another order",
+    Code.INSTANCE_UNREACHABLE: "the instance that keeps the outcome cannot be reached now",
+    Code.OUTCOME_PENDING: "the order has no outcome yet; ask again",
+    Code.TICKET_VOID: "the ticket was made void before it carried an order",
+    Code.KEY_UNCERTAIN: "it is not certain that the key was never used; ask again later",
     Code.BROKEN_SYNTAX: "the file is not JSON with comments",
     Code.BROKEN_OBJECT: "a field is missing, unknown or of the wrong type",
     Code.DUPLICATE_OBJECT: "two objects of one kind have the same name",
--- a/src/radishmount/endpoints/_exchange.py
+++ b/src/radishmount/endpoints/_exchange.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from result import Result
 
@@ -10,6 +10,10 @@
 from radishmount.publication import ALL_KEYS, KeyRange
 
 
+if TYPE_CHECKING:
+    from radishmount.endpoints._order_exchange import OrderExchange, OrderRequest
+
+
 __all__ = [
     "Channel",
     "Failure",
@@ -95,6 +99,9 @@
     async def exchange(self, request: SubRequest, remaining_ms: float) -> Outcome:
         """Send `request` and return the reply, or why there is none."""
 
+    async def place(self, request: "OrderRequest", remaining_ms: float) -> "OrderExchange":
+        """Send an order, whose body leaves only through its gate."""
+
     async def probe(self) -> Result[LoadReport, Failure]:
         """Ask the endpoint for its state without any work."""
 
--- a/src/radishmount/endpoints/_link.py
+++ b/src/radishmount/endpoints/_link.py
@@ -4,12 +4,14 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
-from result import Err
+from result import Err, Result
 
 from radishmount.clock import Clock
 from radishmount.codes import Code
 from radishmount.counters import Counters
+from radishmount.endpoints._carried import Carried
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._exchange import Channel, Failure, OpenChannel, Outcome, SubRequest
 
@@ -31,6 +33,19 @@
     cancelled: bool = False
     timeout: asyncio.Timeout | None = None
 
+    @property
+    def deadline_at_ms(self) -> float:
+        """Return the time after which nothing is sent."""
+        return self.request.deadline_at_ms
+
+    async def send(self, channel: Channel, remaining_ms: float) -> Outcome:
+        """Make the exchange over `channel`."""
+        return await channel.exchange(self.request, remaining_ms)
+
+    def finish(self, outcome: Outcome) -> None:
+        """Deliver the outcome."""
+        self.deliver(self, outcome)
+
     def cancel(self) -> None:
         """Give the attempt up: it is not sent, or its connection is closed."""
         self.cancelled = True
@@ -47,7 +62,7 @@
     clock: Clock
     counters: Counters
     connection_limit: int
-    waiting: deque[Attempt] = field(default_factory=deque)
+    waiting: deque[Carried] = field(default_factory=deque)
     wakers: deque[asyncio.Future[None]] = field(default_factory=deque)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -55,7 +70,7 @@
         """Open the first connection, which also probes while there is nothing to send."""
         self._add_connection(probes=True)
 
-    def submit(self, attempt: Attempt) -> None:
+    def submit(self, attempt: Carried) -> None:
         """Hand over one attempt; it is sent by the next free connection."""
         attempt.endpoint.took_request()
         self.waiting.append(attempt)
@@ -92,7 +107,7 @@
         finally:
             await channel.close()
 
-    async def _next_attempt(self, wait_ms: float | None) -> Attempt | None:
+    async def _next_attempt(self, wait_ms: float | None) -> Carried | None:
         """Return the next attempt, or none when `wait_ms` pass without one."""
         while not self.waiting:
             waker = asyncio.get_running_loop().create_future()
@@ -107,24 +122,24 @@
                     self.wakers.remove(waker)
         return self.waiting.popleft()
 
-    async def _carry(self, channel: Channel, attempt: Attempt) -> None:
-        remaining_ms = self.clock.remaining_ms(attempt.request.deadline_at_ms)
+    async def _carry(self, channel: Channel, attempt: Carried) -> None:
+        remaining_ms = self.clock.remaining_ms(attempt.deadline_at_ms)
         if attempt.cancelled:
             self._finish(attempt, Err(Failure(Code.CANCELLED)))
             return
         if remaining_ms <= 0.0:
             self._finish(attempt, Err(Failure(Code.DEADLINE_PASSED)))
             return
-        outcome: Outcome
+        outcome: Result[Any, Failure]
         try:
             async with asyncio.timeout(remaining_ms / 1000.0) as attempt.timeout:
-                outcome = await channel.exchange(attempt.request, remaining_ms)
+                outcome = await attempt.send(channel, remaining_ms)
         except TimeoutError:
             code = Code.CANCELLED if attempt.cancelled else Code.TIMED_OUT
             outcome = Err(Failure(code))
         self._finish(attempt, outcome)
 
-    def _finish(self, attempt: Attempt, outcome: Outcome) -> None:
+    def _finish(self, attempt: Carried, outcome: Result[Any, Failure]) -> None:
         now_ms = self.clock.now_ms()
         match outcome:
             case Err(failure):
@@ -133,7 +148,7 @@
             case _:
                 latency_ms = now_ms - attempt.submitted_at_ms
                 self.endpoint.replied(outcome.ok_value.load, now_ms, latency_ms)
-        attempt.deliver(attempt, outcome)
+        attempt.finish(outcome)
 
     async def _probe(self, channel: Channel) -> None:
         try:
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -5,10 +5,11 @@
 
 from radishmount.clock import Clock
 from radishmount.counters import Counters
+from radishmount.endpoints._carried import Carried
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._exchange import OpenChannel
 from radishmount.endpoints._holders import connections_of_holder
-from radishmount.endpoints._link import Attempt, Link
+from radishmount.endpoints._link import Link
 from radishmount.publication import Publication
 
 
@@ -31,7 +32,7 @@
         for link in self.links_by_service.get(service, ()):
             yield link.endpoint
 
-    def submit(self, attempt: Attempt) -> None:
+    def submit(self, attempt: Carried) -> None:
         """Send `attempt` over the link of its endpoint."""
         self.links_by_name[attempt.endpoint.name].submit(attempt)
 
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -23,6 +23,8 @@
     choose_addresses,
     watch_instances,
 )
+from radishmount.node_orders import make_node_orders
+from radishmount.orders import OrderDesk
 from radishmount.publication import (
     ConfigurationSource,
     InForce,
@@ -54,6 +56,7 @@
     platform: Platform
     open_channel: OpenChannel
     read_bundle: ReadBundle
+    secret: bytes = b""
 
 
 @dataclass(slots=True)
@@ -66,6 +69,7 @@
     list_watch: ListWatch
     pool: EndpointPool
     tools: QueryTools
+    orders: OrderDesk
     audit: AuditTrail
     counters: Counters
     admission: Admission = field(default_factory=Admission)
@@ -78,7 +82,8 @@
         self._start_task("watch instances", watch_instances(self.list_watch, platform))
 
     async def stop(self) -> None:
-        """End the watches and close every connection."""
+        """Finish the orders in flight, end the watches and close every connection."""
+        await self.orders.runner.drain()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -150,6 +155,7 @@
         """Hand a new instance list to the parts that follow it."""
         names = self.fleet.listed_names
         self.admission.instances = len(names)
+        self.orders.keys.ownership.take_list(names, self.parts.clock.now_ms())
         await self.pool.take_publication(self.in_force.current, names)
         self.pool.take_leaving(instance_list.leaving_endpoints)
 
@@ -159,15 +165,20 @@
     counters = Counters()
     pool = EndpointPool(parts.name, parts.open_channel, parts.clock, counters)
     fleet = Fleet(parts.name, parts.data_centre)
+    tools = QueryTools(pool, parts.clock, make_choice(parts.data_centre), counters)
+    in_force = InForce(parts.read_bundle, audit, counters, parts.clock)
+    admission = Admission()
     node = Node(
         parts=parts,
         fleet=fleet,
-        in_force=InForce(parts.read_bundle, audit, counters, parts.clock),
+        in_force=in_force,
         list_watch=ListWatch(fleet, audit, counters, parts.clock),
         pool=pool,
-        tools=QueryTools(pool, parts.clock, make_choice(parts.data_centre), counters),
+        tools=tools,
+        orders=make_node_orders(parts, tools, in_force, admission),
         audit=audit,
         counters=counters,
+        admission=admission,
     )
     node.in_force.on_change.append(node.take_publication)
     node.list_watch.on_change.append(node.take_list)
--- /dev/null
+++ b/src/radishmount/orders/_make.py
@@ -0,0 +1,60 @@
+"""The aggregate, put together from what the instance hands in."""
+
+from dataclasses import dataclass
+from random import Random
+
+from radishmount.clock import Clock
+from radishmount.orders._desk import OrderDesk
+from radishmount.orders._keys import AskAgreement, Keys
+from radishmount.orders._ownership import KeyOwnership
+from radishmount.orders._runner import Admit, Bind, OrderRunner
+from radishmount.orders._ticket import seal_key_from
+from radishmount.orders._tickets import Forward, Tickets
+from radishmount.orders._tools import OrderTools
+
+
+__all__ = ["OrderParts", "make_order_desk", "new_start_number"]
+
+RANDOM_BITS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class OrderParts:
+    """What orders are handed by their instance. `secret` is the same for the whole fleet."""
+
+    own_name: str
+    start_number: int
+    secret: bytes
+    tools: OrderTools
+    bind: Bind
+    admit: Admit
+    forward: Forward
+    ask_agreement: AskAgreement
+
+
+def new_start_number(clock: Clock, random: Random) -> int:
+    """Return a number that no other start of the instance has, even if its clock jumped back."""
+    return int(clock.wall_ms()) << RANDOM_BITS | random.getrandbits(RANDOM_BITS)
+
+
+def make_order_desk(parts: OrderParts) -> OrderDesk:
+    """Return a desk without any order."""
+    clock = parts.tools.clock
+    runner = OrderRunner(parts.tools, parts.bind, parts.admit)
+    tickets = Tickets(
+        parts.own_name,
+        parts.start_number,
+        seal_key_from(parts.secret),
+        clock,
+        runner,
+        parts.forward,
+    )
+    keys = Keys(
+        KeyOwnership(parts.own_name, parts.start_number),
+        clock,
+        runner,
+        parts.tools.counters,
+        parts.forward,
+        parts.ask_agreement,
+    )
+    return OrderDesk(runner, tickets, keys)
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -64,6 +64,7 @@
             platform=HttpPlatform(settings.platform),
             open_channel=open_endpoint_channel,
             read_bundle=read_bundle,
+            secret=settings.peer_key.encode(),
         ),
         audit,
     )
--- a/src/radishmount/standins/_endpoint.py
+++ b/src/radishmount/standins/_endpoint.py
@@ -10,6 +10,8 @@
 import orjson
 from aiohttp import web
 
+from radishmount.standins._orders import OrderStandIn
+
 
 __all__ = ["EndpointBehaviour", "EndpointRecord", "EndpointStandIn"]
 
@@ -50,6 +52,7 @@
     random: Random
     behaviour: EndpointBehaviour = field(default_factory=EndpointBehaviour)
     records: list[EndpointRecord] = field(default_factory=list)
+    orders: OrderStandIn = field(default_factory=OrderStandIn)
     in_flight: int = 0
     queued: int = 0
     slot_free: asyncio.Semaphore = field(init=False)
@@ -68,11 +71,12 @@
         app = web.Application()
         app.router.add_post("/v1/search", self._search)
         app.router.add_get("/v1/state", self._state)
+        self.orders.add_routes(app, self)
         return app
 
     async def _state(self, request: web.Request) -> web.Response:
         await self._be_silent()
-        return web.Response(body=orjson.dumps(self._load()), content_type="application/json")
+        return web.Response(body=orjson.dumps(self.load()), content_type="application/json")
 
     async def _search(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
@@ -90,7 +94,7 @@
             self.queued -= 1
         self.in_flight += 1
         try:
-            await asyncio.sleep(self._service_s())
+            await asyncio.sleep(self.service_s())
         finally:
             self.in_flight -= 1
             self.slot_free.release()
@@ -101,7 +105,8 @@
         while self.behaviour.silent:
             await asyncio.sleep(1.0)
 
-    def _service_s(self) -> float:
+    def service_s(self) -> float:
+        """Return how long the next work takes."""
         service_ms = self.behaviour.service_ms
         if self.random.random() < self.behaviour.slow_ratio:
             service_ms += self.behaviour.slow_ms
@@ -119,7 +124,7 @@
             "shard": body["shard"],
             "index_version": body["index_version"],
             "rows": rows or [],
-            "load": self._load(),
+            "load": self.load(),
         }
         return web.Response(
             body=orjson.dumps(content), status=HTTPStatus.OK, content_type="application/json"
@@ -137,7 +142,8 @@
         )
         self.records.append(record)
 
-    def _load(self) -> dict[str, Any]:
+    def load(self) -> dict[str, Any]:
+        """Return the load report, which may lie."""
         told = self.behaviour.reported_in_flight
         return {
             "slots": self.slots,
--- a/tests/support.py
+++ b/tests/support.py
@@ -46,7 +46,35 @@
             await server.stop()
 
 
-def objects_for(addresses: dict[str, list[str]]) -> list[dict[str, Any]]:
+def order_objects(addresses: list[str]) -> list[dict[str, Any]]:
+    """Return a service for orders at `addresses`, and the rule that binds its caller."""
+    endpoints = [
+        {"name": f"order-booking-{n}", "data_centre": "milano", "address": address}
+        for n, address in enumerate(addresses)
+    ]
+    return [
+        {
+            "kind": "service",
+            "name": "order-booking",
+            "slots": 6,
+            "connections": 110,
+            "endpoints": endpoints,
+        },
+        {
+            "kind": "rule",
+            "name": "book",
+            "target": "order-booking",
+            "prefer": "coverage",
+            "deadline": "2s",
+            "quota": "1000/s",
+            "idempotent": False,
+        },
+    ]
+
+
+def objects_for(
+    addresses: dict[str, list[str]], order_addresses: list[str] | None = None
+) -> list[dict[str, Any]]:
     """Return a small set: one collection, a shard for each service of `addresses`."""
     bounds = ["", *[f"{letter}" for letter in "hp"][: len(addresses) - 1], None]
     objects: list[dict[str, Any]] = [
@@ -88,10 +116,15 @@
             }
         )
     objects.append({"kind": "collection", "name": "catalogue", "parts": parts})
+    if order_addresses:
+        objects.extend(order_objects(order_addresses))
+        for item in objects:
+            if item["kind"] == "caller":
+                item["rules"] = [*item["rules"], "book"]
     return objects
 
 
-async def start_session(services: int = 2, replicas: int = 2) -> Session:
+async def start_session(services: int = 2, replicas: int = 2, *, orders: bool = False) -> Session:
     """Start endpoints, platform and one entry, and wait until a search can be answered."""
     servers: list[Server] = []
     endpoints_by_name = {}
@@ -104,10 +137,17 @@
             endpoints_by_name[stand_in.name] = stand_in
             servers.append(server)
             addresses.setdefault(service, []).append(str(server.address))
+    order_addresses = []
+    for n in range(2 if orders else 0):
+        stand_in = EndpointStandIn(f"order-booking-{n}", 6, set(), Random(100 + n))
+        server = await serve_stand_in(stand_in.app())
+        endpoints_by_name[stand_in.name] = stand_in
+        servers.append(server)
+        order_addresses.append(str(server.address))
     platform = PlatformStandIn()
     platform_server = await serve_stand_in(platform.app())
     servers.append(platform_server)
-    await platform.publish(1, write_bundle(1, objects_for(addresses)))
+    await platform.publish(1, write_bundle(1, objects_for(addresses, order_addresses)))
     clock = loop_clock(asyncio.get_running_loop())
     settings = EntrySettings(
         "entry-a", "milano", FREE, FREE, FREE, str(platform_server.address), PEER_KEY
