--- /dev/null
+++ b/benchmarks/fan_out.py
@@ -0,0 +1,211 @@
+"""Processor time for a sub-request: the whole entry against a bare aiohttp fan-out.
+
+Endpoints run in a process of their own, so that only the client side is counted; start them first:
+
+    python benchmarks/fan_out.py endpoints 9400 &
+    python benchmarks/fan_out.py compare 9400
+
+Both sides send the same bodies to the same endpoints in turn, in rounds, within one process.
+"""
+
+import asyncio
+import statistics
+import sys
+import time
+from random import Random
+
+import aiohttp
+import orjson
+
+from radishmount.audit import AuditTrail
+from radishmount.border import (
+    Listen,
+    open_endpoint_channel,
+    read_bundle,
+    serve,
+    write_bundle,
+)
+from radishmount.clock import loop_clock
+from radishmount.endpoints import SearchTerms
+from radishmount.fleet import Instance, InstanceList
+from radishmount.node import Node, NodeParts, make_node
+from radishmount.queries import SearchCall
+from radishmount.standins import EndpointBehaviour, EndpointStandIn
+
+
+SHARDS = 30
+ROUNDS = 10
+QUERIES_PER_ROUND = 100
+SERVICE_MS = 1.0
+KEYS = [f"{n:03d}" for n in range(1000)]
+
+
+async def serve_endpoints(first_port: int) -> None:
+    """Serve one endpoint for each shard until the process is ended."""
+    for n in range(SHARDS):
+        behaviour = EndpointBehaviour(service_ms=SERVICE_MS)
+        stand_in = EndpointStandIn(f"e-{n}", 8, {1}, Random(n), behaviour)
+        await serve(stand_in.app(), Listen("127.0.0.1", first_port + n))
+    await asyncio.Event().wait()
+
+
+def objects(first_port: int) -> list[dict[str, object]]:
+    """Return a collection with one shard and one endpoint for each port."""
+    bounds: list[str | None] = ["", *(KEYS[n] for n in range(1, SHARDS)), None]
+    listed: list[dict[str, object]] = [
+        {"kind": "data-centre", "name": "milano", "region": "padana"},
+        {"kind": "caller", "name": "bench", "data_centre": "milano", "rules": ["search"]},
+        {
+            "kind": "rule",
+            "name": "search",
+            "target": "catalogue",
+            "prefer": "coverage",
+            "deadline": "5s",
+            "quota": "1000000/s",
+            "hedge_ratio": 0.0,
+        },
+        {
+            "kind": "collection",
+            "name": "catalogue",
+            "parts": [{"name": "all", "keys": {"from": "", "to": None}}],
+        },
+    ]
+    for n in range(SHARDS):
+        endpoint = {
+            "name": f"e-{n}",
+            "data_centre": "milano",
+            "address": f"127.0.0.1:{first_port + n}",
+        }
+        listed.append(
+            {
+                "kind": "service",
+                "name": f"s-{n}",
+                "slots": 8,
+                "connections": 25,
+                "endpoints": [endpoint],
+            }
+        )
+        listed.append(
+            {
+                "kind": "shard",
+                "name": f"shard-{n}",
+                "collection": "catalogue",
+                "service": f"s-{n}",
+                "keys": {"from": bounds[n], "to": bounds[n + 1]},
+            }
+        )
+    return listed
+
+
+class StillPlatform:
+    """Publishes one bundle and one list, and nothing after them."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    async def bundle(self, after: int, wait_ms: int):  # type: ignore[no-untyped-def]
+        """Return the bundle once."""
+        from result import Ok
+
+        if after:
+            await asyncio.Event().wait()
+        return Ok(self._body)
+
+    async def instance_list(self, after: int, wait_ms: int):  # type: ignore[no-untyped-def]
+        """Return the list once."""
+        from result import Ok
+
+        if after:
+            await asyncio.Event().wait()
+        return Ok(InstanceList(1, (Instance("entry-a", "milano", "", ""),)))
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+async def start_node(first_port: int) -> Node:
+    """Start an entry without its callers' HTTP and wait until every endpoint was probed."""
+    clock = loop_clock(asyncio.get_running_loop())
+    platform = StillPlatform(write_bundle(1, objects(first_port)))
+    parts = NodeParts(
+        name="entry-a",
+        data_centre="milano",
+        clock=clock,
+        random=Random(1),
+        platform=platform,
+        open_channel=open_endpoint_channel,
+        read_bundle=read_bundle,
+    )
+    node = make_node(parts, AuditTrail(clock))
+    node.start()
+    while not await whole_search(node):
+        await asyncio.sleep(0.05)
+    return node
+
+
+async def whole_search(node: Node) -> bool:
+    """Send one search through the entry; tell whether it was whole."""
+    call = SearchCall("bench", "catalogue", SearchTerms("washi"))
+    answered = await node.search(node.new_request_id(), call)
+    return answered.is_ok() and answered.unwrap().coverage.complete
+
+
+async def bare_search(session: aiohttp.ClientSession, first_port: int) -> None:
+    """Send the same sub-requests with nothing but aiohttp, and read the replies as JSON."""
+
+    async def one(n: int) -> object:
+        body = orjson.dumps(
+            {
+                "request_id": "bare",
+                "attempt": n,
+                "shard": f"shard-{n}",
+                "index_version": 1,
+                "deadline_ms": 5000.0,
+                "text": "washi",
+                "limit": 20,
+                "keys": {"from": "", "to": None},
+            }
+        )
+        url = f"http://127.0.0.1:{first_port + n}/v1/search"
+        async with session.post(url, data=body) as response:
+            return orjson.loads(await response.read())
+
+    await asyncio.gather(*(one(n) for n in range(SHARDS)))
+
+
+async def compare(first_port: int) -> None:
+    """Print the processor time for a sub-request of both sides, round by round."""
+    node = await start_node(first_port)
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    await bare_search(session, first_port)
+    entry_us: list[float] = []
+    bare_us: list[float] = []
+    for _ in range(ROUNDS):
+        started_s = time.process_time()
+        for _ in range(QUERIES_PER_ROUND):
+            assert await whole_search(node)
+        entry_us.append(_us_each(started_s))
+        started_s = time.process_time()
+        for _ in range(QUERIES_PER_ROUND):
+            await bare_search(session, first_port)
+        bare_us.append(_us_each(started_s))
+    entry = statistics.median(entry_us)
+    bare = statistics.median(bare_us)
+    print(f"entry {entry:.0f} us, bare aiohttp {bare:.0f} us, ratio {entry / bare:.2f}")
+    await session.close()
+    await node.stop()
+
+
+def _us_each(started_s: float) -> float:
+    return (time.process_time() - started_s) * 1e6 / (QUERIES_PER_ROUND * SHARDS)
+
+
+def main() -> None:
+    """Run as the docstring of the module says."""
+    role, first_port = sys.argv[1], int(sys.argv[2])
+    work = serve_endpoints(first_port) if role == "endpoints" else compare(first_port)
+    asyncio.run(work)
+
+
+if __name__ == "__main__":
+    main()
