Add the switchable policy and the record that explains requests

Cause: each mechanism is to be measured on and off, and operators are to see why a request was slow, partial or refused. Checked: make test.

--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -23,6 +23,7 @@
     choose_addresses,
     watch_instances,
 )
+from radishmount.policy import QueryPolicy
 from radishmount.publication import (
     ConfigurationSource,
     InForce,
@@ -54,6 +55,7 @@
     platform: Platform
     open_channel: OpenChannel
     read_bundle: ReadBundle
+    policy: QueryPolicy = QueryPolicy()
 
 
 @dataclass(slots=True)
@@ -165,7 +167,7 @@
         in_force=InForce(parts.read_bundle, audit, counters, parts.clock),
         list_watch=ListWatch(fleet, audit, counters, parts.clock),
         pool=pool,
-        tools=QueryTools(pool, parts.clock, make_choice(parts.data_centre), counters),
+        tools=QueryTools(pool, parts.clock, make_choice(parts.data_centre), counters, parts.policy),
         audit=audit,
         counters=counters,
     )
--- a/src/radishmount/queries/__init__.py
+++ b/src/radishmount/queries/__init__.py
@@ -1,6 +1,7 @@
 """Queries: fan-out, hedging, deadlines, merge."""
 
 from radishmount.queries._budget import ExtraBudget
+from radishmount.queries._explain import AttemptRecord, ExplainLog, RequestRecord, Verdict
 from radishmount.queries._fan_out import FanOut, ShardProgress
 from radishmount.queries._hedge import LatencyWindow, hedge_delay_ms
 from radishmount.queries._merge import merge_rows
@@ -11,13 +12,17 @@
 
 __all__ = [
     "Answer",
+    "AttemptRecord",
+    "ExplainLog",
     "ExtraBudget",
     "FanOut",
     "LatencyWindow",
     "QueryTools",
+    "RequestRecord",
     "Search",
     "SearchCall",
     "ShardProgress",
+    "Verdict",
     "hedge_delay_ms",
     "merge_rows",
     "run_search",
--- a/src/radishmount/queries/_tools.py
+++ b/src/radishmount/queries/_tools.py
@@ -5,7 +5,9 @@
 from radishmount.clock import Clock
 from radishmount.counters import Counters
 from radishmount.endpoints import Choose, EndpointPool
+from radishmount.policy import QueryPolicy
 from radishmount.queries._budget import ExtraBudget
+from radishmount.queries._explain import ExplainLog
 from radishmount.queries._hedge import LatencyWindow
 
 
@@ -20,7 +22,9 @@
     clock: Clock
     choose: Choose
     counters: Counters
+    policy: QueryPolicy = QueryPolicy()
     budget: ExtraBudget = field(default_factory=ExtraBudget)
+    explain: ExplainLog = field(default_factory=ExplainLog)
     windows_by_service: dict[str, LatencyWindow] = field(default_factory=dict)
 
     def window_of(self, service: str) -> LatencyWindow:
--- /dev/null
+++ b/tests/queries/test_explain.py
@@ -0,0 +1,34 @@
+"""The bounded record of requests that went wrong."""
+
+from radishmount.queries import ExplainLog, RequestRecord, Verdict
+
+
+def record(request_id: str) -> RequestRecord:
+    return RequestRecord(request_id, "desk", "registry", Verdict.SLOW, 0.0, 150.0, 190.0)
+
+
+class TestExplainLog:
+    """Keeps the last records and forgets the oldest."""
+
+    def test_finds_by_request_id(self) -> None:
+        log = ExplainLog()
+        log.add(record("r1"))
+
+        assert log.find("r1") == record("r1")
+        assert log.find("r2") is None
+
+    def test_the_oldest_goes_first(self) -> None:
+        log = ExplainLog(limit=2)
+        for name in ("r1", "r2", "r3"):
+            log.add(record(name))
+
+        assert log.find("r1") is None
+        assert log.find("r3") is not None
+
+    def test_a_repeated_id_is_kept_as_the_newest(self) -> None:
+        log = ExplainLog(limit=2)
+        for name in ("r1", "r2", "r1", "r3"):
+            log.add(record(name))
+
+        assert log.find("r1") is not None
+        assert log.find("r2") is None
