--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -25,6 +25,7 @@
 )
 from radishmount.node_orders import make_node_orders
 from radishmount.orders import OrderDesk
+from radishmount.policy import QueryPolicy
 from radishmount.publication import (
     ConfigurationSource,
     InForce,
@@ -56,6 +57,7 @@
     platform: Platform
     open_channel: OpenChannel
     read_bundle: ReadBundle
+    policy: QueryPolicy = QueryPolicy()
     secret: bytes = b""
 
 
@@ -165,7 +167,8 @@
     counters = Counters()
     pool = EndpointPool(parts.name, parts.open_channel, parts.clock, counters)
     fleet = Fleet(parts.name, parts.data_centre)
-    tools = QueryTools(pool, parts.clock, make_choice(parts.data_centre), counters)
+    choose = make_choice(parts.data_centre)
+    tools = QueryTools(pool, parts.clock, choose, counters, parts.policy)
     in_force = InForce(parts.read_bundle, audit, counters, parts.clock)
     admission = Admission()
     node = Node(
