--- a/src/radishmount/border/_caller_orders.py
+++ b/src/radishmount/border/_caller_orders.py
@@ -9,7 +9,7 @@
 from radishmount.border._models import BorderModel, read_json
 from radishmount.border._refusals import json_response, refusal_response, status_of
 from radishmount.codes import TEXT_BY_CODE, Code, Refusal
-from radishmount.orders import TICKET_VALID_FOR_MS, OrderAnswer, OrderCall, Wish
+from radishmount.orders import OrderAnswer, OrderCall, OrderLimits, Wish
 
 
 __all__ = ["OrderService", "add_order_routes"]
@@ -87,7 +87,7 @@
             case Err(refusal):
                 return refusal_response(refusal, request_id)
             case Ok(ticket):
-                content = {"ticket": ticket, "valid_for_ms": TICKET_VALID_FOR_MS}
+                content = {"ticket": ticket, "valid_for_ms": OrderLimits().ticket_valid_for_ms}
                 return json_response(content, request_id)
 
     async def enquire(request: web.Request) -> web.StreamResponse:
--- a/src/radishmount/border/_endpoint_orders.py
+++ b/src/radishmount/border/_endpoint_orders.py
@@ -50,10 +50,12 @@
     """Send the headers, then the body once the endpoint is ready for it, and read the reply.
 
     An endpoint that does not grant the body in time never gets it, so the order did not run.
+    `remaining_ms` bounds the wait for the reply; the endpoint is told when the order must begin.
     """
     started = asyncio.get_running_loop().time()
     ends_at = started + remaining_ms / 1000.0
-    continue_ms = min(CONTINUE_TIMEOUT_MS, remaining_ms * CONTINUE_SHARE_OF_DEADLINE)
+    may_begin_ms = request.gate.remaining_ms()
+    continue_ms = min(CONTINUE_TIMEOUT_MS, may_begin_ms * CONTINUE_SHARE_OF_DEADLINE)
     opening = _opening_of(request)
     headers = {
         "Content-Length": str(len(opening) + DEADLINE_WIDTH + 1),
@@ -66,8 +68,7 @@
                 if not request.gate.leave():
                     raise BodyWithheld
                 timeout.reschedule(ends_at)
-                left_ms = max(0.0, (ends_at - asyncio.get_running_loop().time()) * 1000.0)
-                yield opening + f"{left_ms:{DEADLINE_WIDTH}.1f}}}".encode()
+                yield opening + f"{request.gate.remaining_ms():{DEADLINE_WIDTH}.1f}}}".encode()
 
             async with session.post(
                 f"{url}/v1/orders",
--- a/src/radishmount/endpoints/_order_exchange.py
+++ b/src/radishmount/endpoints/_order_exchange.py
@@ -37,6 +37,10 @@
     deadline_at_ms: float
     state: GateState = GateState.HELD
 
+    def remaining_ms(self) -> float:
+        """Return the time in which the order may still begin."""
+        return self.clock.remaining_ms(self.deadline_at_ms)
+
     def leave(self) -> bool:
         """Let the body go if it may; a passed deadline withdraws it."""
         if self.state is not GateState.HELD:
--- a/src/radishmount/orders/_attempt.py
+++ b/src/radishmount/orders/_attempt.py
@@ -9,6 +9,8 @@
 
 __all__ = ["OrderAttempt"]
 
+LATE_ANSWER_MS = 2_000.0
+
 
 @dataclass(slots=True, eq=False)
 class OrderAttempt:
@@ -23,8 +25,12 @@
 
     @property
     def deadline_at_ms(self) -> float:
-        """Return the time after which nothing is sent."""
-        return self.request.deadline_at_ms
+        """Return the time until which the answer is listened for.
+
+        The gate sends nothing after the order's own deadline; an answer that comes a little later
+        still tells what became of the order.
+        """
+        return self.request.deadline_at_ms + LATE_ANSWER_MS
 
     async def send(self, channel: Channel, remaining_ms: float) -> OrderExchange:
         """Make the exchange over `channel`."""
--- a/src/radishmount/orders/_keys.py
+++ b/src/radishmount/orders/_keys.py
@@ -8,10 +8,10 @@
 from radishmount.codes import Code, Ran, Refusal
 from radishmount.counters import Counters
 from radishmount.orders._fingerprint import fingerprint_of
+from radishmount.orders._limits import OrderLimits
 from radishmount.orders._messages import KeyAgreement, KeyClaim, OrderQuestion
 from radishmount.orders._order import OrderAnswer, OrderOutcome, refused
 from radishmount.orders._ownership import (
-    KEY_LIFETIME_MS,
     KeyOwnership,
     key_id_of,
     may_run_key,
@@ -41,12 +41,16 @@
     counters: Counters
     forward: Forward
     ask_agreement: AskAgreement
+    limits: OrderLimits = OrderLimits()
     uncertain_until_ms: float = 0.0
     records: OutcomeRecords = field(init=False)
 
     def __post_init__(self) -> None:
         """Start without any record."""
-        self.records = OutcomeRecords(self.clock, on_drop=self._forget)
+        limits = self.limits
+        self.records = OutcomeRecords(
+            self.clock, self._forget, limits.max_records, limits.max_kept_chars
+        )
 
     async def ask(self, question: OrderQuestion) -> OrderAnswer:
         """Answer for the key of `question`, here or through its owner."""
@@ -72,7 +76,7 @@
             key_id,
             fingerprint_of(question.call),
             now_ms + question.remaining_ms,
-            now_ms + KEY_LIFETIME_MS + question.remaining_ms,
+            now_ms + self.limits.key_lifetime_ms + question.remaining_ms,
         )
         if record is None:
             return OrderAnswer(_uncertain("no room for one more order"))
--- a/src/radishmount/orders/_make.py
+++ b/src/radishmount/orders/_make.py
@@ -6,6 +6,7 @@
 from radishmount.clock import Clock
 from radishmount.orders._desk import OrderDesk
 from radishmount.orders._keys import AskAgreement, Keys
+from radishmount.orders._limits import OrderLimits
 from radishmount.orders._ownership import KeyOwnership
 from radishmount.orders._runner import Admit, Bind, OrderRunner
 from radishmount.orders._ticket import seal_key_from
@@ -30,6 +31,7 @@
     admit: Admit
     forward: Forward
     ask_agreement: AskAgreement
+    limits: OrderLimits = OrderLimits()
 
 
 def new_start_number(clock: Clock, random: Random) -> int:
@@ -48,13 +50,15 @@
         clock,
         runner,
         parts.forward,
+        parts.limits,
     )
     keys = Keys(
-        KeyOwnership(parts.own_name, parts.start_number),
+        KeyOwnership(parts.own_name, parts.start_number, parts.limits.key_lifetime_ms),
         clock,
         runner,
         parts.tools.counters,
         parts.forward,
         parts.ask_agreement,
+        parts.limits,
     )
     return OrderDesk(runner, tickets, keys)
--- a/src/radishmount/orders/_ownership.py
+++ b/src/radishmount/orders/_ownership.py
@@ -8,9 +8,8 @@
 from radishmount.rendezvous import rank
 
 
-__all__ = ["KEY_LIFETIME_MS", "KeyOwnership", "key_id_of", "may_run_key", "owner_of"]
+__all__ = ["KeyOwnership", "key_id_of", "may_run_key", "owner_of"]
 
-KEY_LIFETIME_MS = 600_000.0
 OLD_SHARE = 2.0 / 3.0
 
 
@@ -41,6 +40,7 @@
 
     own_name: str
     incarnation: int
+    lifetime_ms: float
     remembers_since_ms: float | None = None
     history: deque[ListedNames] = field(default_factory=deque)
     incarnations_by_owner: dict[str, int] = field(default_factory=dict)
@@ -63,7 +63,7 @@
     def is_old(self, now_ms: float) -> bool:
         """Tell whether this instance remembers a whole key lifetime."""
         since_ms = self.remembers_since_ms
-        return since_ms is not None and now_ms - since_ms >= KEY_LIFETIME_MS
+        return since_ms is not None and now_ms - since_ms >= self.lifetime_ms
 
     def answer(self, claim: KeyClaim, now_ms: float) -> KeyAgreement:
         """Agree when no list of the last lifetime names another owner or another start of it."""
@@ -79,14 +79,14 @@
 
     def _forget(self, now_ms: float) -> None:
         """Forget the lists that were replaced a whole lifetime ago."""
-        while len(self.history) > 1 and self.history[1].since_ms <= now_ms - KEY_LIFETIME_MS:
+        while len(self.history) > 1 and self.history[1].since_ms <= now_ms - self.lifetime_ms:
             self.history.popleft()
 
     def _meet(self, claim: KeyClaim, now_ms: float) -> None:
         """Doubt an owner that appears as two starts, for as long as either may hold records."""
         known = self.incarnations_by_owner.get(claim.owner)
         if known is not None and known != claim.incarnation:
-            self.doubted_until_ms_by_owner[claim.owner] = now_ms + KEY_LIFETIME_MS
+            self.doubted_until_ms_by_owner[claim.owner] = now_ms + self.lifetime_ms
         self.incarnations_by_owner[claim.owner] = claim.incarnation
 
     def _always_owned(self, key_id: str, owner: str) -> bool:
--- a/src/radishmount/orders/_records.py
+++ b/src/radishmount/orders/_records.py
@@ -11,10 +11,8 @@
 
 __all__ = ["OutcomeRecord", "OutcomeRecords"]
 
-MAX_RECORDS = 10_000
-MAX_KEPT_CHARS = 16_000_000
 MAX_RESULT_CHARS = 64_000
-OVERDUE_MS = 1_000.0
+OVERDUE_MS = 3_000.0
 
 OnDrop = Callable[["OutcomeRecord"], None]
 
@@ -41,8 +39,8 @@
 
     clock: Clock
     on_drop: OnDrop
-    max_records: int = MAX_RECORDS
-    max_kept_chars: int = MAX_KEPT_CHARS
+    max_records: int
+    max_kept_chars: int
     by_id: dict[Hashable, OutcomeRecord] = field(default_factory=dict)
     kept_chars: int = 0
 
--- a/src/radishmount/orders/_tickets.py
+++ b/src/radishmount/orders/_tickets.py
@@ -8,6 +8,7 @@
 from radishmount.clock import Clock
 from radishmount.codes import Code, Ran, Refusal
 from radishmount.orders._fingerprint import fingerprint_of
+from radishmount.orders._limits import OrderLimits
 from radishmount.orders._messages import OrderQuestion, Wish
 from radishmount.orders._order import OrderAnswer, OrderOutcome, refused
 from radishmount.orders._records import OutcomeRecord, OutcomeRecords
@@ -17,9 +18,6 @@
 
 __all__ = ["Forward", "Tickets", "forwarded", "replay"]
 
-TICKET_VALID_FOR_MS = 600_000.0
-KEPT_AFTER_EXPIRY_MS = 600_000.0
-
 Forward = Callable[[str, OrderQuestion], Awaitable[Result[OrderAnswer, Refusal]]]
 
 
@@ -38,18 +36,22 @@
     clock: Clock
     runner: OrderRunner
     forward: Forward
+    limits: OrderLimits = OrderLimits()
     last_number: int = 0
     forgotten_up_to: int = 0
     records: OutcomeRecords = field(init=False)
 
     def __post_init__(self) -> None:
         """Start without any record."""
-        self.records = OutcomeRecords(self.clock, on_drop=self._forget)
+        limits = self.limits
+        self.records = OutcomeRecords(
+            self.clock, self._forget, limits.max_records, limits.max_kept_chars
+        )
 
     def issue(self, caller: str) -> str:
         """Return a new ticket for one order of `caller`."""
         self.last_number += 1
-        expires_at_ms = round(self.clock.now_ms() + TICKET_VALID_FOR_MS)
+        expires_at_ms = round(self.clock.now_ms() + self.limits.ticket_valid_for_ms)
         ticket = Ticket(self.last_number, self.own_name, self.incarnation, caller, expires_at_ms)
         return seal_ticket(ticket, self.seal_key)
 
@@ -86,7 +88,7 @@
             ticket.number,
             fingerprint_of(question.call),
             now_ms + question.remaining_ms,
-            ticket.expires_at_ms + KEPT_AFTER_EXPIRY_MS,
+            ticket.expires_at_ms + self.limits.ticket_kept_after_expiry_ms,
         )
         if record is None:
             # Without a record the ticket must never carry an order after this answer.
@@ -100,7 +102,7 @@
 
     def _is_forgotten(self, ticket: Ticket) -> bool:
         """Tell whether a record of the ticket would be gone by now."""
-        return self.clock.now_ms() >= ticket.expires_at_ms + KEPT_AFTER_EXPIRY_MS
+        return self.clock.now_ms() >= ticket.expires_at_ms + self.limits.ticket_kept_after_expiry_ms
 
     def _forget(self, record: OutcomeRecord) -> None:
         assert isinstance(record.id, int)
--- /dev/null
+++ b/tests/order_world.py
@@ -0,0 +1,333 @@
+"""Instances that take orders over fake endpoints and a fake network, on virtual time."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from result import Err, Ok, Result
+
+from fakes import SessionLog, virtual_clock
+from radishmount.border import digest_of, object_from, publication_from
+from radishmount.clock import Clock
+from radishmount.codes import Code, Ran, Refusal
+from radishmount.counters import Counters
+from radishmount.endpoints import (
+    Channel,
+    EndpointPool,
+    Failure,
+    LoadReport,
+    OrderExchange,
+    OrderReply,
+    OrderRequest,
+    Outcome,
+    SubRequest,
+    make_choice,
+)
+from radishmount.orders import (
+    KeyAgreement,
+    KeyClaim,
+    OrderAnswer,
+    OrderCall,
+    OrderDesk,
+    OrderLimits,
+    OrderParts,
+    OrderQuestion,
+    OrderTools,
+    Wish,
+    make_order_desk,
+    new_start_number,
+)
+from radishmount.publication import Publication, Rule
+from support import objects_for
+
+
+SERVICE = "order-booking"
+HOP_MS = 4.0
+SECRET = b"a secret for tests only"
+LIMITS = OrderLimits(
+    ticket_valid_for_ms=20_000.0,
+    ticket_kept_after_expiry_ms=20_000.0,
+    key_lifetime_ms=20_000.0,
+    max_records=50,
+)
+
+
+@dataclass
+class FakeOrderEndpoint:
+    """One endpoint that runs orders. All fields may change while it runs.
+
+    An order whose body has left reaches it after `transit_ms`, whatever becomes of the sender.
+    """
+
+    name: str
+    log: SessionLog
+    run_ms: float = 10.0
+    transit_ms: float = 2.0
+    refuses_connections: bool = False
+    silent_before_body: bool = False
+    silent_after_body: bool = False
+    crashes_after_run: bool = False
+    shedding: bool = False
+    runs_by_order: Counter[int] = field(default_factory=Counter)
+    runs_by_request: Counter[str] = field(default_factory=Counter)
+
+    def load(self) -> LoadReport:
+        """Return what the endpoint says of itself."""
+        return LoadReport(6, 0, 0, False, frozenset())
+
+    async def take(self, request: OrderRequest) -> OrderExchange:
+        """Run one order whose body has arrived."""
+        await asyncio.sleep(self.transit_ms / 1000.0)
+        what = f"order {request.body['number']}"
+        if self.shedding:
+            self.log.add(f"{self.name} sheds {what}")
+            return Err(Failure(Code.SHED, Ran.NOT_RUN, load=self.load()))
+        self.runs_by_order[request.body["number"]] += 1
+        self.runs_by_request[request.request_id] += 1
+        self.log.add(f"{self.name} runs {what}")
+        await asyncio.sleep(self.run_ms / 1000.0)
+        if self.crashes_after_run:
+            return Err(Failure(Code.CONNECTION_LOST))
+        while self.silent_after_body:
+            await asyncio.sleep(0.1)
+        result = {"confirmed_by": self.name}
+        return Ok(OrderReply(request.request_id, request.attempt, result, self.load()))
+
+
+class FakeOrderChannel:
+    """One connection to a fake endpoint for orders."""
+
+    def __init__(self, endpoint: FakeOrderEndpoint, arrivals: set[asyncio.Task[Any]]) -> None:
+        self._endpoint = endpoint
+        self._arrivals = arrivals
+
+    async def place(self, request: OrderRequest, remaining_ms: float) -> OrderExchange:
+        """Send an order as the endpoint lets it."""
+        endpoint = self._endpoint
+        if endpoint.refuses_connections:
+            endpoint.log.add(f"{endpoint.name} refuses the connection")
+            return Err(Failure(Code.NOT_CONNECTED))
+        if endpoint.silent_before_body:
+            endpoint.log.add(f"{endpoint.name} is silent before the body")
+            await asyncio.sleep(0.25)
+            return Err(Failure(Code.TIMED_OUT, request.gate.withdraw()))
+        if not request.gate.leave():
+            return Err(Failure(Code.DEADLINE_PASSED))
+        # A channel that judged wrongly must not matter, so it never says `unknown` itself.
+        arrival = asyncio.create_task(endpoint.take(request))
+        self._arrivals.add(arrival)
+        return await asyncio.shield(arrival)
+
+    async def exchange(self, request: SubRequest, remaining_ms: float) -> Outcome:
+        """Take no searches."""
+        return Err(Failure(Code.SHED))
+
+    async def probe(self) -> Result[LoadReport, Failure]:
+        """Answer a probe."""
+        if self._endpoint.refuses_connections:
+            return Err(Failure(Code.NOT_CONNECTED))
+        return Ok(self._endpoint.load())
+
+    async def close(self) -> None:
+        """Close the connection."""
+
+
+@dataclass
+class OrderInstance:
+    """One start of an instance."""
+
+    desk: OrderDesk
+    pool: EndpointPool
+    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    alive: bool = True
+
+    def spawn(self, work: Any) -> asyncio.Task[Any]:
+        """Run `work` as a task that ends with the instance."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        return task
+
+
+@dataclass
+class OrderWorld:
+    """Instances by name, the endpoints that they share, and the network between them."""
+
+    clock: Clock
+    log: SessionLog
+    publication: Publication
+    endpoints_by_address: dict[str, FakeOrderEndpoint]
+    random: Random
+    limits: OrderLimits = LIMITS
+    instances_by_name: dict[str, OrderInstance] = field(default_factory=dict)
+    cut_off: set[str] = field(default_factory=set)
+    arrivals: set[asyncio.Task[Any]] = field(default_factory=set)
+
+    @property
+    def endpoints(self) -> list[FakeOrderEndpoint]:
+        """Return the endpoints."""
+        return list(self.endpoints_by_address.values())
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Return the names of all instances."""
+        return tuple(self.instances_by_name)
+
+    def runs(self, number: int) -> int:
+        """Return how often the order of this number ran, anywhere."""
+        return sum(endpoint.runs_by_order[number] for endpoint in self.endpoints)
+
+    def runs_of_request(self, request_id: str) -> int:
+        """Return how often the request led to a run."""
+        return sum(endpoint.runs_by_request[request_id] for endpoint in self.endpoints)
+
+    async def start(self, name: str, listed: tuple[str, ...]) -> None:
+        """Start an instance, or start it again without anything that it remembered."""
+        counters = Counters()
+
+        def open_channel(address: str) -> Channel:
+            return FakeOrderChannel(self.endpoints_by_address[address], self.arrivals)
+
+        pool = EndpointPool(name, open_channel, self.clock, counters)
+        await pool.take_publication(self.publication, listed)
+        parts = OrderParts(
+            own_name=name,
+            start_number=new_start_number(self.clock, self.random),
+            secret=SECRET,
+            tools=OrderTools(pool, self.clock, make_choice("milano"), counters),
+            bind=lambda call: self.publication.rule_for(call.caller, call.service),
+            admit=_admit_all,
+            forward=self._forward_from(name),
+            ask_agreement=self._ask_agreement_from(name),
+            limits=self.limits,
+        )
+        desk = make_order_desk(parts)
+        desk.keys.ownership.take_list(listed, self.clock.now_ms())
+        self.instances_by_name[name] = OrderInstance(desk, pool)
+
+    async def crash(self, name: str) -> None:
+        """End an instance at once: its tasks and connections are gone."""
+        instance = self.instances_by_name[name]
+        instance.alive = False
+        for task in instance.tasks:
+            task.cancel()
+        await asyncio.gather(*instance.tasks, return_exceptions=True)
+        await instance.pool.stop()
+
+    async def restart(self, name: str) -> None:
+        """Crash an instance and start it again with the list that it held."""
+        listed = self.instances_by_name[name].desk.keys.ownership.listed
+        await self.crash(name)
+        self.log.add(f"{name} starts again")
+        await self.start(name, listed)
+
+    async def order(self, name: str, request_id: str, number: int, **fields: Any) -> OrderAnswer:
+        """Place one order at an instance as a caller, and log the answer."""
+        call = OrderCall("workshop", SERVICE, {"number": number}, **fields)
+        self.log.add(f"{name} <= {request_id} order {number}")
+        desk = self.instances_by_name[name].desk
+        task = self.instances_by_name[name].spawn(desk.place(request_id, call))
+        return self._told(name, request_id, await task)
+
+    async def enquire(self, name: str, request_id: str, wish: Wish, ticket: str) -> OrderAnswer:
+        """Ask about a ticket, and log the answer."""
+        self.log.add(f"{name} <= {request_id} {wish.value}")
+        desk = self.instances_by_name[name].desk
+        answer = await desk.enquire(request_id, wish, "workshop", ticket)
+        return self._told(name, request_id, answer)
+
+    def ticket_of(self, name: str) -> str:
+        """Return a new ticket of an instance."""
+        call = OrderCall("workshop", SERVICE, {})
+        return self.instances_by_name[name].desk.issue(call).unwrap()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for name in self.names:
+            await self.crash(name)
+        for arrival in self.arrivals:
+            arrival.cancel()
+        await asyncio.gather(*self.arrivals, return_exceptions=True)
+
+    def _told(self, name: str, request_id: str, answer: OrderAnswer) -> OrderAnswer:
+        outcome = answer.outcome
+        code = outcome.code.name if outcome.code else "OK"
+        replayed = " replayed" if answer.replayed else ""
+        detail = f" ({outcome.detail})" if outcome.detail else ""
+        self.log.add(f"{name} => {request_id} {outcome.ran.value} {code}{detail}{replayed}")
+        return answer
+
+    def _reachable(self, one: str, other: str) -> bool:
+        if other not in self.instances_by_name or not self.instances_by_name[other].alive:
+            return False
+        return (one in self.cut_off) == (other in self.cut_off)
+
+    async def _travel(
+        self, one: str, other: str, work: Callable[[OrderDesk], Awaitable[Any]]
+    ) -> Any | None:
+        """Have `other` do `work` for `one`; none when question or answer is lost."""
+        await asyncio.sleep(HOP_MS / 1000.0)
+        if not self._reachable(one, other):
+            return None
+        instance = self.instances_by_name[other]
+        task = instance.spawn(work(instance.desk))
+        try:
+            answer = await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                raise
+            return None
+        await asyncio.sleep(HOP_MS / 1000.0)
+        return answer if self._reachable(one, other) else None
+
+    def _forward_from(self, name: str) -> Any:
+        async def forward(other: str, question: OrderQuestion) -> Result[OrderAnswer, Refusal]:
+            answer = await self._travel(name, other, lambda desk: desk.take_forwarded(question))
+            if answer is None:
+                return Err(Refusal(Code.PEER_SILENT, other, Ran.UNKNOWN))
+            return Ok(answer)
+
+        return forward
+
+    def _ask_agreement_from(self, name: str) -> Any:
+        async def ask(other: str, claim: KeyClaim) -> KeyAgreement | None:
+            async def answer(desk: OrderDesk) -> KeyAgreement:
+                return desk.keys.answer_claim(claim)
+
+            return await self._travel(name, other, answer)
+
+        return ask
+
+
+async def _admit_all(call: OrderCall, rule: Rule, deadline_at_ms: float) -> Any:
+    return Ok(lambda: None)
+
+
+async def start_order_world(
+    names: tuple[str, ...] = ("entry-a", "entry-b"),
+    *,
+    endpoints: int = 2,
+    limits: OrderLimits = LIMITS,
+) -> OrderWorld:
+    """Start instances and endpoints, and wait until every endpoint was probed."""
+    clock = virtual_clock()
+    log = SessionLog(clock)
+    addresses = [f"127.0.0.{n}:80" for n in range(endpoints)]
+    raw = objects_for({"catalogue-0": ["127.0.1.1:80"]}, addresses)
+    raw = [item for item in raw if item.get("name") not in ("catalogue-0", "shard-0")]
+    raw = [item for item in raw if item["kind"] != "collection" and item["name"] != "search"]
+    for item in raw:
+        if item["kind"] == "caller":
+            item["rules"] = ["book"]
+    objects = [object_from(item).unwrap() for item in raw]
+    publication = publication_from(1, digest_of(raw), objects).unwrap()
+    by_address = {
+        address: FakeOrderEndpoint(f"order-booking-{n}", log) for n, address in enumerate(addresses)
+    }
+    world = OrderWorld(clock, log, publication, by_address, Random(7), limits)
+    for name in names:
+        await world.start(name, names)
+    await asyncio.sleep(0.1)
+    return world
