--- a/src/radishmount/orders/_run.py
+++ b/src/radishmount/orders/_run.py
@@ -18,7 +18,6 @@
 
 MAX_ATTEMPTS = 4
 RETRY_RATIO = 0.2
-ANSWER_GRACE_MS = 100.0
 CODES_TO_RETRY = frozenset(
     {
         Code.NOT_CONNECTED,
@@ -97,7 +96,7 @@
         )
         attempt = OrderAttempt(request, endpoint, deliver, submitted_at_ms=now_ms)
         self.tools.pool.submit(attempt)
-        wait_ms = self.tools.clock.remaining_ms(self.order.deadline_at_ms) + ANSWER_GRACE_MS
+        wait_ms = self.tools.clock.remaining_ms(self.order.deadline_at_ms)
         try:
             async with asyncio.timeout(wait_ms / 1000.0):
                 return outcome_of(await answered, gate)
