Let instances ask one another over authenticated streams

Tickets, configuration and membership all need requests between instances. Peers.ask(name, message) -> Result[message, Refusal] is there now, with Peers.answer(kind, function) for the other side; a refusal's `ran` tells whether the request may have arrived. Messages are data classes; their models stand in border/_peer_models.py and a part adds its own with border.add_peer_models. tests/peer_fakes.py carries streams in memory on virtual time, with delay, partition and silence.

A stranger, a recorded hello and rubbish get the random challenge and nothing else (tests/fleet/test_peers.py).

--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -12,6 +12,9 @@
     write_bundle,
 )
 from radishmount.border._operators import OperatorService, make_operator_app
+from radishmount.border._peer_codec import add_peer_models, pack_frame, unpack_frame
+from radishmount.border._peer_models import PeerModel
+from radishmount.border._peer_stream import PeerKey, PeerServer, make_open_peer, serve_peers
 from radishmount.border._platform_client import CONFIGURATION_KEY, HttpPlatform
 from radishmount.border._serve import Server, serve
 from radishmount.border._settings import (
@@ -23,6 +26,14 @@
 
 
 __all__ = [
+    "PeerKey",
+    "PeerModel",
+    "PeerServer",
+    "add_peer_models",
+    "make_open_peer",
+    "pack_frame",
+    "serve_peers",
+    "unpack_frame",
     "CONFIGURATION_KEY",
     "BorderModel",
     "CallerService",
--- /dev/null
+++ b/src/radishmount/border/_peer_codec.py
@@ -0,0 +1,87 @@
+"""Frames between instances as bytes, by msgpack, and the checks on what comes in."""
+
+from typing import Any
+
+import msgpack
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from radishmount.border._models import describe_fault
+from radishmount.border._peer_models import PEER_MODELS, PeerModel, values_of
+from radishmount.codes import Code, Ran, Refusal
+from radishmount.fleet import Frame, Message, Notice, Request, Response
+
+
+__all__ = ["MAX_FRAME_BYTES", "PROTOCOL_VERSION", "add_peer_models", "pack_frame", "unpack_frame"]
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 256 * 1024
+REFUSAL_KIND = "refusal"
+MODELS_BY_KIND: dict[str, type[PeerModel]] = {}
+KINDS_BY_TYPE: dict[type, str] = {}
+
+
+def add_peer_models(*models: type[PeerModel]) -> None:
+    """Add the models of a part, so that its messages may travel between instances."""
+    for model in models:
+        kind = model.data_type.__name__
+        MODELS_BY_KIND[kind] = model
+        KINDS_BY_TYPE[model.data_type] = kind
+
+
+def pack_frame(frame: Frame) -> Result[bytes, Refusal]:
+    """Return the bytes of `frame`, or a refusal if they are too many."""
+    match frame:
+        case Notice(message):
+            content = ["n", 0, *_pack_message(message)]
+        case Request(number, message):
+            content = ["q", number, *_pack_message(message)]
+        case Response(number, message):
+            content = ["a", number, *_pack_message(message)]
+    packed: bytes = msgpack.packb(content)
+    if len(packed) > MAX_FRAME_BYTES:
+        return Err(Refusal(Code.FRAME_TOO_LARGE, detail=f"{len(packed)} bytes"))
+    return Ok(packed)
+
+
+def unpack_frame(content: bytes) -> Result[Frame, Refusal]:
+    """Return the frame in `content`, checked, or why it cannot be taken."""
+    try:
+        values = msgpack.unpackb(content)
+        shape, number, kind, body = values
+        if not isinstance(number, int) or number < 0:
+            return Err(Refusal(Code.BAD_FRAME, detail="no number"))
+        message = _message_from(kind, body)
+    except ValidationError as error:
+        return Err(Refusal(Code.BAD_FRAME, detail=describe_fault(error)))
+    except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
+        return Err(Refusal(Code.BAD_FRAME, detail=repr(error)))
+    return _frame(shape, number, message)
+
+
+def _frame(shape: Any, number: int, message: Message) -> Result[Frame, Refusal]:
+    if shape == "a":
+        return Ok(Response(number, message))
+    if isinstance(message, Refusal):
+        return Err(Refusal(Code.BAD_FRAME, detail="a refusal of nothing"))
+    if shape == "n":
+        return Ok(Notice(message))
+    if shape == "q":
+        return Ok(Request(number, message))
+    return Err(Refusal(Code.BAD_FRAME, detail="neither notice, request nor response"))
+
+
+def _pack_message(message: Message) -> tuple[str, Any]:
+    if isinstance(message, Refusal):
+        return REFUSAL_KIND, [message.code.value, message.detail[:500], message.ran.value]
+    return KINDS_BY_TYPE[type(message)], values_of(message)
+
+
+def _message_from(kind: Any, body: Any) -> Message:
+    if kind == REFUSAL_KIND:
+        number, detail, ran = body
+        return Refusal(Code(number), str(detail), Ran(ran))
+    return MODELS_BY_KIND[kind].from_values(body).to_data()
+
+
+add_peer_models(*PEER_MODELS)
--- /dev/null
+++ b/src/radishmount/border/_peer_models.py
@@ -0,0 +1,211 @@
+"""The validated models of what instances say to each other.
+
+Each model has the fields of its data class, by the same names and in the same order.
+"""
+
+from dataclasses import fields
+from typing import Annotated, Any, ClassVar
+
+from pydantic import ConfigDict, Field
+
+from radishmount.border._models import BorderModel
+from radishmount.fleet import (
+    BundlePiece,
+    BundleRequest,
+    EndpointChanges,
+    Heartbeat,
+    Instance,
+    InstanceState,
+    ListReply,
+    ListRequest,
+    MemberState,
+    MemberUpdate,
+    Ping,
+    Pong,
+    ProbeReply,
+    ProbeRequest,
+)
+
+
+__all__ = ["MAX_PIECE_BYTES", "PEER_MODELS", "PeerModel", "values_of"]
+
+MAX_PIECE_BYTES = 64 * 1024
+MAX_UPDATES = 1000
+MAX_INSTANCES = 2000
+MAX_ENDPOINTS = 10_000
+
+PeerName = Annotated[str, Field(min_length=1, max_length=100)]
+Address = Annotated[str, Field(max_length=100)]
+Number = Annotated[int, Field(ge=0, lt=2**63)]
+
+
+class PeerModel(BorderModel):
+    """A message on the wire: a list of the values of its fields, in their order."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+    data_type: ClassVar[type]
+
+    @classmethod
+    def from_values(cls, values: Any) -> "PeerModel":
+        """Return the model of `values`; a ValidationError tells what is wrong."""
+        if not isinstance(values, list) or len(values) != len(cls.model_fields):
+            return cls.model_validate(values)
+        return cls.model_validate(dict(zip(cls.model_fields, values, strict=True)))
+
+    def to_data(self) -> Any:
+        """Return the message as a data class."""
+        names = type(self).model_fields
+        return self.data_type(**{name: getattr(self, name) for name in names})
+
+
+class MemberUpdateModel(PeerModel):
+    """A change of state of one instance."""
+
+    data_type = MemberUpdate
+    name: PeerName
+    incarnation: Number
+    sequence: Number
+    state: Annotated[MemberState, Field(strict=False)]
+
+
+class HeartbeatModel(PeerModel):
+    """Evidence that the sender lives."""
+
+    data_type = Heartbeat
+    sequence: Number
+    state: Annotated[MemberState, Field(strict=False)]
+    load: Annotated[float, Field(ge=0.0, le=1000.0)]
+    bundle_version: Number
+    bundle_digest: Annotated[str, Field(max_length=128)]
+    list_version: Number
+    updates: Annotated[list[Any], Field(max_length=MAX_UPDATES)]
+
+    def to_data(self) -> Heartbeat:
+        """Return the message as a data class."""
+        updates = tuple(MemberUpdateModel.from_values(item).to_data() for item in self.updates)
+        return Heartbeat(
+            self.sequence,
+            self.state,
+            self.load,
+            self.bundle_version,
+            self.bundle_digest,
+            self.list_version,
+            updates,
+        )
+
+
+class PingModel(PeerModel):
+    """Asks whether the instance answers."""
+
+    data_type = Ping
+
+
+class PongModel(PeerModel):
+    """The answer to a ping."""
+
+    data_type = Pong
+    incarnation: Number
+
+
+class ProbeRequestModel(PeerModel):
+    """Asks a peer whether another answers it."""
+
+    data_type = ProbeRequest
+    target: PeerName
+
+
+class ProbeReplyModel(PeerModel):
+    """Tells whether the target of a probe answered."""
+
+    data_type = ProbeReply
+    reachable: bool
+
+
+class BundleRequestModel(PeerModel):
+    """Asks for a piece of the bundle."""
+
+    data_type = BundleRequest
+    version: Number
+    offset: Number
+
+
+class BundlePieceModel(PeerModel):
+    """A piece of the bundle."""
+
+    data_type = BundlePiece
+    version: Number
+    digest: Annotated[str, Field(max_length=128)]
+    total_bytes: Number
+    offset: Number
+    content: Annotated[bytes, Field(max_length=MAX_PIECE_BYTES)]
+
+
+class ListRequestModel(PeerModel):
+    """Asks for a newer instance list."""
+
+    data_type = ListRequest
+    after: Number
+
+
+class InstanceModel(PeerModel):
+    """One line of the instance list."""
+
+    data_type = Instance
+    name: PeerName
+    data_centre: PeerName
+    caller_address: Address
+    peer_address: Address
+    state: Annotated[InstanceState, Field(strict=False)]
+
+
+class ListReplyModel(PeerModel):
+    """The instance list."""
+
+    data_type = ListReply
+    version: Number
+    instances: Annotated[list[Any], Field(max_length=MAX_INSTANCES)]
+    leaving_endpoints: Annotated[list[PeerName], Field(max_length=MAX_ENDPOINTS)]
+
+    def to_data(self) -> ListReply:
+        """Return the message as a data class."""
+        instances = tuple(InstanceModel.from_values(item).to_data() for item in self.instances)
+        return ListReply(self.version, instances, tuple(self.leaving_endpoints))
+
+
+class EndpointChangesModel(PeerModel):
+    """Endpoints that were found to be leaving, or back."""
+
+    data_type = EndpointChanges
+    leaving: Annotated[list[PeerName], Field(max_length=MAX_ENDPOINTS)]
+    returned: Annotated[list[PeerName], Field(max_length=MAX_ENDPOINTS)]
+
+    def to_data(self) -> EndpointChanges:
+        """Return the message as a data class."""
+        return EndpointChanges(tuple(self.leaving), tuple(self.returned))
+
+
+PEER_MODELS: tuple[type[PeerModel], ...] = (
+    HeartbeatModel,
+    PingModel,
+    PongModel,
+    ProbeRequestModel,
+    ProbeReplyModel,
+    BundleRequestModel,
+    BundlePieceModel,
+    ListRequestModel,
+    ListReplyModel,
+    EndpointChangesModel,
+)
+
+
+def values_of(message: Any) -> list[Any]:
+    """Return the values of a data class in the order of its fields, nested ones too."""
+    return [_plain(getattr(message, field.name)) for field in fields(message)]
+
+
+def _plain(value: Any) -> Any:
+    if hasattr(value, "__dataclass_fields__"):
+        return values_of(value)
+    if isinstance(value, tuple | list):
+        return [_plain(item) for item in value]
+    return value
--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -74,6 +74,12 @@
     FRAME_TOO_LARGE = 7002
     STRANGER = 7003
     PEER_SILENT = 7004
+    PEER_UNREACHABLE = 7005
+    PEER_LOST = 7006
+    PEER_TIMED_OUT = 7007
+    PEER_BUSY = 7008
+    UNKNOWN_MESSAGE = 7009
+    OLD_INCARNATION = 7010
 
     BAD_SETTING = 8001
     UNREADABLE_FILE = 8002
@@ -133,6 +139,12 @@
     Code.FRAME_TOO_LARGE: "the frame is larger than allowed",
     Code.STRANGER: "the peer is not known or not authenticated",
     Code.PEER_SILENT: "the peer sent no heartbeat in time",
+    Code.PEER_UNREACHABLE: "no stream to the peer could be opened",
+    Code.PEER_LOST: "the stream ended after the request was sent",
+    Code.PEER_TIMED_OUT: "the peer did not answer in time",
+    Code.PEER_BUSY: "the peer answers too many requests at once",
+    Code.UNKNOWN_MESSAGE: "the peer does not know the message",
+    Code.OLD_INCARNATION: "the peer knows a later start of the instance",
     Code.BAD_SETTING: "a setting is missing, unknown or of the wrong type",
     Code.UNREADABLE_FILE: "the file cannot be read",
     Code.ADDRESS_IN_USE: "the address cannot be bound",
--- a/src/radishmount/fleet/_fleet.py
+++ b/src/radishmount/fleet/_fleet.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from radishmount.fleet._instance import Instance, InstanceState
+from radishmount.fleet._members import Members
 
 
 __all__ = ["Fleet", "InstanceList"]
@@ -24,6 +25,7 @@
 
     own_name: str
     own_data_centre: str
+    members: Members
     list_version: int = 0
     by_name: dict[str, Instance] = field(default_factory=dict)
     leaving: bool = False
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -1,7 +1,7 @@
 """One entry instance: its aggregates, put together."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Protocol
@@ -20,7 +20,13 @@
     InstanceList,
     InstanceListSource,
     ListWatch,
+    Members,
+    MemberState,
+    MemberUpdate,
+    OpenPeer,
+    Peers,
     choose_addresses,
+    first_incarnation,
     watch_instances,
 )
 from radishmount.publication import (
@@ -54,6 +60,7 @@
     platform: Platform
     open_channel: OpenChannel
     read_bundle: ReadBundle
+    open_peer_for: Callable[[Members, Counters], OpenPeer]
 
 
 @dataclass(slots=True)
@@ -64,6 +71,7 @@
     fleet: Fleet
     in_force: InForce
     list_watch: ListWatch
+    peers: Peers
     pool: EndpointPool
     tools: QueryTools
     audit: AuditTrail
@@ -82,6 +90,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.peers.stop()
         await self.pool.stop()
         await self.parts.platform.close()
 
@@ -158,12 +167,17 @@
     """Return an instance that is not started yet."""
     counters = Counters()
     pool = EndpointPool(parts.name, parts.open_channel, parts.clock, counters)
-    fleet = Fleet(parts.name, parts.data_centre)
+    incarnation = first_incarnation(parts.clock.wall_ms(), parts.random)
+    own = MemberUpdate(parts.name, incarnation, 0, MemberState.LIVE)
+    members = Members(own, parts.data_centre)
+    fleet = Fleet(parts.name, parts.data_centre, members)
+    open_peer = parts.open_peer_for(members, counters)
     node = Node(
         parts=parts,
         fleet=fleet,
         in_force=InForce(parts.read_bundle, audit, counters, parts.clock),
         list_watch=ListWatch(fleet, audit, counters, parts.clock),
+        peers=Peers(fleet, open_peer, parts.clock, counters),
         pool=pool,
         tools=QueryTools(pool, parts.clock, make_choice(parts.data_centre), counters),
         audit=audit,
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -16,13 +16,17 @@
 from radishmount.border import (
     EntrySettings,
     HttpPlatform,
+    PeerKey,
+    PeerServer,
     Server,
     make_caller_app,
+    make_open_peer,
     make_operator_app,
     open_endpoint_channel,
     read_bundle,
     read_entry_settings,
     serve,
+    serve_peers,
 )
 from radishmount.clock import Clock, loop_clock
 from radishmount.codes import Refusal
@@ -39,14 +43,16 @@
 class RunningEntry:
     """An entry that is being served, in this process."""
 
-    def __init__(self, node: Node, callers: Server, operators: Server) -> None:
+    def __init__(self, node: Node, callers: Server, operators: Server, peers: PeerServer) -> None:
         self.node = node
         self.callers = callers
         self.operators = operators
+        self.peers = peers
 
     async def stop(self) -> None:
         """Finish the requests in flight and stop."""
         await self.callers.stop()
+        await self.peers.stop()
         await self.node.stop()
         await self.operators.stop()
 
@@ -55,6 +61,7 @@
     settings: EntrySettings, clock: Clock, random: Random, audit: AuditTrail
 ) -> Result[RunningEntry, Refusal]:
     """Start an entry from its settings."""
+    key = settings.peer_key.encode()
     node = make_node(
         NodeParts(
             name=settings.name,
@@ -64,6 +71,7 @@
             platform=HttpPlatform(settings.platform),
             open_channel=open_endpoint_channel,
             read_bundle=read_bundle,
+            open_peer_for=lambda members, counters: make_open_peer(PeerKey(key, members), counters),
         ),
         audit,
     )
@@ -74,8 +82,14 @@
     if isinstance(operators, Err):
         await callers.ok_value.stop()
         return operators
+    own = PeerKey(key, node.fleet.members)
+    peers = await serve_peers(settings.peer_listen, own, node.counters, node.peers.accept)
+    if isinstance(peers, Err):
+        await callers.ok_value.stop()
+        await operators.ok_value.stop()
+        return peers
     node.start()
-    return Ok(RunningEntry(node, callers.ok_value, operators.ok_value))
+    return Ok(RunningEntry(node, callers.ok_value, operators.ok_value, peers.ok_value))
 
 
 class RunCommand(Command):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from peer_fakes import FakeNetwork
 from radishmount.audit import AuditTrail
 from radishmount.border import digest_of, object_from, publication_from
 from radishmount.clock import Clock
@@ -188,6 +189,7 @@
     platform: FakePlatform
     endpoints_by_address: dict[str, FakeEndpoint]
     nodes_by_name: dict[str, Node] = field(default_factory=dict)
+    network: FakeNetwork = field(default_factory=FakeNetwork)
 
     @property
     def endpoints_by_name(self) -> dict[str, FakeEndpoint]:
@@ -256,10 +258,19 @@
     for number, name in enumerate(nodes):
         audit = AuditTrail(clock, emit=lambda line: log.add(f"audit {line.subject} {line.change}"))
         parts = NodeParts(
-            name, "milano", clock, Random(number), platform, open_channel, read_bundle
+            name,
+            "milano",
+            clock,
+            Random(number),
+            platform,
+            open_channel,
+            read_bundle,
+            world.network.open_peer_for,
         )
-        world.nodes_by_name[name] = make_node(parts, audit)
-        world.nodes_by_name[name].start()
+        node = make_node(parts, audit)
+        world.nodes_by_name[name] = node
+        world.network.add(name, node.fleet.members, node.peers)
+        node.start()
     platform.publish(1)
     listed = tuple(Instance(name, "milano", f"{name}:1", f"{name}:2") for name in nodes)
     platform.list_instances(InstanceList(1, listed))
--- /dev/null
+++ b/tests/fleet/test_peers.py
@@ -0,0 +1,239 @@
+"""Requests from one instance to another, over fakes and over loopback."""
+
+import asyncio
+from random import Random
+from typing import Any
+
+import pytest
+from result import Err, Ok, Result
+
+from fakes import virtual_clock
+from peer_fakes import FakeNetwork
+from radishmount.border import Listen, PeerKey, PeerServer, make_open_peer, serve_peers
+from radishmount.clock import loop_clock
+from radishmount.codes import Code, Ran, Refusal
+from radishmount.counters import Counters
+from radishmount.fleet import (
+    Fleet,
+    Instance,
+    InstanceList,
+    Members,
+    MemberState,
+    MemberUpdate,
+    Peers,
+    PeerSession,
+    Ping,
+    Pong,
+)
+
+
+KEY = b"a key for tests only"
+
+
+def members_of(name: str, incarnation: int = 1) -> Members:
+    return Members(MemberUpdate(name, incarnation, 0, MemberState.LIVE), "milano")
+
+
+async def pong(name: str, message: Any) -> Result[Pong, Refusal]:
+    return Ok(Pong(7))
+
+
+class TestAsk:
+    """`Peers.ask` returns the answer, or tells whether the request may have arrived."""
+
+    pytestmark = pytest.mark.looptime
+
+    def peers(self, network: FakeNetwork, *names: str) -> list[Peers]:
+        made = []
+        listed = tuple(Instance(name, "milano", "", f"{name}:1") for name in names)
+        for name in names:
+            members = members_of(name)
+            fleet = Fleet(name, "milano", members)
+            fleet.take_list(InstanceList(1, listed))
+            counters = Counters()
+            open_peer = network.open_peer_for(members, counters)
+            peers = Peers(fleet, open_peer, virtual_clock(), counters)
+            network.add(name, members, peers)
+            made.append(peers)
+        return made
+
+    async def test_returns_the_answer_of_the_other_instance(self) -> None:
+        one, other = self.peers(FakeNetwork(), "entry-a", "entry-b")
+        other.answer(Ping, pong)
+
+        assert await one.ask("entry-b", Ping()) == Ok(Pong(7))
+
+    async def test_many_questions_share_one_stream(self) -> None:
+        network = FakeNetwork()
+        one, other = self.peers(network, "entry-a", "entry-b")
+        other.answer(Ping, pong)
+
+        answers = await asyncio.gather(*(one.ask("entry-b", Ping()) for _ in range(20)))
+
+        assert answers == [Ok(Pong(7))] * 20
+        assert network.opened == 1
+
+    async def test_an_unreachable_instance_got_nothing(self) -> None:
+        network = FakeNetwork()
+        one, _ = self.peers(network, "entry-a", "entry-b")
+        network.split(("entry-a",), ("entry-b",))
+
+        refusal = (await one.ask("entry-b", Ping())).unwrap_err()
+
+        assert (refusal.code, refusal.ran) == (Code.PEER_UNREACHABLE, Ran.NOT_RUN)
+
+    async def test_after_sending_the_request_may_have_arrived(self) -> None:
+        network = FakeNetwork()
+        one, other = self.peers(network, "entry-a", "entry-b")
+        other.answer(Ping, pong)
+        await one.ask("entry-b", Ping())
+        network.silent_pairs.add(frozenset(("entry-a", "entry-b")))
+
+        refusal = (await one.ask("entry-b", Ping(), timeout_ms=300.0)).unwrap_err()
+
+        assert (refusal.code, refusal.ran) == (Code.PEER_TIMED_OUT, Ran.UNKNOWN)
+
+    async def test_a_message_without_an_answer_is_refused(self) -> None:
+        one, _ = self.peers(FakeNetwork(), "entry-a", "entry-b")
+
+        refusal = (await one.ask("entry-b", Ping())).unwrap_err()
+
+        assert refusal.code is Code.UNKNOWN_MESSAGE
+
+    async def test_a_lost_stream_ends_the_wait(self) -> None:
+        one, other = self.peers(FakeNetwork(), "entry-a", "entry-b")
+
+        async def stop_first(name: str, message: Any) -> Result[Pong, Refusal]:
+            await other.sessions_by_name["entry-a"].close()
+            return Err(Refusal(Code.INTERNAL))
+
+        other.answer(Ping, stop_first)
+        refusal = (await one.ask("entry-b", Ping())).unwrap_err()
+
+        assert (refusal.code, refusal.ran) == (Code.PEER_LOST, Ran.UNKNOWN)
+
+
+class Loopback:
+    """Two instances whose streams go over loopback."""
+
+    def __init__(self, opener_key: bytes = KEY) -> None:
+        self.one = members_of("entry-a", incarnation=5)
+        self.other = members_of("entry-b", incarnation=6)
+        self.opener_key = opener_key
+        self.other_counters = Counters()
+        self.one_counters = Counters()
+        self.server: PeerServer | None = None
+
+    async def __aenter__(self) -> "Loopback":
+        clock = loop_clock(asyncio.get_running_loop())
+        self.other_peers = Peers(
+            Fleet("entry-b", "milano", self.other),
+            make_open_peer(PeerKey(KEY, self.other), self.other_counters),
+            clock,
+            self.other_counters,
+        )
+        self.other_peers.answer(Ping, pong)
+        self.server = (
+            await serve_peers(
+                Listen("127.0.0.1", 0),
+                PeerKey(KEY, self.other),
+                self.other_counters,
+                self.other_peers.accept,
+            )
+        ).unwrap()
+        fleet = Fleet("entry-a", "milano", self.one)
+        address = str(self.server.address)
+        fleet.take_list(InstanceList(1, (Instance("entry-b", "milano", "", address),)))
+        open_peer = make_open_peer(PeerKey(self.opener_key, self.one), self.one_counters)
+        self.one_peers = Peers(fleet, open_peer, clock, self.one_counters)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.one_peers.stop()
+        await self.other_peers.stop()
+        assert self.server is not None
+        await self.server.stop()
+
+
+class TestTcpStreams:
+    """Streams over TCP know both ends and give a stranger nothing."""
+
+    async def test_carries_questions_and_answers(self) -> None:
+        async with Loopback() as pair:
+            assert await pair.one_peers.ask("entry-b", Ping()) == Ok(Pong(7))
+            assert pair.one_peers.sessions_by_name["entry-b"].peer.incarnation == 6
+            assert pair.other_peers.sessions_by_name["entry-a"].peer.incarnation == 5
+
+    async def test_a_frame_right_behind_the_hello_is_kept(self) -> None:
+        async with Loopback() as pair:
+            pair.one_peers.answer(Ping, pong)
+            asked: list[asyncio.Task[Any]] = []
+
+            def ask_at_once(session: PeerSession) -> None:
+                asked.append(asyncio.create_task(session.ask(Ping(), 1000.0)))
+
+            pair.other_peers.on_open.append(ask_at_once)
+            await pair.one_peers.open("entry-b")
+
+            assert await asked[0] == Ok(Pong(7))
+
+    async def test_another_key_is_a_stranger(self) -> None:
+        async with Loopback(opener_key=b"another key than theirs") as pair:
+            refusal = (await pair.one_peers.ask("entry-b", Ping())).unwrap_err()
+
+            assert refusal.code is Code.PEER_UNREACHABLE
+            assert pair.other_counters.value("peer_strangers") == 1
+            assert pair.other_peers.sessions_by_name == {}
+
+    async def test_a_peer_that_knows_a_later_start_says_so(self) -> None:
+        async with Loopback() as pair:
+            pair.other.take(MemberUpdate("entry-a", 9, 0, MemberState.LIVE), "test")
+            refusal = (await pair.one_peers.ask("entry-b", Ping())).unwrap_err()
+
+            assert refusal.code is Code.OLD_INCARNATION
+            assert pair.one.own.incarnation == 10
+            assert await pair.one_peers.ask("entry-b", Ping()) == Ok(Pong(7))
+
+    async def test_a_recorded_hello_is_worth_nothing(self) -> None:
+        async with Loopback() as pair:
+            assert pair.server is not None
+            recorded = bytearray()
+            forward = pair.server.address
+
+            async def record(reader: Any, writer: Any) -> None:
+                far_in, far_out = await asyncio.open_connection(forward.host, forward.port)
+                writer.write(await far_in.read(100))
+                recorded.extend(await reader.read(1000))
+                far_out.close()
+                writer.close()
+
+            relay = await asyncio.start_server(record, "127.0.0.1", 0)
+            host, port = relay.sockets[0].getsockname()
+            await make_open_peer(PeerKey(KEY, pair.one), Counters())("entry-b", f"{host}:{port}")
+            relay.close()
+            reader, writer = await asyncio.open_connection(forward.host, forward.port)
+            await reader.read(100)
+            writer.write(bytes(recorded))
+
+            assert len(recorded) > 40
+            assert await reader.read() == b""
+            assert pair.other_peers.sessions_by_name == {}
+            writer.close()
+
+    @pytest.mark.parametrize("size", [10, 2000, 200_000])
+    async def test_rubbish_is_answered_by_nothing(self, size: int) -> None:
+        async with Loopback() as pair:
+            assert pair.server is not None
+            address = pair.server.address
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            await reader.read(100)
+            writer.write(b"\xc6" + Random(size).randbytes(size))
+            writer.write_eof()
+            try:
+                answer = await reader.read()
+            except ConnectionResetError:
+                answer = b""
+            writer.close()
+
+            assert answer == b""
+            assert pair.other_counters.value("peer_strangers") == 1
--- /dev/null
+++ b/tests/peer_fakes.py
@@ -0,0 +1,129 @@
+"""In-memory peer streams on virtual time, with delay, partition and silence."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from radishmount.border import pack_frame, unpack_frame
+from radishmount.codes import Code, Refusal
+from radishmount.counters import Counters
+from radishmount.fleet import Frame, Members, OpenPeer, PeerIdentity, Peers, PeerStream
+
+
+class FakeStream:
+    """One end of a stream between two instances."""
+
+    def __init__(self, network: "FakeNetwork", own: str, peer: PeerIdentity) -> None:
+        self.network = network
+        self.own = own
+        self.peer = peer
+        self.inbox: asyncio.Queue[Result[Frame, Refusal]] = asyncio.Queue()
+        self.other: FakeStream | None = None
+        self.closed = False
+
+    def send(self, frame: Frame) -> Result[None, Refusal]:
+        """Carry the frame, through its encoding, unless the two ends are cut off."""
+        if self.closed:
+            return Err(Refusal(Code.PEER_UNREACHABLE))
+        packed = pack_frame(frame).unwrap()
+        self.network.bytes_by_name[self.own] = self.network.bytes_by_name.get(self.own, 0) + len(
+            packed
+        )
+        assert self.other is not None
+        if self.network.carries(self.own, self.peer.name):
+            self._later(self.other, unpack_frame(packed))
+        return Ok(None)
+
+    async def receive(self) -> Result[Frame, Refusal]:
+        """Return the next frame."""
+        return await self.inbox.get()
+
+    async def close(self) -> None:
+        """Close both ends; the other end learns of it unless it is cut off."""
+        if self.closed:
+            return
+        self.closed = True
+        self.inbox.put_nowait(Err(Refusal(Code.PEER_LOST)))
+        assert self.other is not None
+        if self.network.carries(self.own, self.peer.name):
+            self._later(self.other, Err(Refusal(Code.PEER_LOST)))
+
+    def _later(self, end: "FakeStream", item: Result[Frame, Refusal]) -> None:
+        delay_s = self.network.delay_ms / 1000.0
+        asyncio.get_running_loop().call_later(delay_s, end.inbox.put_nowait, item)
+
+
+@dataclass
+class FakeNetwork:
+    """The instances by name, and which of them cannot reach each other."""
+
+    delay_ms: float = 4.0
+    accept_by_name: dict[str, Callable[[PeerStream], object]] = field(default_factory=dict)
+    members_by_name: dict[str, Members] = field(default_factory=dict)
+    side_by_name: dict[str, int] = field(default_factory=dict)
+    cut_pairs: set[frozenset[str]] = field(default_factory=set)
+    silent_pairs: set[frozenset[str]] = field(default_factory=set)
+    down: set[str] = field(default_factory=set)
+    bytes_by_name: dict[str, int] = field(default_factory=dict)
+    opened: int = 0
+    tasks: set[asyncio.Task[object]] = field(default_factory=set)
+
+    def split(self, *sides: tuple[str, ...]) -> None:
+        """Let instances reach only those on their side."""
+        for number, names in enumerate(sides):
+            for name in names:
+                self.side_by_name[name] = number
+
+    def heal(self) -> None:
+        """Let everyone reach everyone."""
+        self.side_by_name.clear()
+        self.cut_pairs.clear()
+
+    def reaches(self, one: str, other: str) -> bool:
+        """Tell whether new connections between the two work."""
+        if one in self.down or other in self.down:
+            return False
+        if frozenset((one, other)) in self.cut_pairs:
+            return False
+        return self.side_by_name.get(one, 0) == self.side_by_name.get(other, 0)
+
+    def carries(self, one: str, other: str) -> bool:
+        """Tell whether open streams between the two work."""
+        return self.reaches(one, other) and frozenset((one, other)) not in self.silent_pairs
+
+    def add(self, name: str, members: Members, peers: Peers) -> None:
+        """Let others reach the instance `name`."""
+        self.members_by_name[name] = members
+        self.accept_by_name[name] = lambda stream: self._spawn(peers.accept(stream))
+
+    def open_peer_for(self, members: Members, counters: Counters) -> OpenPeer:
+        """Return the function with which one instance opens streams."""
+
+        async def open_peer(name: str, address: str) -> Result[PeerStream, Refusal]:
+            own = members.own.name
+            await asyncio.sleep(2 * self.delay_ms / 1000.0)
+            if name not in self.accept_by_name or not self.reaches(own, name):
+                await asyncio.sleep(0.5)
+                return Err(Refusal(Code.PEER_UNREACHABLE, detail=name))
+            other = self.members_by_name[name]
+            if other.known_incarnation(own) > members.own.incarnation:
+                members.was_reborn(other.known_incarnation(own))
+                return Err(Refusal(Code.OLD_INCARNATION, detail=name))
+            if members.known_incarnation(name) > other.own.incarnation:
+                other.was_reborn(members.known_incarnation(name))
+            self.opened += 1
+            near = FakeStream(self, own, other.identity())
+            far = FakeStream(self, name, members.identity())
+            near.other, far.other = far, near
+            self.silent_pairs.discard(frozenset((own, name)))
+            self.accept_by_name[name](far)
+            return Ok(near)
+
+        return open_peer
+
+    def _spawn(self, work) -> None:  # type: ignore[no-untyped-def]
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
