Keep instances in step: membership, spread of configuration, pauses, leaving

Each instance watched the platform itself and knew nothing of the others, so platform reads grew with the fleet and a lost or leaving instance stayed in address answers until the list said so.

Control (control.py) now holds what follows platform and peers; node.py is a thin composition over it.

--- a/src/radishmount/border/_peer_models.py
+++ b/src/radishmount/border/_peer_models.py
@@ -21,7 +21,6 @@
     MemberState,
     MemberUpdate,
     Ping,
-    Pong,
     ProbeReply,
     ProbeRequest,
 )
@@ -95,18 +94,11 @@
 
 
 class PingModel(PeerModel):
-    """Asks whether the instance answers."""
+    """Asks for a heartbeat now."""
 
     data_type = Ping
 
 
-class PongModel(PeerModel):
-    """The answer to a ping."""
-
-    data_type = Pong
-    incarnation: Number
-
-
 class ProbeRequestModel(PeerModel):
     """Asks a peer whether another answers it."""
 
@@ -187,7 +179,6 @@
 PEER_MODELS: tuple[type[PeerModel], ...] = (
     HeartbeatModel,
     PingModel,
-    PongModel,
     ProbeRequestModel,
     ProbeReplyModel,
     BundleRequestModel,
--- a/src/radishmount/border/_peer_stream.py
+++ b/src/radishmount/border/_peer_stream.py
@@ -156,7 +156,10 @@
 def make_open_peer(
     own: PeerKey, counters: Counters
 ) -> Callable[[str, str], Awaitable[Result[PeerStream, Refusal]]]:
-    """Return the function that opens a stream to the instance of a name at an address."""
+    """Return the function that opens a stream to the instance of a name at an address.
+
+    An empty name takes whichever instance answers there with the right key.
+    """
 
     async def open_peer(name: str, address: str) -> Result[PeerStream, Refusal]:
         listen = split_address(address)
@@ -261,7 +264,7 @@
     if not same_proof(proof, prove(own.key, ACCEPTOR, transcript)):
         raise HelloFailed(Refusal(Code.STRANGER, detail=name))
     peer, known = _welcomed(welcome)
-    if peer.name != name:
+    if name and peer.name != name:
         raise HelloFailed(Refusal(Code.STRANGER, detail=f"{peer.name} in place of {name}"))
     if known > identity.incarnation:
         own.members.was_reborn(known)
@@ -346,7 +349,7 @@
             raise HelloFailed(Refusal(Code.BAD_FRAME, detail="no hello"))
     if protocol != PROTOCOL_VERSION:
         raise HelloFailed(Refusal(Code.BAD_FRAME, detail=f"protocol {protocol}"))
-    if wanted != own_name or name == own_name or not isinstance(known, int):
+    if wanted not in ("", own_name) or name == own_name or not isinstance(known, int):
         raise HelloFailed(Refusal(Code.STRANGER, detail=f"{name} wants {wanted}"))
     return PeerIdentity(name, centre, started), known
 
--- a/src/radishmount/clock.py
+++ b/src/radishmount/clock.py
@@ -16,7 +16,8 @@
     """Reads time in milliseconds from the sources that it was given.
 
     `now_ms` is monotonic and serves deadlines; `wall_ms` is the time of day and serves records
-    that people read. Nothing outside this module reads the system clock.
+    that people read; `cpu_ms` is the processor time of this thread and serves the count of what
+    control costs. Nothing outside this module reads the system clock.
 
         clock = loop_clock(asyncio.get_running_loop())
         deadline_at_ms = clock.now_ms() + 190.0
@@ -24,6 +25,7 @@
 
     now_ms: Callable[[], float]
     wall_ms: Callable[[], float]
+    cpu_ms: Callable[[], float] = lambda: 0.0
 
     def remaining_ms(self, deadline_at_ms: float) -> float:
         """Return the milliseconds left until `deadline_at_ms`, never less than zero."""
@@ -36,7 +38,11 @@
 
 def loop_clock(loop: asyncio.AbstractEventLoop) -> Clock:
     """Return a clock over the time of `loop`, so that virtual loops carry virtual time."""
-    return Clock(now_ms=lambda: loop.time() * 1000.0, wall_ms=lambda: time.time() * 1000.0)
+    return Clock(
+        now_ms=lambda: loop.time() * 1000.0,
+        wall_ms=lambda: time.time() * 1000.0,
+        cpu_ms=lambda: time.thread_time() * 1000.0,
+    )
 
 
 @dataclass(slots=True)
--- a/src/radishmount/fleet/__init__.py
+++ b/src/radishmount/fleet/__init__.py
@@ -1,10 +1,15 @@
 """The instances of the fleet, and the addresses that callers are given."""
 
-from radishmount.fleet._addresses import AddressAnswer, choose_addresses
+from radishmount.fleet._addresses import ADDRESSES_VALID_FOR_MS, AddressAnswer, choose_addresses
+from radishmount.fleet._backoff import Backoff
+from radishmount.fleet._duty import fallback_interval_ms, is_watcher
 from radishmount.fleet._fleet import Fleet, InstanceList
+from radishmount.fleet._freshness import RENEWAL_LIMIT_MS, Freshness, make_freshness
 from radishmount.fleet._incarnation import first_incarnation
 from radishmount.fleet._instance import Instance, InstanceState
+from radishmount.fleet._list_spread import ListSpread
 from radishmount.fleet._members import Member, Members
+from radishmount.fleet._membership import HeldVersions, Membership
 from radishmount.fleet._messages import (
     BundlePiece,
     BundleRequest,
@@ -19,40 +24,46 @@
     Notice,
     PeerIdentity,
     Ping,
-    Pong,
     ProbeReply,
     ProbeRequest,
     Request,
     Response,
 )
-from radishmount.fleet._peers import AnswerPeer, Peers, TakeNotice
+from radishmount.fleet._neighbours import NEIGHBOUR_LIMIT, neighbours_of
+from radishmount.fleet._peers import AnswerPeer, Peers
 from radishmount.fleet._session import PeerSession
 from radishmount.fleet._stream import OpenPeer, PeerStream
-from radishmount.fleet._watch import InstanceListSource, ListWatch, watch_instances
+from radishmount.fleet._watch import InstanceListSource, ListWatch, PlatformWatch, Taken
 
 
 __all__ = [
-    "Member",
-    "Members",
-    "first_incarnation",
+    "ADDRESSES_VALID_FOR_MS",
     "AddressAnswer",
     "AnswerPeer",
+    "Backoff",
     "BundlePiece",
     "BundleRequest",
     "EndpointChanges",
     "Fleet",
     "Frame",
+    "Freshness",
     "Heartbeat",
+    "HeldVersions",
     "Instance",
     "InstanceList",
     "InstanceListSource",
     "InstanceState",
     "ListReply",
     "ListRequest",
+    "ListSpread",
     "ListWatch",
+    "Member",
     "MemberState",
     "MemberUpdate",
+    "Members",
+    "Membership",
     "Message",
+    "NEIGHBOUR_LIMIT",
     "Notice",
     "OpenPeer",
     "PeerIdentity",
@@ -60,12 +71,17 @@
     "PeerStream",
     "Peers",
     "Ping",
-    "Pong",
+    "PlatformWatch",
     "ProbeReply",
     "ProbeRequest",
+    "RENEWAL_LIMIT_MS",
     "Request",
     "Response",
-    "TakeNotice",
+    "Taken",
     "choose_addresses",
-    "watch_instances",
+    "fallback_interval_ms",
+    "first_incarnation",
+    "is_watcher",
+    "make_freshness",
+    "neighbours_of",
 ]
--- a/src/radishmount/fleet/_fleet.py
+++ b/src/radishmount/fleet/_fleet.py
@@ -1,10 +1,10 @@
 """The root of the aggregate: the instances that are listed, and what is known of each."""
 
-from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from radishmount.fleet._instance import Instance, InstanceState
 from radishmount.fleet._members import Members
+from radishmount.fleet._messages import MemberState
 
 
 __all__ = ["Fleet", "InstanceList"]
@@ -26,36 +26,39 @@
     own_name: str
     own_data_centre: str
     members: Members
-    list_version: int = 0
+    instance_list: InstanceList = InstanceList(0, ())
     by_name: dict[str, Instance] = field(default_factory=dict)
-    leaving: bool = False
 
     def take_list(self, instance_list: InstanceList) -> bool:
         """Take a newer list in place of the present one; tell whether it was newer."""
         if instance_list.version <= self.list_version:
             return False
-        self.list_version = instance_list.version
+        self.instance_list = instance_list
         self.by_name = {instance.name: instance for instance in instance_list.instances}
         return True
 
+    @property
+    def list_version(self) -> int:
+        """Return the version of the list that was taken last, zero before the first."""
+        return self.instance_list.version
+
     @property
     def listed_names(self) -> list[str]:
         """Return the names over which duties are divided: listed, whether reachable or not."""
         return sorted({*self.by_name, self.own_name})
 
-    def takes_work(self) -> Iterable[Instance]:
-        """Yield the instances that callers may be sent to."""
-        for instance in self.by_name.values():
-            if instance.state is InstanceState.LEAVING:
-                continue
-            if instance.name == self.own_name and self.leaving:
-                continue
-            yield instance
+    def takes_work(self, name: str) -> bool:
+        """Tell whether callers may be sent to the instance `name`."""
+        instance = self.by_name.get(name)
+        if instance is None or instance.state is InstanceState.LEAVING:
+            return False
+        return self.members.state_of(name) is not MemberState.LEAVING
 
-    @property
-    def instances_by_data_centre(self) -> Mapping[str, list[Instance]]:
-        """Return the instances that take work, by data centre."""
-        by_data_centre: dict[str, list[Instance]] = {}
-        for instance in self.takes_work():
-            by_data_centre.setdefault(instance.data_centre, []).append(instance)
-        return by_data_centre
+    def is_fit(self, name: str) -> bool:
+        """Tell whether nothing speaks against the instance: no suspicion and no overload."""
+        return self.members.state_of(name) in (None, MemberState.LIVE)
+
+    def load_of(self, name: str) -> float:
+        """Return the load that the instance last told, zero when it told none."""
+        member = self.members.by_name.get(name)
+        return 0.0 if member is None else member.load
--- a/src/radishmount/fleet/_messages.py
+++ b/src/radishmount/fleet/_messages.py
@@ -22,7 +22,6 @@
     "Notice",
     "PeerIdentity",
     "Ping",
-    "Pong",
     "ProbeReply",
     "ProbeRequest",
     "Request",
@@ -82,14 +81,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Asks whether the instance answers at all."""
-
-
-@dataclass(frozen=True, slots=True)
-class Pong:
-    """The answer to `Ping`."""
-
-    incarnation: int
+    """Asks for a `Heartbeat` now."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/fleet/_peers.py
+++ b/src/radishmount/fleet/_peers.py
@@ -73,7 +73,11 @@
             return opened
         session = opened.ok_value
         session.used_at_ms = self.clock.now_ms()
-        return await session.ask(message, self.clock.remaining_ms(deadline_at_ms))
+        outcome = await session.ask(message, self.clock.remaining_ms(deadline_at_ms))
+        if outcome.is_err() and session.heard_at_ms < session.used_at_ms and not session.closed:
+            self.counters.add("peer_streams_silent")
+            await session.close()  # the next request is to find out whether a new one works
+        return outcome
 
     async def open(self, name: str) -> Result[PeerSession, Refusal]:
         """Return the open stream to `name`, or open one."""
@@ -87,6 +91,10 @@
             task.add_done_callback(lambda done: self.opening_by_name.pop(name, None))
         return await asyncio.shield(task)
 
+    async def open_address(self, address: str) -> Result[PeerSession, Refusal]:
+        """Open a stream to whichever instance listens at `address`, as before any list is known."""
+        return await self._dial_address("", address)
+
     async def accept(self, stream: PeerStream) -> None:
         """Serve a stream that another instance opened, until it ends."""
         await self._serve(self._register(stream))
@@ -104,12 +112,15 @@
         instance = self.fleet.by_name.get(name)
         if instance is None or not instance.peer_address:
             return Err(Refusal(Code.PEER_UNREACHABLE, detail=f"{name} is not listed"))
-        opened = await self.open_peer(name, instance.peer_address)
+        return await self._dial_address(name, instance.peer_address)
+
+    async def _dial_address(self, name: str, address: str) -> Result[PeerSession, Refusal]:
+        opened = await self.open_peer(name, address)
         if isinstance(opened, Err):
             self.counters.add("peer_errors", opened.err_value.code.name)
             return opened
         session = self._register(opened.ok_value)
-        task = asyncio.create_task(self._serve(session), name=f"peer {name}")
+        task = asyncio.create_task(self._serve(session), name=f"peer {session.peer.name}")
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return Ok(session)
--- a/src/radishmount/fleet/_session.py
+++ b/src/radishmount/fleet/_session.py
@@ -25,7 +25,12 @@
     waiting_by_number: dict[int, asyncio.Future[Answer]] = field(default_factory=dict)
     answers: set[asyncio.Task[None]] = field(default_factory=set)
     last_number: int = 0
-    closed: bool = False
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether the stream has ended."""
+        return self.ended.is_set()
 
     @property
     def peer(self) -> PeerIdentity:
@@ -78,7 +83,7 @@
 
     async def close(self) -> None:
         """Close the stream; whoever waits for an answer is told that it was lost."""
-        self.closed = True
+        self.ended.set()
         for task in list(self.answers):
             task.cancel()
         for future in self.waiting_by_number.values():
--- a/src/radishmount/fleet/_watch.py
+++ b/src/radishmount/fleet/_watch.py
@@ -1,26 +1,47 @@
-"""The watch on the platform's instance list."""
+"""The watch on the platform: a long poll by those whose duty it is, a rare read by the others."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from enum import StrEnum
+from random import Random
+from typing import Protocol, TypeVar
 
 from result import Err, Ok, Result
 
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
-from radishmount.codes import Refusal
+from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
+from radishmount.fleet._backoff import Backoff
+from radishmount.fleet._duty import fallback_interval_ms, is_watcher
 from radishmount.fleet._fleet import Fleet, InstanceList
 
 
-__all__ = ["InstanceListSource", "ListWatch", "watch_instances"]
+__all__ = ["InstanceListSource", "ListWatch", "PlatformWatch", "Taken"]
 
 WATCH_WAIT_MS = 10_000
-PAUSE_AFTER_ERROR_MS = 500.0
+DUTY_CHECK_MS = 1_000.0
+READ_AGAIN_FIRST_MS = 500.0
+READ_AGAIN_LIMIT_MS = 10_000.0
+MIN_READ_INTERVAL_MS = 200.0
 
+T = TypeVar("T")
+Read = Callable[[int], Awaitable[Result[T | None, Refusal]]]
 OnList = Callable[[InstanceList], Awaitable[None]]
 
 
+class Taken(StrEnum):
+    """What became of a value that was read."""
+
+    NEWER = "newer"
+    SAME = "same"
+    REFUSED = "refused"
+
+
+Take = Callable[[T], Awaitable[Taken]]
+
+
 class InstanceListSource(Protocol):
     """Where the instance list comes from."""
 
@@ -38,26 +59,75 @@
     clock: Clock
     on_change: list[OnList] = field(default_factory=list)
 
-    async def take(self, instance_list: InstanceList) -> bool:
-        """Take a newer list; tell whether it was newer."""
+    async def take(self, instance_list: InstanceList, source: str = "platform") -> Taken:
+        """Take a newer list.
+
+        A list without any instance is refused: there is at least the one that reads it.
+        """
+        if instance_list.version > self.fleet.list_version and not instance_list.instances:
+            self.counters.add("lists_refused", Code.PLATFORM_RUBBISH.name)
+            return Taken.REFUSED
+        if instance_list.version == self.fleet.list_version:
+            return Taken.SAME
         if not self.fleet.take_list(instance_list):
-            return False
+            self.counters.add("lists_refused", Code.PLATFORM_WENT_BACK.name)
+            return Taken.REFUSED
         version = instance_list.version
-        self.audit.record("instance list", "taken", cause="platform", version=version)
+        self.audit.record("instance list", "taken", cause=source, version=version)
         for tell in self.on_change:
             await tell(instance_list)
-        return True
+        return Taken.NEWER
 
 
-async def watch_instances(watch: ListWatch, source: InstanceListSource) -> None:
-    """Hold a long poll at the platform and take each newer list."""
-    while True:
-        match await source.instance_list(watch.fleet.list_version, WATCH_WAIT_MS):
+@dataclass(slots=True)
+class PlatformWatch:
+    """Reads one value of the platform for as long as the instance runs.
+
+    `read` waits at the platform for the given milliseconds at most. `was_read` is set after the
+    first answer or failure.
+    """
+
+    fleet: Fleet
+    clock: Clock
+    random: Random
+    counters: Counters
+    label: str
+    was_read: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def run(self, read: Read[T], take: Take[T]) -> None:
+        """Read at the start, then watch or fall back, as the duty is."""
+        self.was_read.clear()
+        backoff = Backoff(self.random, READ_AGAIN_FIRST_MS, READ_AGAIN_LIMIT_MS)
+        wait_ms = 0
+        while True:
+            started_at_ms = self.clock.now_ms()
+            self.counters.add("platform_reads", self.label)
+            is_well = await self._read_once(read, take, wait_ms)
+            self.was_read.set()
+            if not is_well:
+                await self.clock.sleep_ms(backoff.next_ms())
+                wait_ms = 0
+                continue
+            backoff.reset()
+            if not is_watcher(self.fleet):
+                await self._wait_for_duty()
+            # A platform that answers a long poll at once must not be read without pause.
+            passed_ms = self.clock.now_ms() - started_at_ms
+            await self.clock.sleep_ms(max(0.0, MIN_READ_INTERVAL_MS - passed_ms))
+            wait_ms = WATCH_WAIT_MS if is_watcher(self.fleet) else 0
+
+    async def _read_once(self, read: Read[T], take: Take[T], wait_ms: int) -> bool:
+        match await read(wait_ms):
             case Err(refusal):
-                watch.counters.add("platform_errors", refusal.code.name)
-            case Ok(instance_list):
-                if instance_list is None:
-                    continue
-                if await watch.take(instance_list):
-                    continue
-        await watch.clock.sleep_ms(PAUSE_AFTER_ERROR_MS)
+                self.counters.add("platform_errors", refusal.code.name)
+                return False
+            case Ok(value):
+                return value is None or await take(value) is not Taken.REFUSED
+        return False
+
+    async def _wait_for_duty(self) -> None:
+        """Wait until the duty falls to this instance, or until it is time for a rare read."""
+        interval_ms = fallback_interval_ms(self.fleet) * self.random.uniform(0.75, 1.25)
+        until_ms = self.clock.now_ms() + interval_ms
+        while self.clock.now_ms() < until_ms and not is_watcher(self.fleet):
+            await self.clock.sleep_ms(min(DUTY_CHECK_MS, until_ms - self.clock.now_ms()))
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -30,6 +30,7 @@
 )
 from radishmount.clock import Clock, loop_clock
 from radishmount.codes import Refusal
+from radishmount.control import LEAVING_GRACE_MS
 from radishmount.node import Node, NodeParts, make_node
 from radishmount.programs._logging import audit_log, log_state_change, set_up_logging
 
@@ -38,6 +39,7 @@
 
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_START = 3
+REFUSING_MS = 2_000.0
 
 
 class RunningEntry:
@@ -49,6 +51,16 @@
         self.operators = operators
         self.peers = peers
 
+    async def leave(self) -> None:
+        """Stop gracefully: have callers moved elsewhere first, and finish what is in flight.
+
+        Requests are answered for as long as callers may hold this address, then refused as not
+        run for a short while, and then no connection is taken any more.
+        """
+        self.node.leave()
+        await self.node.parts.clock.sleep_ms(LEAVING_GRACE_MS + REFUSING_MS)
+        await self.stop()
+
     async def stop(self) -> None:
         """Finish the requests in flight and stop."""
         await self.callers.stop()
@@ -72,6 +84,7 @@
             open_channel=open_endpoint_channel,
             read_bundle=read_bundle,
             open_peer_for=lambda members, counters: make_open_peer(PeerKey(key, members), counters),
+            seeds=settings.seeds,
         ),
         audit,
     )
@@ -128,7 +141,7 @@
     log_state_change("serving", callers=str(entry.callers.address))
     await stop.wait()
     log_state_change("leaving")
-    await entry.stop()
+    await entry.leave()
     log_state_change("stopped")
     return 0
 
--- a/src/radishmount/publication/__init__.py
+++ b/src/radishmount/publication/__init__.py
@@ -7,12 +7,8 @@
     check_publication,
     subject_of,
 )
-from radishmount.publication._in_force import (
-    ConfigurationSource,
-    InForce,
-    ReadBundle,
-    watch_configuration,
-)
+from radishmount.publication._distribution import ConfigurationSource, Distribution
+from radishmount.publication._in_force import InForce, ReadBundle
 from radishmount.publication._keys import ALL_KEYS, KeyRange, covers
 from radishmount.publication._objects import (
     Caller,
@@ -35,6 +31,7 @@
     "Collection",
     "ConfigurationSource",
     "DataCentre",
+    "Distribution",
     "EndpointSpec",
     "Fault",
     "InForce",
@@ -51,5 +48,4 @@
     "check_publication",
     "covers",
     "subject_of",
-    "watch_configuration",
 ]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -142,8 +142,12 @@
 
     def publish(self, version: int) -> None:
         """Publish version `version`; the body is its number."""
+        self.publish_bundle(version, str(version).encode())
+
+    def publish_bundle(self, version: int, body: bytes) -> None:
+        """Publish `body`, whatever it holds, as version `version`."""
         self.version = version
-        self.body = str(version).encode()
+        self.body = body
         self._wake()
 
     def list_instances(self, instances: InstanceList) -> None:
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -23,19 +23,20 @@
     Peers,
     PeerSession,
     Ping,
-    Pong,
+    ProbeReply,
 )
 
 
 KEY = b"a key for tests only"
+PONG = ProbeReply(reachable=True)
 
 
 def members_of(name: str, incarnation: int = 1) -> Members:
     return Members(MemberUpdate(name, incarnation, 0, MemberState.LIVE), "milano")
 
 
-async def pong(name: str, message: Any) -> Result[Pong, Refusal]:
-    return Ok(Pong(7))
+async def pong(name: str, message: Any) -> Result[ProbeReply, Refusal]:
+    return Ok(PONG)
 
 
 class TestAsk:
@@ -61,7 +62,7 @@
         one, other = self.peers(FakeNetwork(), "entry-a", "entry-b")
         other.answer(Ping, pong)
 
-        assert await one.ask("entry-b", Ping()) == Ok(Pong(7))
+        assert await one.ask("entry-b", Ping()) == Ok(PONG)
 
     async def test_many_questions_share_one_stream(self) -> None:
         network = FakeNetwork()
@@ -70,7 +71,7 @@
 
         answers = await asyncio.gather(*(one.ask("entry-b", Ping()) for _ in range(20)))
 
-        assert answers == [Ok(Pong(7))] * 20
+        assert answers == [Ok(PONG)] * 20
         assert network.opened == 1
 
     async def test_an_unreachable_instance_got_nothing(self) -> None:
@@ -103,7 +104,7 @@
     async def test_a_lost_stream_ends_the_wait(self) -> None:
         one, other = self.peers(FakeNetwork(), "entry-a", "entry-b")
 
-        async def stop_first(name: str, message: Any) -> Result[Pong, Refusal]:
+        async def stop_first(name: str, message: Any) -> Result[ProbeReply, Refusal]:
             await other.sessions_by_name["entry-a"].close()
             return Err(Refusal(Code.INTERNAL))
 
@@ -160,7 +161,7 @@
 
     async def test_carries_questions_and_answers(self) -> None:
         async with Loopback() as pair:
-            assert await pair.one_peers.ask("entry-b", Ping()) == Ok(Pong(7))
+            assert await pair.one_peers.ask("entry-b", Ping()) == Ok(PONG)
             assert pair.one_peers.sessions_by_name["entry-b"].peer.incarnation == 6
             assert pair.other_peers.sessions_by_name["entry-a"].peer.incarnation == 5
 
@@ -175,7 +176,7 @@
             pair.other_peers.on_open.append(ask_at_once)
             await pair.one_peers.open("entry-b")
 
-            assert await asked[0] == Ok(Pong(7))
+            assert await asked[0] == Ok(PONG)
 
     async def test_another_key_is_a_stranger(self) -> None:
         async with Loopback(opener_key=b"another key than theirs") as pair:
@@ -192,7 +193,7 @@
 
             assert refusal.code is Code.OLD_INCARNATION
             assert pair.one.own.incarnation == 10
-            assert await pair.one_peers.ask("entry-b", Ping()) == Ok(Pong(7))
+            assert await pair.one_peers.ask("entry-b", Ping()) == Ok(PONG)
 
     async def test_a_recorded_hello_is_worth_nothing(self) -> None:
         async with Loopback() as pair:
--- a/tests/peer_fakes.py
+++ b/tests/peer_fakes.py
@@ -51,8 +51,15 @@
             self._later(self.other, Err(Refusal(Code.PEER_LOST)))
 
     def _later(self, end: "FakeStream", item: Result[Frame, Refusal]) -> None:
-        delay_s = self.network.delay_ms / 1000.0
-        asyncio.get_running_loop().call_later(delay_s, end.inbox.put_nowait, item)
+        def arrive() -> None:
+            held = self.network.held_by_frozen.get(end.own)
+            if held is not None:
+                held.append(lambda: end.inbox.put_nowait(item))
+                return
+            end.inbox.put_nowait(item)
+
+        if self.own not in self.network.held_by_frozen:
+            asyncio.get_running_loop().call_later(self.network.delay_ms / 1000.0, arrive)
 
 
 @dataclass
@@ -69,6 +76,16 @@
     bytes_by_name: dict[str, int] = field(default_factory=dict)
     opened: int = 0
     tasks: set[asyncio.Task[object]] = field(default_factory=set)
+    held_by_frozen: dict[str, list[Callable[[], None]]] = field(default_factory=dict)
+
+    def freeze(self, name: str) -> None:
+        """Drop what `name` sends and hold what is sent to it."""
+        self.held_by_frozen[name] = []
+
+    def thaw(self, name: str) -> None:
+        """Let `name` have what was held."""
+        for deliver in self.held_by_frozen.pop(name):
+            deliver()
 
     def split(self, *sides: tuple[str, ...]) -> None:
         """Let instances reach only those on their side."""
@@ -83,7 +100,7 @@
 
     def reaches(self, one: str, other: str) -> bool:
         """Tell whether new connections between the two work."""
-        if one in self.down or other in self.down:
+        if {one, other} & self.down:
             return False
         if frozenset((one, other)) in self.cut_pairs:
             return False
@@ -104,7 +121,10 @@
         async def open_peer(name: str, address: str) -> Result[PeerStream, Refusal]:
             own = members.own.name
             await asyncio.sleep(2 * self.delay_ms / 1000.0)
-            if name not in self.accept_by_name or not self.reaches(own, name):
+            if not name:
+                name = address.split(":")[0]
+            answers = name in self.accept_by_name and not {own, name} & set(self.held_by_frozen)
+            if not answers or not self.reaches(own, name):
                 await asyncio.sleep(0.5)
                 return Err(Refusal(Code.PEER_UNREACHABLE, detail=name))
             other = self.members_by_name[name]
