Check published folders as one, with the place of each fault

The check went through every shard map whole, which is quadratic once shards are replaced one by one. It now looks only at the neighbourhood of the shards that come or go, and at the whole map while there is a gap. Reading reports all faults of an object, not just the first, and addresses, units and limits are checked where the text is read.

--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -1,16 +1,12 @@
 """The border: bytes become data classes here, and data classes bytes."""
 
+from radishmount.border._bundle import digest_of, read_bundle, write_bundle
 from radishmount.border._callers import CallerService, make_caller_app
 from radishmount.border._endpoint_client import EndpointChannel, open_endpoint_channel
 from radishmount.border._jsonc import read_jsonc
 from radishmount.border._models import BorderModel, describe_fault, read_json
-from radishmount.border._objects import (
-    digest_of,
-    object_from,
-    publication_from,
-    read_bundle,
-    write_bundle,
-)
+from radishmount.border._object_files import ObjectFolder, check_folder, read_folder
+from radishmount.border._objects import object_from, publication_from
 from radishmount.border._operators import OperatorService, make_operator_app
 from radishmount.border._platform_client import CONFIGURATION_KEY, HttpPlatform
 from radishmount.border._serve import Server, serve
@@ -30,8 +26,10 @@
     "EntrySettings",
     "HttpPlatform",
     "Listen",
+    "ObjectFolder",
     "OperatorService",
     "Server",
+    "check_folder",
     "describe_fault",
     "digest_of",
     "make_caller_app",
@@ -41,6 +39,7 @@
     "publication_from",
     "read_bundle",
     "read_entry_settings",
+    "read_folder",
     "read_json",
     "read_jsonc",
     "serve",
--- a/src/radishmount/border/_jsonc.py
+++ b/src/radishmount/border/_jsonc.py
@@ -1,5 +1,7 @@
 """JSON with comments, for settings and published objects."""
 
+import re
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -9,16 +11,50 @@
 from radishmount.codes import Code, Refusal
 
 
-__all__ = ["read_jsonc"]
+__all__ = ["SyntaxFault", "parse_jsonc", "read_jsonc", "read_text"]
 
+OFFSET_PATTERN = re.compile(r" near (\d+)")
 
-def read_jsonc(path: Path) -> Result[Any, Refusal]:
-    """Return what `path` holds, or a refusal that names the file and what is wrong in it."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return Err(Refusal(Code.UNREADABLE_FILE, detail=f"{path}: {error}"))
+
+@dataclass(frozen=True, slots=True)
+class SyntaxFault:
+    """What is wrong in a text, and in which line where that is known."""
+
+    message: str
+    line: int | None
+
+
+def parse_jsonc(text: str) -> Result[Any, SyntaxFault]:
+    """Return what `text` holds, or where it stops being JSON with comments."""
     try:
         return Ok(pyjson5.decode(text))
     except pyjson5.Json5Exception as error:
-        return Err(Refusal(Code.BROKEN_SYNTAX, detail=f"{path}: {error.args[0]}"))
+        message = str(error.args[0])
+    found = OFFSET_PATTERN.search(message)
+    if found is None:
+        return Err(SyntaxFault(message, None))
+    line = text.count("\n", 0, int(found[1])) + 1
+    return Err(SyntaxFault(message.replace(found[0], ""), line))
+
+
+def read_text(path: Path) -> Result[str, Refusal]:
+    """Return the text of `path`, or a refusal that names the file."""
+    try:
+        return Ok(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        return Err(Refusal(Code.UNREADABLE_FILE, detail=f"{path}: {error}"))
+
+
+def read_jsonc(path: Path) -> Result[Any, Refusal]:
+    """Return what `path` holds, or a refusal that names the file and what is wrong in it."""
+    match read_text(path):
+        case Err(refusal):
+            return Err(refusal)
+        case Ok(text):
+            pass
+    match parse_jsonc(text):
+        case Err(fault):
+            place = path if fault.line is None else f"{path}:{fault.line}"
+            return Err(Refusal(Code.BROKEN_SYNTAX, detail=f"{place}: {fault.message}"))
+        case Ok(value):
+            return Ok(value)
--- a/src/radishmount/border/_models.py
+++ b/src/radishmount/border/_models.py
@@ -1,23 +1,40 @@
 """The base of all validated models: unknown fields and wrong types are errors."""
 
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import orjson
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic_core import ErrorDetails
 from result import Err, Ok, Result
 
 from radishmount.codes import Code, Refusal
 
 
-__all__ = ["BorderModel", "describe_fault", "read_json"]
+__all__ = [
+    "BorderModel",
+    "IndexVersion",
+    "Key",
+    "Name",
+    "describe_error",
+    "describe_fault",
+    "errors_of",
+    "read_json",
+]
+
+MAX_KEY_CHARS = 1_000
+MAX_INDEX_VERSION = 2**53
+MAX_STEP_CHARS = 100
 
 Model = TypeVar("Model", bound="BorderModel")
+Name = Annotated[str, Field(min_length=1, max_length=200, pattern=r"^[A-Za-z0-9._-]+$")]
+Key = Annotated[str, Field(max_length=MAX_KEY_CHARS)]
+IndexVersion = Annotated[int, Field(ge=1, le=MAX_INDEX_VERSION)]
 
 
 class BorderModel(BaseModel):
-    """Strict in what it takes: no unknown field, no conversion between types."""
+    """Strict in what it takes: no unknown field, no conversion, no number that is not finite."""
 
-    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True, allow_inf_nan=False)
 
 
 def read_json(model: type[Model], body: bytes) -> Result[Model, Refusal]:
@@ -34,8 +51,20 @@
         return Err(Refusal(Code.BAD_FIELD, detail=describe_fault(error)))
 
 
+def errors_of(error: ValidationError) -> list[ErrorDetails]:
+    """Return the single faults of `error`."""
+    return error.errors(include_url=False, include_input=False)
+
+
 def describe_fault(error: ValidationError) -> str:
     """Return the first fault of `error` as `field.path: message`."""
-    first = error.errors(include_url=False, include_input=False)[0]
-    place = ".".join(str(step) for step in first["loc"])
-    return f"{place}: {first['msg']}"
+    return describe_error(errors_of(error)[0])
+
+
+def describe_error(details: ErrorDetails, skipped_steps: int = 0) -> str:
+    """Return one fault as `field.path: message`, without the first `skipped_steps` of the path."""
+    steps = details["loc"][skipped_steps:]
+    if not steps:
+        return details["msg"]
+    place = ".".join(str(step)[:MAX_STEP_CHARS] for step in steps)
+    return f"{place}: {details['msg']}"
--- /dev/null
+++ b/src/radishmount/border/_quantities.py
@@ -0,0 +1,73 @@
+"""Quantities with units, limits and addresses, as texts of settings and published objects."""
+
+import re
+from collections.abc import Callable
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated
+
+from pydantic import AfterValidator, BeforeValidator, Field
+from pydantic_core import PydanticCustomError
+
+
+__all__ = [
+    "LIMIT_OF_ZERO",
+    "UNKNOWN_UNIT",
+    "Duration",
+    "Limit",
+    "ListenAddress",
+    "Rate",
+    "ReachableAddress",
+    "above_zero",
+]
+
+LIMIT_OF_ZERO = "limit_of_zero"
+UNKNOWN_UNIT = "unknown_unit"
+MAX_QUANTITY = 1e9
+MAX_PORT = 65_535
+MS_BY_UNIT = {"ms": 1.0, "s": 1_000.0, "min": 60_000.0}
+PER_S_BY_UNIT = {"/s": 1.0, "/min": 1.0 / 60.0}
+QUANTITY_PATTERN = re.compile(r"^([0-9]{1,15}(?:\.[0-9]{1,15})?) ?([a-z/]*)$")
+
+
+def above_zero(value: float) -> float:
+    """Return `value`, or raise when it is zero or less."""
+    if value <= 0:
+        raise PydanticCustomError(LIMIT_OF_ZERO, "must be above zero")
+    return value
+
+
+def _reader_of(factor_by_unit: dict[str, float]) -> Callable[[object], float]:
+    units = ", ".join(factor_by_unit)
+
+    def read(value: object) -> float:
+        if not isinstance(value, str):
+            raise PydanticCustomError("quantity", f"must be a text that ends in one of {units}")
+        match = QUANTITY_PATTERN.match(value)
+        if match is None:
+            raise PydanticCustomError("quantity", f"must be a number and one of the units {units}")
+        if match[2] not in factor_by_unit:
+            raise PydanticCustomError(UNKNOWN_UNIT, f"must have one of the units {units}")
+        return float(match[1]) * factor_by_unit[match[2]]
+
+    return read
+
+
+def _address_with(least_port: int) -> Callable[[str], str]:
+    def check(value: str) -> str:
+        host, _, port = value.rpartition(":")
+        try:
+            IPv4Address(host)
+        except AddressValueError as error:
+            raise PydanticCustomError("address", "must be an IP number and a port") from error
+        if not (port.isascii() and port.isdigit() and least_port <= int(port[:6]) <= MAX_PORT):
+            raise PydanticCustomError("address", f"must have a port from {least_port} to 65535")
+        return value
+
+    return check
+
+
+Duration = Annotated[float, BeforeValidator(_reader_of(MS_BY_UNIT)), Field(le=MAX_QUANTITY)]
+Rate = Annotated[float, BeforeValidator(_reader_of(PER_S_BY_UNIT)), Field(le=MAX_QUANTITY)]
+Limit = Annotated[int, Field(le=1_000_000), AfterValidator(above_zero)]
+ReachableAddress = Annotated[str, AfterValidator(_address_with(least_port=1))]
+ListenAddress = Annotated[str, AfterValidator(_address_with(least_port=0))]
--- a/src/radishmount/border/_settings.py
+++ b/src/radishmount/border/_settings.py
@@ -9,15 +9,12 @@
 
 from radishmount.border._jsonc import read_jsonc
 from radishmount.border._models import BorderModel, describe_fault
+from radishmount.border._quantities import ListenAddress, ReachableAddress
 from radishmount.codes import Code, Refusal
 
 
 __all__ = ["EntrySettings", "Listen", "read_entry_settings", "split_address"]
 
-ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
-
-Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
-
 
 @dataclass(frozen=True, slots=True)
 class Listen:
@@ -49,10 +46,10 @@
 
     name: Annotated[str, Field(min_length=1, max_length=100)]
     data_centre: Annotated[str, Field(min_length=1, max_length=100)]
-    caller_address: Address
-    operator_address: Address
-    peer_address: Address
-    platform: Address
+    caller_address: ListenAddress
+    operator_address: ListenAddress
+    peer_address: ListenAddress
+    platform: ReachableAddress
     peer_key: Annotated[str, Field(min_length=16)]
 
 
--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -29,6 +29,8 @@
     BAD_METHOD = 1009
     BODY_TOO_SLOW = 1010
     NO_RULE = 1011
+    BAD_REQUEST_ID = 1012
+    BAD_HTTP = 1013
 
     OVER_QUOTA = 2001
     OVERLOADED = 2002
@@ -65,6 +67,9 @@
     UNKNOWN_UNIT = 5009
     VERSION_NOT_GROWING = 5010
     DIGEST_CONFLICT = 5011
+    EMPTY_RANGE = 5012
+    DUPLICATE_ADDRESS = 5013
+    AMBIGUOUS_TARGET = 5014
 
     PLATFORM_DOWN = 6001
     PLATFORM_RUBBISH = 6002
@@ -94,6 +99,8 @@
     Code.BAD_METHOD: "the path does not take this method",
     Code.BODY_TOO_SLOW: "the body did not arrive in time",
     Code.NO_RULE: "no rule binds the caller to the target",
+    Code.BAD_REQUEST_ID: "the request id is too long or holds characters that are not allowed",
+    Code.BAD_HTTP: "the request is not valid HTTP",
     Code.OVER_QUOTA: "the caller has used up its quota",
     Code.OVERLOADED: "the queue is full",
     Code.CANNOT_MEET_DEADLINE: "the deadline cannot be met",
@@ -126,6 +133,9 @@
     Code.UNKNOWN_UNIT: "a quantity has an unknown unit",
     Code.VERSION_NOT_GROWING: "the version does not grow",
     Code.DIGEST_CONFLICT: "the same version has another digest",
+    Code.EMPTY_RANGE: "a range ends before it begins",
+    Code.DUPLICATE_ADDRESS: "two endpoints have the same address",
+    Code.AMBIGUOUS_TARGET: "more than one object or rule could be meant",
     Code.PLATFORM_DOWN: "the platform does not answer",
     Code.PLATFORM_RUBBISH: "the platform's answer cannot be read",
     Code.PLATFORM_WENT_BACK: "the platform answered an older version than before",
--- a/src/radishmount/publication/__init__.py
+++ b/src/radishmount/publication/__init__.py
@@ -1,12 +1,8 @@
 """The published objects, their check as one, and the version that only grows."""
 
-from radishmount.publication._check import (
-    Fault,
-    PublishedObject,
-    check_objects,
-    check_publication,
-    subject_of,
-)
+from radishmount.publication._check import check_objects, check_publication
+from radishmount.publication._difference import Change, ChangeKind, changes_between
+from radishmount.publication._fault import Fault, PublishedObject, subject_of
 from radishmount.publication._in_force import (
     ConfigurationSource,
     InForce,
@@ -32,6 +28,8 @@
     "ALL_KEYS",
     "EMPTY_PUBLICATION",
     "Caller",
+    "Change",
+    "ChangeKind",
     "Collection",
     "ConfigurationSource",
     "DataCentre",
@@ -47,6 +45,7 @@
     "Rule",
     "Service",
     "Shard",
+    "changes_between",
     "check_objects",
     "check_publication",
     "covers",
--- a/src/radishmount/publication/_check.py
+++ b/src/radishmount/publication/_check.py
@@ -1,42 +1,17 @@
-"""The check of the whole set as one: every fault is found in one run."""
-
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
-
-from radishmount.codes import TEXT_BY_CODE, Code
-from radishmount.publication._keys import ALL_KEYS, KeyRange
-from radishmount.publication._objects import (
-    Caller,
-    Collection,
-    DataCentre,
-    Rule,
-    Service,
-    Shard,
-)
-from radishmount.publication._publication import Publication
-
-
-__all__ = ["Fault", "PublishedObject", "check_objects", "check_publication", "subject_of"]
+"""The check of the whole set as one: every fault between objects is found in one run."""
 
-PublishedObject = DataCentre | Service | Collection | Shard | Rule | Caller
+from collections import Counter
+from collections.abc import Container, Iterable
 
+from radishmount.codes import Code
+from radishmount.publication._fault import Fault, PublishedObject, subject_of
+from radishmount.publication._keys import KeyRange
+from radishmount.publication._maps import check_maps
+from radishmount.publication._objects import Caller, Collection, EndpointSpec, Rule, Service, Shard
+from radishmount.publication._publication import Publication
 
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """One fault of a published set: `subject` names the object as `kind/name`."""
-
-    code: Code
-    subject: str
-    detail: str = ""
-    file: str = ""
-    line: int | None = None
 
-    def __str__(self) -> str:
-        """Return the fault on one line, with file and line where they are known."""
-        place = f"{self.file}:{self.line}: " if self.line else f"{self.file}: " if self.file else ""
-        suffix = f": {self.detail}" if self.detail else ""
-        text = TEXT_BY_CODE[self.code]
-        return f"{place}{self.subject}: {self.code.value} {self.code.name}: {text}{suffix}"
+__all__ = ["check_objects", "check_publication"]
 
 
 def check_objects(objects: Iterable[PublishedObject]) -> list[Fault]:
@@ -51,115 +26,143 @@
     return faults
 
 
-def check_publication(publication: Publication) -> list[Fault]:
-    """Return every fault of `publication`, an empty list when it may be put in force."""
+def check_publication(
+    publication: Publication, broken: frozenset[str] = frozenset()
+) -> list[Fault]:
+    """Return every fault of `publication`, an empty list when it may be put in force.
+
+    `broken` names objects as `kind/name` that exist but could not be read: a reference to one of
+    them is no further fault, and a map that lacks shards for this reason is not looked at.
+    """
     faults: list[Fault] = []
     for service in publication.services_by_name.values():
-        faults.extend(_check_service(service, publication))
+        faults.extend(_check_service(service, publication, broken))
+    faults.extend(_check_addresses(publication))
     for shard in publication.shards_by_name.values():
-        faults.extend(_check_shard(shard, publication))
+        faults.extend(_check_shard(shard, publication, broken))
     for rule in publication.rules_by_name.values():
-        faults.extend(_check_rule(rule, publication))
+        faults.extend(_check_rule(rule, publication, broken))
     for caller in publication.callers_by_name.values():
-        faults.extend(_check_caller(caller, publication))
+        faults.extend(_check_caller(caller, publication, broken))
+    shards_by_collection = _shards_by_collection(publication)
+    a_shard_is_broken = any(subject.startswith("shard/") for subject in broken)
     for collection in publication.collections_by_name.values():
-        shards = [s for s in publication.shards_by_name.values() if s.collection == collection.name]
-        faults.extend(_check_maps(collection, shards))
+        faults.extend(_check_collection(collection))
+        if not a_shard_is_broken:
+            faults.extend(check_maps(collection, shards_by_collection.get(collection.name, [])))
     return faults
 
 
-def subject_of(item: PublishedObject) -> str:
-    """Return how faults and audit lines name `item`, such as `service/catalogue-01`."""
-    return f"{KIND_BY_TYPE[type(item)]}/{item.name}"
-
-
-KIND_BY_TYPE: dict[type, str] = {
-    DataCentre: "data-centre",
-    Service: "service",
-    Collection: "collection",
-    Shard: "shard",
-    Rule: "rule",
-    Caller: "caller",
-}
-
-
-def _check_service(service: Service, publication: Publication) -> list[Fault]:
+def _check_service(
+    service: Service, publication: Publication, broken: frozenset[str]
+) -> list[Fault]:
     subject = subject_of(service)
     faults = []
-    for field, limit in (("slots", service.slots), ("connections", service.connections)):
-        if limit <= 0:
-            faults.append(Fault(Code.LIMIT_OF_ZERO, subject, field))
     for endpoint in service.endpoints:
-        if endpoint.data_centre not in publication.data_centres_by_name:
-            detail = f"{endpoint.name} names data-centre/{endpoint.data_centre}"
+        reference = f"data-centre/{endpoint.data_centre}"
+        if _is_dangling(reference, publication.data_centres_by_name, broken):
+            detail = f"endpoint {endpoint.name} names {reference}"
             faults.append(Fault(Code.DANGLING_REFERENCE, subject, detail))
-        if publication.services_by_endpoint[endpoint.name] is not service:
-            faults.append(Fault(Code.DUPLICATE_OBJECT, subject, f"endpoint {endpoint.name}"))
+    for name, count in Counter(endpoint.name for endpoint in service.endpoints).items():
+        if count > 1:
+            faults.append(Fault(Code.DUPLICATE_OBJECT, subject, f"endpoint {name}, {count} times"))
+        elif publication.services_by_endpoint[name] is not service:
+            other = subject_of(publication.services_by_endpoint[name])
+            faults.append(Fault(Code.DUPLICATE_OBJECT, subject, f"endpoint {name}, also {other}"))
     return faults
 
 
-def _check_shard(shard: Shard, publication: Publication) -> list[Fault]:
-    subject = subject_of(shard)
+def _check_addresses(publication: Publication) -> list[Fault]:
+    """Return a fault for each address that a second endpoint has."""
     faults = []
-    if shard.collection not in publication.collections_by_name:
-        detail = f"collection/{shard.collection}"
-        faults.append(Fault(Code.DANGLING_REFERENCE, subject, detail))
+    first_by_address: dict[str, EndpointSpec] = {}
+    for service in publication.services_by_name.values():
+        for endpoint in service.endpoints:
+            first = first_by_address.setdefault(endpoint.address, endpoint)
+            if first is endpoint:
+                continue
+            detail = f"{endpoint.address} of {endpoint.name} and {first.name}"
+            faults.append(Fault(Code.DUPLICATE_ADDRESS, subject_of(service), detail))
+    return faults
+
+
+def _check_shard(shard: Shard, publication: Publication, broken: frozenset[str]) -> list[Fault]:
+    subject = subject_of(shard)
+    faults = _check_range(subject, shard.keys)
+    if shard.until is not None and shard.until <= shard.since:
+        detail = f"until {shard.until} is not above since {shard.since}"
+        faults.append(Fault(Code.EMPTY_RANGE, subject, detail))
+    collection = f"collection/{shard.collection}"
+    if _is_dangling(collection, publication.collections_by_name, broken):
+        faults.append(Fault(Code.DANGLING_REFERENCE, subject, collection))
     service = publication.services_by_name.get(shard.service)
-    if service is None:
-        faults.append(Fault(Code.DANGLING_REFERENCE, subject, f"service/{shard.service}"))
-    elif not service.endpoints:
-        faults.append(Fault(Code.EMPTY_SHARD, subject, f"service/{shard.service}"))
+    if service is not None and not service.endpoints:
+        faults.append(Fault(Code.EMPTY_SHARD, subject, subject_of(service)))
+    reference = f"service/{shard.service}"
+    if _is_dangling(reference, publication.services_by_name, broken):
+        faults.append(Fault(Code.DANGLING_REFERENCE, subject, reference))
     return faults
 
 
-def _check_rule(rule: Rule, publication: Publication) -> list[Fault]:
+def _check_rule(rule: Rule, publication: Publication, broken: frozenset[str]) -> list[Fault]:
     subject = subject_of(rule)
     faults = []
-    targets = (publication.collections_by_name, publication.services_by_name)
-    if not any(rule.target in by_name for by_name in targets):
+    is_collection = rule.target in publication.collections_by_name
+    is_service = rule.target in publication.services_by_name
+    if is_collection and is_service:
+        detail = f"target {rule.target} is a collection and a service"
+        faults.append(Fault(Code.AMBIGUOUS_TARGET, subject, detail))
+    if is_collection or is_service:
+        return faults
+    if not broken & {f"collection/{rule.target}", f"service/{rule.target}"}:
         faults.append(Fault(Code.DANGLING_REFERENCE, subject, f"target {rule.target}"))
-    for field, limit in (("deadline", rule.deadline_ms), ("quota", rule.quota_per_s)):
-        if limit <= 0:
-            faults.append(Fault(Code.LIMIT_OF_ZERO, subject, field))
     return faults
 
 
-def _check_caller(caller: Caller, publication: Publication) -> list[Fault]:
+def _check_caller(caller: Caller, publication: Publication, broken: frozenset[str]) -> list[Fault]:
     subject = subject_of(caller)
     faults = []
-    if caller.data_centre not in publication.data_centres_by_name:
-        detail = f"data-centre/{caller.data_centre}"
-        faults.append(Fault(Code.DANGLING_REFERENCE, subject, detail))
+    data_centre = f"data-centre/{caller.data_centre}"
+    if _is_dangling(data_centre, publication.data_centres_by_name, broken):
+        faults.append(Fault(Code.DANGLING_REFERENCE, subject, data_centre))
+    rules_by_target: dict[str, str] = {}
     for name in caller.rules:
-        if name not in publication.rules_by_name:
+        if _is_dangling(f"rule/{name}", publication.rules_by_name, broken):
             faults.append(Fault(Code.DANGLING_REFERENCE, subject, f"rule/{name}"))
+        rule = publication.rules_by_name.get(name)
+        if rule is None:
+            continue
+        first = rules_by_target.setdefault(rule.target, name)
+        if first != name or caller.rules.count(name) > 1:
+            detail = f"rules {first} and {name} both have the target {rule.target}"
+            faults.append(Fault(Code.AMBIGUOUS_TARGET, subject, detail))
     return faults
 
 
-def _check_maps(collection: Collection, shards: Sequence[Shard]) -> list[Fault]:
-    faults = _check_tiling(f"collection/{collection.name}", [p.keys for p in collection.parts])
-    # The map can only change where some shard begins or ends.
-    changes = {shard.since for shard in shards}
-    changes.update(shard.until for shard in shards if shard.until is not None)
-    for index_version in sorted(changes):
-        ranges = [shard.keys for shard in shards if shard.is_in(index_version)]
-        subject = f"collection/{collection.name} at index version {index_version}"
-        faults.extend(_check_tiling(subject, ranges))
+def _check_collection(collection: Collection) -> list[Fault]:
+    subject = subject_of(collection)
+    faults = []
+    for part in collection.parts:
+        faults.extend(_check_range(subject, part.keys, f"part {part.name}: "))
+    for name, count in Counter(part.name for part in collection.parts).items():
+        if count > 1:
+            faults.append(Fault(Code.DUPLICATE_OBJECT, subject, f"part {name}, {count} times"))
     return faults
 
 
-def _check_tiling(subject: str, ranges: Iterable[KeyRange]) -> list[Fault]:
-    """Return a fault for each overlap and each hole that `ranges` leave in all keys."""
-    faults = []
-    reached: str | None = ALL_KEYS.low
-    for piece in sorted(ranges, key=lambda piece: piece.low):
-        if reached is None or piece.low < reached:
-            faults.append(Fault(Code.OVERLAPPING_SHARDS, subject, f"at {piece.low!r}"))
-        elif piece.low > reached:
-            detail = f"from {reached!r} to {piece.low!r}"
-            faults.append(Fault(Code.HOLE_IN_SHARDS, subject, detail))
-        if reached is not None:
-            reached = None if piece.high is None else max(reached, piece.high)
-    if reached is not None:
-        faults.append(Fault(Code.HOLE_IN_SHARDS, subject, f"from {reached!r} on"))
-    return faults
+def _check_range(subject: str, keys: KeyRange, prefix: str = "") -> list[Fault]:
+    if keys.high is None or keys.low < keys.high:
+        return []
+    return [Fault(Code.EMPTY_RANGE, subject, f"{prefix}from {keys.low!r} to {keys.high!r}")]
+
+
+def _shards_by_collection(publication: Publication) -> dict[str, list[Shard]]:
+    by_collection: dict[str, list[Shard]] = {}
+    for shard in publication.shards_by_name.values():
+        by_collection.setdefault(shard.collection, []).append(shard)
+    return by_collection
+
+
+def _is_dangling(reference: str, known: Container[str], broken: frozenset[str]) -> bool:
+    _, _, name = reference.partition("/")
+    return name not in known and reference not in broken
--- /dev/null
+++ b/src/radishmount/publication/_fault.py
@@ -0,0 +1,50 @@
+"""A fault of a published set, and how objects are named in faults and audit lines."""
+
+from dataclasses import dataclass
+
+from radishmount.codes import TEXT_BY_CODE, Code
+from radishmount.publication._objects import (
+    Caller,
+    Collection,
+    DataCentre,
+    Rule,
+    Service,
+    Shard,
+)
+
+
+__all__ = ["Fault", "PublishedObject", "subject_of"]
+
+PublishedObject = DataCentre | Service | Collection | Shard | Rule | Caller
+
+KIND_BY_TYPE: dict[type, str] = {
+    DataCentre: "data-centre",
+    Service: "service",
+    Collection: "collection",
+    Shard: "shard",
+    Rule: "rule",
+    Caller: "caller",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of a published set: `subject` names the object as `kind/name`."""
+
+    code: Code
+    subject: str
+    detail: str = ""
+    file: str = ""
+    line: int | None = None
+
+    def __str__(self) -> str:
+        """Return the fault on one line, with file and line where they are known."""
+        place = f"{self.file}:{self.line}: " if self.line else f"{self.file}: " if self.file else ""
+        suffix = f": {self.detail}" if self.detail else ""
+        text = TEXT_BY_CODE[self.code]
+        return f"{place}{self.subject}: {self.code.value} {self.code.name}: {text}{suffix}"
+
+
+def subject_of(item: PublishedObject) -> str:
+    """Return how faults and audit lines name `item`, such as `service/catalogue-01`."""
+    return f"{KIND_BY_TYPE[type(item)]}/{item.name}"
--- a/src/radishmount/publication/_in_force.py
+++ b/src/radishmount/publication/_in_force.py
@@ -10,7 +10,7 @@
 from radishmount.clock import Clock
 from radishmount.codes import Refusal
 from radishmount.counters import Counters
-from radishmount.publication._check import Fault
+from radishmount.publication._fault import Fault
 from radishmount.publication._publication import EMPTY_PUBLICATION, Publication
 
 
--- /dev/null
+++ b/tests/publication/test_maps.py
@@ -0,0 +1,74 @@
+"""The check of shard maps, compared with one that goes through every map whole."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishmount.codes import Code
+from radishmount.publication import Collection, KeyRange, Part, Shard
+from radishmount.publication._maps import check_maps
+
+
+PAPERS = Collection("papers", (Part("all", KeyRange()),))
+BOUNDS = ["", "d", "h", "m", "t"]
+
+
+@st.composite
+def shard_lists(draw: st.DrawFn) -> list[Shard]:
+    """Return some shards over few bounds and versions, so that many maps are whole."""
+    shards = []
+    for number in range(draw(st.integers(1, 8))):
+        low = draw(st.integers(0, len(BOUNDS) - 1))
+        high = draw(st.integers(low + 1, len(BOUNDS)))
+        since = draw(st.integers(1, 3))
+        until = draw(st.sampled_from([None, since + 1, since + 2]))
+        keys = KeyRange(BOUNDS[low], BOUNDS[high] if high < len(BOUNDS) else None)
+        shards.append(Shard(f"s{number}", "papers", "one", keys, since, until))
+    return shards
+
+
+def is_whole(shards: list[Shard], index_version: int) -> bool:
+    """Tell whether exactly one shard holds each bound's keys at `index_version`."""
+    return all(
+        sum(s.is_in(index_version) and s.keys.contains(bound) for s in shards) == 1
+        for bound in BOUNDS
+    )
+
+
+def changes_of(shards: list[Shard]) -> set[int]:
+    """Return the index versions at which the map may change."""
+    return {s.since for s in shards} | {s.until for s in shards if s.until is not None}
+
+
+class TestCheckMaps:
+    """Overlaps and holes, over all index versions."""
+
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(shards=shard_lists())
+    def test_agrees_with_a_look_at_every_key_and_version(self, shards: list[Shard]) -> None:
+        wanted = all(is_whole(shards, version) for version in changes_of(shards))
+
+        assert (check_maps(PAPERS, shards) == []) is wanted
+
+    def test_a_repartition_between_whole_maps_is_no_fault(self) -> None:
+        shards = [
+            Shard("low", "papers", "one", KeyRange("", "m")),
+            Shard("high", "papers", "one", KeyRange("m", None), until=4),
+            Shard("high-1", "papers", "one", KeyRange("m", "t"), since=4),
+            Shard("high-2", "papers", "one", KeyRange("t", None), since=4),
+        ]
+
+        assert check_maps(PAPERS, shards) == []
+
+    def test_reports_a_lasting_gap_once(self) -> None:
+        shards = [Shard("low", "papers", "one", KeyRange("", "m"))]
+        shards += [Shard(f"t{n}", "papers", "one", KeyRange("t"), n, n + 1) for n in range(1, 9)]
+
+        holes = [f.detail for f in check_maps(PAPERS, shards) if f.code is Code.HOLE_IN_SHARDS]
+
+        assert holes == [
+            "index version 1: from 'm' to 't'",
+            "index version 9: from 'm' on",
+        ]
+
+    def test_a_collection_without_shards_has_a_hole(self) -> None:
+        assert [fault.code for fault in check_maps(PAPERS, [])] == [Code.HOLE_IN_SHARDS]
