Add the trial tool: a fleet and a naive baseline under one load and seed

Cause: there was nothing that drove load through entries and showed what it comes to. Each entry runs on a thread and event loop of its own inside the trial, so that its processor time is its own and it can be paused; the stand-ins record what reaches them, and broken promises are counted from those records against what callers were told.

--- a/src/radishmount/border/_serve.py
+++ b/src/radishmount/border/_serve.py
@@ -19,6 +19,16 @@
         self._runner = runner
         self.address = address
 
+    def abort(self) -> None:
+        """Close every connection and listening socket at once, as a killed process does."""
+        for site in list(self._runner.sites):
+            server = getattr(site, "_server", None)
+            if server is not None:
+                server.close()
+        for handler in self._runner.server.connections if self._runner.server else ():
+            if handler.transport is not None:
+                handler.transport.abort()
+
     async def stop(self) -> None:
         """Take no new connection, finish the requests in flight, and close."""
         await self._runner.cleanup()
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -26,6 +26,7 @@
 )
 from radishmount.clock import Clock, loop_clock
 from radishmount.codes import Refusal
+from radishmount.endpoints import OpenChannel
 from radishmount.node import Node, NodeParts, make_node
 from radishmount.programs._logging import audit_log, log_state_change, set_up_logging
 
@@ -52,7 +53,11 @@
 
 
 async def start_entry(
-    settings: EntrySettings, clock: Clock, random: Random, audit: AuditTrail
+    settings: EntrySettings,
+    clock: Clock,
+    random: Random,
+    audit: AuditTrail,
+    open_channel: OpenChannel = open_endpoint_channel,
 ) -> Result[RunningEntry, Refusal]:
     """Start an entry from its settings."""
     node = make_node(
@@ -62,7 +67,7 @@
             clock=clock,
             random=random,
             platform=HttpPlatform(settings.platform),
-            open_channel=open_endpoint_channel,
+            open_channel=open_channel,
             read_bundle=read_bundle,
         ),
         audit,
--- a/src/radishmount/standins/__init__.py
+++ b/src/radishmount/standins/__init__.py
@@ -1,15 +1,32 @@
-"""Small stand-ins of the platform and of endpoints, for tests and trials."""
+"""Small stand-ins of the platform, of endpoints and of callers, for tests and trials."""
 
-from radishmount.standins._endpoint import EndpointBehaviour, EndpointRecord, EndpointStandIn
+from radishmount.standins._behaviour import EndpointBehaviour
+from radishmount.standins._caller import CallerStandIn
+from radishmount.standins._endpoint import EndpointStandIn
+from radishmount.standins._faults import ENTRY_FAULTS, run_fault
+from radishmount.standins._network import delayed_channels, link_delay
 from radishmount.standins._platform import ListedInstance, PlatformStandIn
-from radishmount.standins._serve import serve_stand_in
+from radishmount.standins._serve import StandInServer, serve_stand_in
+from radishmount.standins._stage import PlatformView, Stage, start_stage
+from radishmount.standins._trial_file import read_trial_file
+from radishmount.trial import EndpointRecord
 
 
 __all__ = [
+    "ENTRY_FAULTS",
+    "CallerStandIn",
     "EndpointBehaviour",
     "EndpointRecord",
     "EndpointStandIn",
     "ListedInstance",
     "PlatformStandIn",
+    "PlatformView",
+    "Stage",
+    "StandInServer",
+    "delayed_channels",
+    "link_delay",
+    "read_trial_file",
+    "run_fault",
     "serve_stand_in",
+    "start_stage",
 ]
--- a/src/radishmount/standins/_endpoint.py
+++ b/src/radishmount/standins/_endpoint.py
@@ -1,7 +1,7 @@
 """A small stand-in of an endpoint: slots, a queue, latency, and the faults that it is told."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from random import Random
@@ -10,54 +10,43 @@
 import orjson
 from aiohttp import web
 
+from radishmount.publication import Shard
+from radishmount.standins._behaviour import EndpointBehaviour
+from radishmount.standins._serve import StandInServer
+from radishmount.trial import EndpointRecord
 
-__all__ = ["EndpointBehaviour", "EndpointRecord", "EndpointStandIn"]
 
+__all__ = ["EndpointStandIn"]
 
-@dataclass(slots=True)
-class EndpointBehaviour:
-    """What the stand-in does wrong, and how long work takes. All may change while it runs."""
-
-    service_ms: float = 2.0
-    slow_ratio: float = 0.0
-    slow_ms: float = 0.0
-    silent: bool = False
-    shedding: bool = False
-    draining: bool = False
-    reported_in_flight: int | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class EndpointRecord:
-    """One request that reached the stand-in, as it happened there."""
+SILENCE_CHECK_S = 0.05
+ROWS_PER_SHARD = 2
 
-    at_s: float
-    request_id: str
-    attempt: int
-    shard: str
-    index_version: int
-    outcome: str
-    draining: bool
+RowsOf = Callable[[str, int, dict[str, Any]], list[Any]]
 
 
 @dataclass(slots=True)
 class EndpointStandIn:
-    """Serves the endpoint protocol over rows made from shard, version and key."""
+    """Serves the endpoint protocol over rows made from shard, version and key.
+
+    Each row names its origin, so that an answer can be held against `records`. With
+    `shards_by_name` the stand-in refuses shards that it does not hold. `server` tells it of its
+    connections, once it is served.
+    """
 
     name: str
     slots: int
     versions: set[int]
     random: Random
+    service: str = ""
+    shards_by_name: Mapping[str, Shard] = field(default_factory=dict)
     behaviour: EndpointBehaviour = field(default_factory=EndpointBehaviour)
     records: list[EndpointRecord] = field(default_factory=list)
     in_flight: int = 0
     queued: int = 0
+    server: StandInServer | None = None
+    rows_of: RowsOf | None = None
     slot_free: asyncio.Semaphore = field(init=False)
-    rows_of: Callable[[str, int, dict[str, Any]], list[Any]] = field(
-        default=lambda shard, version, body: [
-            [f"{body['keys']['from']}{shard}-{n}", 1.0 / (n + 1), {"v": version}] for n in range(3)
-        ]
-    )
+    running_by_key: dict[tuple[str, int], asyncio.Task[Any]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Give the stand-in its slots."""
@@ -67,82 +56,173 @@
         """Return the HTTP application."""
         app = web.Application()
         app.router.add_post("/v1/search", self._search)
+        app.router.add_post("/v1/cancel", self._cancel)
         app.router.add_get("/v1/state", self._state)
         return app
 
+    def now_ms(self) -> float:
+        """Return the monotonic time that records are told in."""
+        return asyncio.get_running_loop().time() * 1000.0
+
+    async def arrive(self, request: web.Request) -> None:
+        """Wait as long as a new connection takes; a silent connection never gets further."""
+        connection = None if self.server is None else self.server.connection_of(request)
+        if connection is None:
+            return
+        if not connection.used:
+            connection.used = True
+            await asyncio.sleep(self.behaviour.connect_ms / 1000.0)
+        while connection.opened_at_ms < (self.behaviour.silent_before_ms or 0.0):
+            await asyncio.sleep(SILENCE_CHECK_S)
+
+    async def speak(self) -> None:
+        """Wait until the stand-in is not silent."""
+        while self.behaviour.silent:
+            await asyncio.sleep(SILENCE_CHECK_S)
+
+    def load(self) -> dict[str, Any]:
+        """Return what the stand-in says of itself."""
+        told = self.behaviour.reported_in_flight
+        return {
+            "slots": self.slots,
+            "in_flight": self.in_flight if told is None else told,
+            "queued": self.queued if told is None else 0,
+            "draining": self.behaviour.draining,
+            "versions": sorted(self.versions),
+        }
+
     async def _state(self, request: web.Request) -> web.Response:
-        await self._be_silent()
-        return web.Response(body=orjson.dumps(self._load()), content_type="application/json")
+        await self.arrive(request)
+        await self.speak()
+        return _json(self.load())
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        """End the work on one attempt, which frees its slot."""
+        body = orjson.loads(await request.read())
+        await self.arrive(request)
+        await self.speak()
+        task = self.running_by_key.get((body["request_id"], body["attempt"]))
+        if task is not None:
+            task.cancel()
+        return _json({"cancelled": task is not None})
 
     async def _search(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
-        await self._be_silent()
-        if self.behaviour.draining:
-            return self._reply(body, "draining", ran=False)
-        if self.behaviour.shedding:
-            return self._reply(body, "shed", ran=False)
-        if body["index_version"] not in self.versions:
-            return self._reply(body, "version", ran=False)
+        await self.arrive(request)
+        record = self._record(body)
+        await self.speak()
+        refused = self._refusal(body)
+        if refused:
+            return self._reply(record, refused)
+        key = (record.request_id, record.attempt)
+        task = asyncio.ensure_future(self._work(record, body["deadline_ms"]))
+        self.running_by_key[key] = task
+        try:
+            outcome = await task
+        except asyncio.CancelledError:
+            task.cancel()
+            record.outcome = "cancelled"
+            if asyncio.current_task().cancelling():  # type: ignore[union-attr]
+                raise
+            return self._reply(record, "error", detail="cancelled")
+        finally:
+            self.running_by_key.pop(key, None)
+        if outcome != "ok":
+            return self._reply(record, outcome)
+        return self._reply(record, "ok", rows=self._rows(record, body))
+
+    async def _work(self, record: EndpointRecord, deadline_ms: float) -> str:
+        """Wait for a slot and work; return the outcome."""
+        started_ms = self.now_ms()
         self.queued += 1
         try:
             await self.slot_free.acquire()
         finally:
             self.queued -= 1
-        self.in_flight += 1
         try:
-            await asyncio.sleep(self._service_s())
+            now_ms = self.now_ms()
+            if now_ms - started_ms >= deadline_ms:
+                return "deadline"
+            self.in_flight += 1
+            record.ran = True
+            try:
+                await asyncio.sleep(self.behaviour.work_ms(now_ms, self.random) / 1000.0)
+            finally:
+                self.in_flight -= 1
         finally:
-            self.in_flight -= 1
             self.slot_free.release()
-        rows = self.rows_of(body["shard"], body["index_version"], body)
-        return self._reply(body, "ok", ran=True, rows=rows)
-
-    async def _be_silent(self) -> None:
-        while self.behaviour.silent:
-            await asyncio.sleep(1.0)
+        return "ok"
 
-    def _service_s(self) -> float:
-        service_ms = self.behaviour.service_ms
-        if self.random.random() < self.behaviour.slow_ratio:
-            service_ms += self.behaviour.slow_ms
-        return service_ms / 1000.0
-
-    def _reply(
-        self, body: dict[str, Any], outcome: str, *, ran: bool, rows: list[Any] | None = None
-    ) -> web.Response:
-        self._record(body, outcome)
-        content = {
-            "outcome": outcome,
-            "ran": ran,
-            "request_id": body["request_id"],
-            "attempt": body["attempt"],
-            "shard": body["shard"],
-            "index_version": body["index_version"],
-            "rows": rows or [],
-            "load": self._load(),
+    def _refusal(self, body: dict[str, Any]) -> str:
+        if self.behaviour.draining:
+            return "draining"
+        if self.behaviour.shedding:
+            return "shed"
+        if body["index_version"] not in self.versions:
+            return "version"
+        shard = self.shards_by_name.get(body["shard"])
+        if self.shards_by_name and (
+            shard is None or shard.service != self.service or not shard.is_in(body["index_version"])
+        ):
+            return "error"
+        return "deadline" if body["deadline_ms"] <= 0 else ""
+
+    def _rows(self, record: EndpointRecord, body: dict[str, Any]) -> list[Any]:
+        if self.rows_of is not None:
+            return self.rows_of(record.shard, record.index_version, body)
+        shard = self.shards_by_name.get(record.shard)
+        low = body["keys"]["from"] if shard is None else shard.keys.low
+        origin = {
+            "v": record.index_version,
+            "endpoint": self.name,
+            "request_id": record.request_id,
+            "attempt": record.attempt,
+            "text": record.text,
+            "from": low,
+            "to": None if shard is None else shard.keys.high,
         }
-        return web.Response(
-            body=orjson.dumps(content), status=HTTPStatus.OK, content_type="application/json"
-        )
+        return [[f"{low}{record.shard}-{n}", 1.0 / (n + 1), origin] for n in range(ROWS_PER_SHARD)]
 
-    def _record(self, body: dict[str, Any], outcome: str) -> None:
+    def _record(self, body: dict[str, Any]) -> EndpointRecord:
+        shard = self.shards_by_name.get(body["shard"])
         record = EndpointRecord(
-            at_s=asyncio.get_running_loop().time(),
+            endpoint=self.name,
+            at_ms=self.now_ms(),
             request_id=body["request_id"],
             attempt=body["attempt"],
             shard=body["shard"],
             index_version=body["index_version"],
-            outcome=outcome,
-            draining=self.behaviour.draining,
+            text=body["text"],
+            leaving_since_ms=self.behaviour.leaving_since_ms,
+            keys=None if shard is None else shard.keys,
         )
         self.records.append(record)
+        return record
 
-    def _load(self) -> dict[str, Any]:
-        told = self.behaviour.reported_in_flight
-        return {
-            "slots": self.slots,
-            "in_flight": self.in_flight if told is None else told,
-            "queued": self.queued,
-            "draining": self.behaviour.draining,
-            "versions": sorted(self.versions),
+    def _reply(
+        self,
+        record: EndpointRecord,
+        outcome: str,
+        *,
+        rows: list[Any] | None = None,
+        detail: str = "",
+    ) -> web.Response:
+        record.outcome = outcome
+        content = {
+            "outcome": outcome,
+            "ran": record.ran,
+            "request_id": record.request_id,
+            "attempt": record.attempt,
+            "shard": record.shard,
+            "index_version": record.index_version,
+            "rows": rows or [],
+            "detail": detail,
+            "load": self.load(),
         }
+        return _json(content)
+
+
+def _json(content: dict[str, Any]) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(content), status=HTTPStatus.OK, content_type="application/json"
+    )
--- /dev/null
+++ b/src/radishmount/standins/_faults.py
@@ -0,0 +1,135 @@
+"""The faults of a trial, laid on the stand-ins and taken back."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from radishmount.standins._endpoint import EndpointStandIn
+from radishmount.standins._platform import ListedInstance
+from radishmount.standins._stage import Stage
+from radishmount.trial import FaultKind, FaultPlan
+
+
+__all__ = ["ENTRY_FAULTS", "run_fault"]
+
+ENTRY_FAULTS = frozenset(
+    {
+        FaultKind.ENTRY_JOIN,
+        FaultKind.ENTRY_STOP,
+        FaultKind.ENTRY_VANISH,
+        FaultKind.ENTRY_PAUSE,
+        FaultKind.PARTITION,
+    }
+)
+LIST_LAG_S = 1.0
+INDEX_SPREAD_S = 0.2
+
+Undo = Callable[[], Awaitable[None]]
+
+
+async def run_fault(stage: Stage, fault: FaultPlan) -> None:
+    """Lay `fault` on the stand-ins now, and take it back at its end if it has one."""
+    for endpoint in stage.endpoints_named(fault.targets):
+        await _lay_on(stage, endpoint, fault)
+    if fault.kind in (FaultKind.PLATFORM_DOWN, FaultKind.PLATFORM_STALE):
+        await _lay_on_platform(stage, fault, on=True)
+    if fault.kind is FaultKind.INDEX:
+        await _change_index(stage, fault)
+    if fault.kind is FaultKind.REPARTITION:
+        stage.repartitions.append(fault)
+        await stage.publish()
+        await _change_index(stage, fault)
+    if fault.kind is FaultKind.PUBLISH:
+        await stage.publish()
+    if fault.until_ms is None:
+        return
+    await asyncio.sleep((fault.until_ms - fault.at_ms) / 1000.0)
+    for endpoint in stage.endpoints_named(fault.targets):
+        await _take_from(stage, endpoint, fault)
+    if fault.kind in (FaultKind.PLATFORM_DOWN, FaultKind.PLATFORM_STALE):
+        await _lay_on_platform(stage, fault, on=False)
+
+
+async def _lay_on(stage: Stage, endpoint: EndpointStandIn, fault: FaultPlan) -> None:
+    behaviour = endpoint.behaviour
+    now_ms = endpoint.now_ms()
+    match fault.kind:
+        case FaultKind.SLOW:
+            behaviour.factor = fault.factor
+        case FaultKind.RANDOM_SLOW:
+            behaviour.slow_ratio, behaviour.slow_ms = fault.ratio, fault.extra_ms
+        case FaultKind.LOST:
+            assert endpoint.server is not None
+            await endpoint.server.lose()
+        case FaultKind.SILENT:
+            behaviour.silent = True
+        case FaultKind.SILENT_CONNECTIONS:
+            behaviour.silent_before_ms = now_ms
+        case FaultKind.SHEDDING:
+            behaviour.shedding = True
+        case FaultKind.LEAVING | FaultKind.LEAVING_UNSAID:
+            behaviour.leaving_since_ms = now_ms
+            behaviour.draining = fault.kind is FaultKind.LEAVING
+            await asyncio.sleep(LIST_LAG_S)
+            await stage.list_instances(_listed(stage, endpoint, "leaving"))
+        case FaultKind.LYING:
+            behaviour.reported_in_flight = 0
+        case FaultKind.COLD_START:
+            behaviour.cold_factor, behaviour.cold_from_ms = fault.factor, now_ms
+            behaviour.cold_until_ms = now_ms + fault.extra_ms
+
+
+async def _take_from(stage: Stage, endpoint: EndpointStandIn, fault: FaultPlan) -> None:
+    behaviour = endpoint.behaviour
+    match fault.kind:
+        case FaultKind.SLOW:
+            behaviour.factor = 1.0
+        case FaultKind.RANDOM_SLOW:
+            behaviour.slow_ratio = 0.0
+        case FaultKind.LOST:
+            assert endpoint.server is not None
+            behaviour.cold_factor, behaviour.cold_from_ms = fault.factor, endpoint.now_ms()
+            behaviour.cold_until_ms = endpoint.now_ms() + fault.extra_ms
+            await endpoint.server.come_back()
+        case FaultKind.SILENT:
+            behaviour.silent = False
+        case FaultKind.SHEDDING:
+            behaviour.shedding = False
+        case FaultKind.LEAVING | FaultKind.LEAVING_UNSAID:
+            behaviour.leaving_since_ms = None
+            behaviour.draining = False
+            await stage.list_instances(_listed(stage, endpoint, "live"))
+        case FaultKind.LYING:
+            behaviour.reported_in_flight = None
+
+
+def _listed(stage: Stage, endpoint: EndpointStandIn, state: str) -> ListedInstance:
+    region = stage.plan.region
+    for service in region.services:
+        if service.name == endpoint.service:
+            index = service.endpoint_names().index(endpoint.name)
+            return ListedInstance(endpoint.name, "endpoint", region.data_centre_of(index), state)
+    raise KeyError(endpoint.name)
+
+
+async def _lay_on_platform(stage: Stage, fault: FaultPlan, *, on: bool) -> None:
+    for view in stage.views_of(fault.targets):
+        if fault.kind is FaultKind.PLATFORM_STALE:
+            view.stale = on
+        else:
+            await view.platform.set_down(on)
+        if not on:
+            await stage.refresh(view)
+
+
+async def _change_index(stage: Stage, fault: FaultPlan) -> None:
+    """Give the endpoints a new index version one by one, and later take the old ones away."""
+    for endpoint in stage.endpoints_by_name.values():
+        endpoint.versions.add(fault.version)
+        await asyncio.sleep(INDEX_SPREAD_S / len(stage.endpoints_by_name))
+    stage.index_version = fault.version
+    if fault.drop_after_ms is None:
+        return
+    await asyncio.sleep(fault.drop_after_ms / 1000.0)
+    for endpoint in stage.endpoints_by_name.values():
+        endpoint.versions = {version for version in endpoint.versions if version >= fault.version}
+        await asyncio.sleep(INDEX_SPREAD_S / len(stage.endpoints_by_name))
--- a/src/radishmount/standins/_platform.py
+++ b/src/radishmount/standins/_platform.py
@@ -53,6 +53,19 @@
             self.list_version += 1
             self.changed.notify_all()
 
+    async def unlist(self, name: str) -> None:
+        """Take a line out of the instance list."""
+        async with self.changed:
+            self.listed_by_name.pop(name, None)
+            self.list_version += 1
+            self.changed.notify_all()
+
+    async def set_down(self, down: bool) -> None:
+        """Stop answering, waiting watches included, or answer again."""
+        async with self.changed:
+            self.down = down
+            self.changed.notify_all()
+
     def app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application()
--- a/src/radishmount/standins/_serve.py
+++ b/src/radishmount/standins/_serve.py
@@ -1,17 +1,104 @@
-"""Serving stand-ins on loopback."""
+"""Serving stand-ins on loopback, with a count of the connections that are open."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from aiohttp import web
 
-from radishmount.border import Listen, Server, serve
+from radishmount.border import Listen
 
 
-__all__ = ["serve_stand_in"]
+__all__ = ["Connection", "StandInServer", "serve_stand_in"]
 
 FREE_LOOPBACK = Listen("127.0.0.1", 0)
 SHUTDOWN_TIMEOUT_S = 0.05
 
 
-async def serve_stand_in(app: web.Application, listen: Listen = FREE_LOOPBACK) -> Server:
+@dataclass(slots=True, eq=False)
+class Connection:
+    """One open connection; `used` turns true with its first request. Times are monotonic."""
+
+    transport: asyncio.Transport
+    opened_at_ms: float
+    used: bool = False
+
+
+class StandInServer:
+    """A stand-in that is being served. It may be lost and come back on the same address.
+
+    A connection beyond `connection_cap` is closed at once and counted in `over_cap`.
+    """
+
+    def __init__(self, runner: web.AppRunner, connection_cap: int | None) -> None:
+        self._runner = runner
+        self._site: web.TCPSite | None = None
+        self._cap = connection_cap
+        self._connections_by_handler: dict[object, Connection] = {}
+        self.address = FREE_LOOPBACK
+        self.peak = 0
+        self.over_cap = 0
+        self._watch()
+
+    async def listen(self, listen: Listen) -> None:
+        """Take connections on `listen`."""
+        self._site = web.TCPSite(self._runner, listen.host, listen.port)
+        await self._site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = Listen(host, port)
+
+    async def lose(self) -> None:
+        """Close every connection without a word and take no new one, as a process killed."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+        for connection in list(self._connections_by_handler.values()):
+            connection.transport.abort()
+
+    async def come_back(self) -> None:
+        """Take connections again on the same address."""
+        if self._site is None:
+            await self.listen(self.address)
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        await self._runner.cleanup()
+
+    def connection_of(self, request: web.Request) -> Connection | None:
+        """Return the connection that `request` came over."""
+        return self._connections_by_handler.get(request.protocol)
+
+    def _watch(self) -> None:
+        server = self._runner.server
+        assert server is not None
+        made: Callable[..., None] = server.connection_made
+        lost: Callable[..., None] = server.connection_lost
+
+        def connection_made(handler: web.RequestHandler, transport: asyncio.Transport) -> None:
+            now_ms = asyncio.get_running_loop().time() * 1000.0
+            self._connections_by_handler[handler] = Connection(transport, now_ms)
+            if self._cap is not None and len(self._connections_by_handler) > self._cap:
+                self.over_cap += 1
+                asyncio.get_running_loop().call_soon(transport.abort)
+            self.peak = max(self.peak, len(self._connections_by_handler))
+            made(handler, transport)
+
+        def connection_lost(handler: web.RequestHandler, exc: BaseException | None = None) -> None:
+            self._connections_by_handler.pop(handler, None)
+            lost(handler, exc)
+
+        server.connection_made = connection_made  # type: ignore[method-assign]
+        server.connection_lost = connection_lost  # type: ignore[method-assign]
+
+
+async def serve_stand_in(
+    app: web.Application, listen: Listen = FREE_LOOPBACK, connection_cap: int | None = None
+) -> StandInServer:
     """Serve `app` on loopback; it notices closed connections and stops at once."""
-    served = await serve(app, listen, shutdown_timeout_s=SHUTDOWN_TIMEOUT_S, cancel_abandoned=True)
-    return served.unwrap()
+    runner = web.AppRunner(
+        app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S, handler_cancellation=True
+    )
+    await runner.setup()
+    server = StandInServer(runner, connection_cap)
+    await server.listen(listen)
+    return server
--- /dev/null
+++ b/src/radishmount/standins/_stage.py
@@ -0,0 +1,169 @@
+"""All stand-ins of one run: endpoints, one view of the platform for each entry, and the faults."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from radishmount.border import write_bundle
+from radishmount.publication import Shard
+from radishmount.standins._endpoint import EndpointStandIn
+from radishmount.standins._network import DelayMs, link_delay
+from radishmount.standins._platform import ListedInstance, PlatformStandIn
+from radishmount.standins._serve import StandInServer, serve_stand_in
+from radishmount.trial import (
+    EndpointRecord,
+    FaultPlan,
+    ServicePlan,
+    TrialPlan,
+    objects_of,
+    shards_of,
+)
+
+
+__all__ = ["PlatformView", "Stage", "start_stage"]
+
+FIRST_INDEX_VERSION = 1
+
+
+@dataclass(slots=True)
+class PlatformView:
+    """The platform as one entry sees it. While `stale`, what is published stays behind."""
+
+    platform: PlatformStandIn
+    server: StandInServer
+    stale: bool = False
+
+
+@dataclass(slots=True)
+class Stage:
+    """What is published, the stand-ins by name, and the newest index version."""
+
+    plan: TrialPlan
+    endpoints_by_name: dict[str, EndpointStandIn] = field(default_factory=dict)
+    views_by_entry: dict[str, PlatformView] = field(default_factory=dict)
+    listed_by_name: dict[str, ListedInstance] = field(default_factory=dict)
+    repartitions: list[FaultPlan] = field(default_factory=list)
+    publication_version: int = 0
+    index_version: int = FIRST_INDEX_VERSION
+    bundle: bytes = b""
+    shards: list[Shard] = field(default_factory=list)
+
+    @property
+    def records(self) -> list[EndpointRecord]:
+        """Return what all endpoints recorded."""
+        return [record for e in self.endpoints_by_name.values() for record in e.records]
+
+    @property
+    def platform_reads(self) -> int:
+        """Return how often the platform was read, a waiting watch counted as one."""
+        return sum(view.platform.reads for view in self.views_by_entry.values())
+
+    @property
+    def connections_over_cap(self) -> int:
+        """Return how many connections came in beyond the caps of the endpoints."""
+        return sum(_server_of(e).over_cap for e in self.endpoints_by_name.values())
+
+    def address_of(self, endpoint: str) -> str:
+        """Return the address of an endpoint."""
+        return str(_server_of(self.endpoints_by_name[endpoint]).address)
+
+    def addresses_by_service(self) -> dict[str, list[str]]:
+        """Return the addresses of the endpoints of each service."""
+        return {
+            service.name: [self.address_of(name) for name in service.endpoint_names()]
+            for service in self.plan.region.services
+        }
+
+    def delay_by_address(self, data_centre: str, random: Random) -> dict[str, DelayMs]:
+        """Return the delays from `data_centre` to the endpoints that lie in another one."""
+        region = self.plan.region
+        delays = {}
+        for service in region.services:
+            for index, name in enumerate(service.endpoint_names()):
+                if region.data_centre_of(index) != data_centre:
+                    delay = link_delay(region.between_data_centres_ms, random)
+                    delays[self.address_of(name)] = delay
+        return delays
+
+    def endpoints_named(self, names: Iterable[str]) -> list[EndpointStandIn]:
+        """Return the endpoints of `names`, each the name of an endpoint or of a service."""
+        wanted = set(names)
+        return [e for e in self.endpoints_by_name.values() if wanted & {e.name, e.service}]
+
+    async def publish(self) -> None:
+        """Publish the next version of the objects."""
+        self.publication_version += 1
+        address_by_endpoint = {name: self.address_of(name) for name in self.endpoints_by_name}
+        objects = objects_of(self.plan, address_by_endpoint, self.repartitions)
+        self.bundle = write_bundle(self.publication_version, objects)
+        self.shards = shards_of(self.plan, self.repartitions)
+        shards_by_name = {shard.name: shard for shard in self.shards}
+        for endpoint in self.endpoints_by_name.values():
+            endpoint.shards_by_name = shards_by_name
+        for view in self._fresh_views():
+            await view.platform.publish(self.publication_version, self.bundle)
+
+    async def list_instances(self, *instances: ListedInstance) -> None:
+        """Add or replace lines of the instance list."""
+        for instance in instances:
+            self.listed_by_name[instance.name] = instance
+        for view in self._fresh_views():
+            await view.platform.list_instances(*instances)
+
+    async def unlist(self, name: str) -> None:
+        """Take a line out of the instance list."""
+        self.listed_by_name.pop(name, None)
+        for view in self._fresh_views():
+            await view.platform.unlist(name)
+
+    async def refresh(self, view: PlatformView) -> None:
+        """Show a view what is published now."""
+        await view.platform.publish(self.publication_version, self.bundle)
+        for name in set(view.platform.listed_by_name) - set(self.listed_by_name):
+            await view.platform.unlist(name)
+        await view.platform.list_instances(*self.listed_by_name.values())
+
+    def views_of(self, entries: Sequence[str]) -> list[PlatformView]:
+        """Return the views of `entries`, of all entries if none are named."""
+        names = entries or list(self.views_by_entry)
+        return [self.views_by_entry[name] for name in names if name in self.views_by_entry]
+
+    async def stop(self) -> None:
+        """Stop every stand-in."""
+        for endpoint in self.endpoints_by_name.values():
+            await _server_of(endpoint).stop()
+        for view in self.views_by_entry.values():
+            await view.server.stop()
+
+    def _fresh_views(self) -> list[PlatformView]:
+        return [view for view in self.views_by_entry.values() if not view.stale]
+
+
+async def start_stage(plan: TrialPlan, entries: Iterable[str]) -> Stage:
+    """Start the stand-ins of `plan` and publish its objects; `entries` get a platform view each."""
+    stage = Stage(plan)
+    for service in plan.region.services:
+        for name in service.endpoint_names():
+            stage.endpoints_by_name[name] = await _start_endpoint(plan, service, name)
+    for name in entries:
+        platform = PlatformStandIn()
+        stage.views_by_entry[name] = PlatformView(platform, await serve_stand_in(platform.app()))
+    await stage.publish()
+    return stage
+
+
+async def _start_endpoint(plan: TrialPlan, service: ServicePlan, name: str) -> EndpointStandIn:
+    random = Random(f"{plan.seed}/endpoint/{name}")
+    versions = {FIRST_INDEX_VERSION}
+    endpoint = EndpointStandIn(name, service.slots, versions, random, service=service.name)
+    endpoint.behaviour.service_ms = service.service_ms
+    endpoint.behaviour.slow_ratio = service.slow_ratio
+    endpoint.behaviour.slow_ms = service.slow_ms
+    endpoint.behaviour.connect_ms = service.connect_ms
+    endpoint.server = await serve_stand_in(endpoint.app(), connection_cap=service.connections)
+    return endpoint
+
+
+def _server_of(endpoint: EndpointStandIn) -> StandInServer:
+    assert endpoint.server is not None
+    return endpoint.server
--- /dev/null
+++ b/src/radishmount/standins/_trial_file.py
@@ -0,0 +1,275 @@
+"""The trial file: JSON with comments, validated, and read into the plan of a trial."""
+
+import re
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BeforeValidator, Field, ValidationError
+from result import Err, Ok, Result
+
+from radishmount.border import BorderModel, describe_fault, read_jsonc
+from radishmount.codes import Code, Refusal
+from radishmount.trial import (
+    BoundPlan,
+    CollectionPlan,
+    FaultKind,
+    FaultPlan,
+    LoadPlan,
+    RegionPlan,
+    ServicePlan,
+    TrialPlan,
+    WindowPlan,
+)
+
+
+__all__ = ["read_trial_file"]
+
+QUANTITY_PATTERN = re.compile(r"^(\d+(?:\.\d+)?)\s*(\S+)$")
+MS_BY_UNIT = {"ms": 1.0, "s": 1_000.0}
+PER_S_BY_UNIT = {"/s": 1.0}
+
+
+def _millis(value: object) -> float:
+    return _quantity(value, MS_BY_UNIT)
+
+
+def _per_s(value: object) -> float:
+    return _quantity(value, PER_S_BY_UNIT)
+
+
+def _quantity(value: object, factor_by_unit: dict[str, float]) -> float:
+    match = QUANTITY_PATTERN.match(value.strip()) if isinstance(value, str) else None
+    if match is None or match[2] not in factor_by_unit:
+        raise ValueError(f"{value!r} has none of the units {', '.join(factor_by_unit)}")
+    return float(match[1]) * factor_by_unit[match[2]]
+
+
+Millis = Annotated[float, BeforeValidator(_millis)]
+PerS = Annotated[float, BeforeValidator(_per_s)]
+Name = Annotated[str, Field(min_length=1, max_length=100, pattern=r"^[A-Za-z0-9._-]+$")]
+Count = Annotated[int, Field(ge=1, le=100)]
+Ratio = Annotated[float, Field(ge=0.0, le=1.0)]
+
+
+class ServiceModel(BorderModel):
+    """Services of one shape: `count` of them are named `NAME-01` and on."""
+
+    name: Name
+    count: Count = 1
+    endpoints: Count
+    slots: Count
+    connections: Count
+    connect_time: Millis = 0.0
+    service_time: Millis = 4.0
+    slow_ratio: Ratio = 0.0
+    slow_time: Millis = 0.0
+
+    def to_data(self) -> list[ServicePlan]:
+        """Return the services."""
+        names = [self.name]
+        if self.count > 1:
+            names = [f"{self.name}-{number:02d}" for number in range(1, self.count + 1)]
+        return [
+            ServicePlan(
+                name=name,
+                endpoints=self.endpoints,
+                slots=self.slots,
+                connections=self.connections,
+                connect_ms=self.connect_time,
+                service_ms=self.service_time,
+                slow_ratio=self.slow_ratio,
+                slow_ms=self.slow_time,
+            )
+            for name in names
+        ]
+
+
+class CollectionModel(BorderModel):
+    """A collection over all services whose names begin with `services`."""
+
+    name: Name
+    services: Name
+    parts_per_shard: Count = 1
+
+
+class RegionModel(BorderModel):
+    """What exists."""
+
+    data_centres: Annotated[list[Name], Field(min_length=1)]
+    entries: Count
+    services: Annotated[list[ServiceModel], Field(min_length=1)]
+    collections: list[CollectionModel] = []
+    between_data_centres: Millis = 4.0
+    to_callers: Millis = 3.0
+
+    def to_data(self) -> RegionPlan:
+        """Return the region."""
+        services = [service for model in self.services for service in model.to_data()]
+        collections = []
+        for model in self.collections:
+            own = tuple(s.name for s in services if s.name.startswith(model.services))
+            collections.append(CollectionPlan(model.name, own, model.parts_per_shard))
+        return RegionPlan(
+            data_centres=tuple(self.data_centres),
+            entries=self.entries,
+            services=tuple(services),
+            collections=tuple(collections),
+            between_data_centres_ms=self.between_data_centres,
+            to_callers_ms=self.to_callers,
+        )
+
+
+class LoadModel(BorderModel):
+    """Calls of one caller."""
+
+    caller: Name
+    target: Name
+    rate: PerS
+    deadline: Millis
+    data_centre: Name
+    prefer: Literal["coverage", "tail"] = "coverage"
+    priority: Annotated[int, Field(ge=0, le=9)] = 5
+    quota: PerS = 10_000.0
+    hedge_ratio: Ratio = 0.05
+    idempotent: bool = True
+    repeat_ratio: Ratio = 0.0
+    begin: Annotated[Millis, Field(alias="from")] = 0.0
+    until: Millis | None = None
+
+    def to_data(self) -> LoadPlan:
+        """Return the load."""
+        return LoadPlan(
+            caller=self.caller,
+            target=self.target,
+            rate_per_s=self.rate,
+            deadline_ms=self.deadline,
+            data_centre=self.data_centre,
+            prefer=self.prefer,
+            priority=self.priority,
+            quota_per_s=self.quota,
+            hedge_ratio=self.hedge_ratio,
+            idempotent=self.idempotent,
+            repeat_ratio=self.repeat_ratio,
+            from_ms=self.begin,
+            until_ms=self.until,
+        )
+
+
+class FaultModel(BorderModel):
+    """One fault; which fields it takes depends on its kind."""
+
+    kind: Literal[tuple(kind.value for kind in FaultKind)]  # type: ignore[valid-type]
+    at: Millis
+    until: Millis | None = None
+    targets: list[Name] = []
+    factor: Annotated[float, Field(gt=0)] = 1.0
+    ratio: Ratio = 0.0
+    extra: Millis = 0.0
+    version: Annotated[int, Field(ge=0)] = 0
+    drop_after: Millis | None = None
+    shard: str = ""
+    to_service: str = ""
+
+    def to_data(self) -> FaultPlan:
+        """Return the fault."""
+        return FaultPlan(
+            kind=FaultKind(self.kind),
+            at_ms=self.at,
+            until_ms=self.until,
+            targets=tuple(self.targets),
+            factor=self.factor,
+            ratio=self.ratio,
+            extra_ms=self.extra,
+            version=self.version,
+            drop_after_ms=self.drop_after,
+            shard=self.shard,
+            to_service=self.to_service,
+        )
+
+
+class BoundModel(BorderModel):
+    """A promise on one figure."""
+
+    figure: str
+    at_most: float | None = None
+    at_least: float | None = None
+    times: str = ""
+
+
+class WindowModel(BorderModel):
+    """A named time of the load."""
+
+    name: Name
+    begin: Annotated[Millis, Field(alias="from")]
+    until: Millis
+
+
+class TrialModel(BorderModel):
+    """The whole file."""
+
+    name: Name
+    seed: int = 1
+    warm_up: Millis = 2_000.0
+    duration: Millis
+    region: RegionModel
+    loads: Annotated[list[LoadModel], Field(min_length=1)]
+    faults: list[FaultModel] = []
+    bounds: list[BoundModel] = []
+    windows: list[WindowModel] = []
+    policy: dict[str, bool] = {}
+    baseline: bool = True
+
+    def to_data(self) -> TrialPlan:
+        """Return the plan."""
+        return TrialPlan(
+            name=self.name,
+            seed=self.seed,
+            warm_up_ms=self.warm_up,
+            duration_ms=self.duration,
+            region=self.region.to_data(),
+            loads=tuple(load.to_data() for load in self.loads),
+            faults=tuple(fault.to_data() for fault in self.faults),
+            bounds=tuple(BoundPlan(b.figure, b.at_most, b.at_least, b.times) for b in self.bounds),
+            windows=tuple(WindowPlan(w.name, w.begin, w.until) for w in self.windows),
+            policy=self.policy,
+            baseline=self.baseline,
+        )
+
+
+def read_trial_file(path: Path) -> Result[TrialPlan, Refusal]:
+    """Return the plan in `path`, or a refusal that names file and field."""
+    match read_jsonc(path):
+        case Err(refusal):
+            return Err(refusal)
+        case Ok(value):
+            pass
+    try:
+        plan = TrialModel.model_validate(value).to_data()
+    except ValidationError as error:
+        return Err(Refusal(Code.BAD_SETTING, detail=f"{path}: {describe_fault(error)}"))
+    fault = _dangling(plan)
+    if fault:
+        return Err(Refusal(Code.BAD_SETTING, detail=f"{path}: {fault}"))
+    return Ok(plan)
+
+
+def _dangling(plan: TrialPlan) -> str:
+    """Return what names something that the region does not have, empty if nothing does."""
+    region = plan.region
+    services = {service.name for service in region.services}
+    known = {*services, *region.entry_names()}
+    for service in region.services:
+        known.update(service.endpoint_names())
+    for fault in plan.faults:
+        for target in fault.targets:
+            if target not in known and fault.kind is not FaultKind.ENTRY_JOIN:
+                return f"faults: {fault.kind} names {target}, which the region does not have"
+        if fault.to_service and fault.to_service not in services:
+            return f"faults: {fault.kind} names {fault.to_service}"
+    targets = {*services, *(collection.name for collection in region.collections)}
+    for load in plan.loads:
+        if load.target not in targets:
+            return f"loads: {load.caller} names {load.target}, which the region does not have"
+        if load.data_centre not in region.data_centres:
+            return f"loads: {load.caller} names data centre {load.data_centre}"
+    return ""
--- /dev/null
+++ b/src/radishmount/trial/_plan.py
@@ -0,0 +1,165 @@
+"""The plan of a trial: what exists, what is asked of it, what fails, and what is promised."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+__all__ = [
+    "BoundPlan",
+    "CollectionPlan",
+    "FaultKind",
+    "FaultPlan",
+    "LoadPlan",
+    "RegionPlan",
+    "ServicePlan",
+    "TrialPlan",
+    "WindowPlan",
+]
+
+
+class FaultKind(StrEnum):
+    """What a fault does. Faults with an end are taken back at `until_ms`."""
+
+    SLOW = "slow"
+    RANDOM_SLOW = "random-slow"
+    LOST = "lost"
+    SILENT = "silent"
+    SILENT_CONNECTIONS = "silent-connections"
+    SHEDDING = "shedding"
+    LEAVING = "leaving"
+    LEAVING_UNSAID = "leaving-unsaid"
+    LYING = "lying"
+    COLD_START = "cold-start"
+    INDEX = "index"
+    REPARTITION = "repartition"
+    PUBLISH = "publish"
+    PLATFORM_DOWN = "platform-down"
+    PLATFORM_STALE = "platform-stale"
+    ENTRY_JOIN = "entry-join"
+    ENTRY_STOP = "entry-stop"
+    ENTRY_VANISH = "entry-vanish"
+    ENTRY_PAUSE = "entry-pause"
+    PARTITION = "partition"
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePlan:
+    """Endpoints of one shape. `slow_ratio` of the replies take `slow_ms` longer."""
+
+    name: str
+    endpoints: int
+    slots: int
+    connections: int
+    connect_ms: float = 0.0
+    service_ms: float = 4.0
+    slow_ratio: float = 0.0
+    slow_ms: float = 0.0
+
+    def endpoint_names(self) -> list[str]:
+        """Return the names of the endpoints, `NAME-a` and on."""
+        return [f"{self.name}-{chr(ord('a') + n)}" for n in range(self.endpoints)]
+
+
+@dataclass(frozen=True, slots=True)
+class CollectionPlan:
+    """A collection with one shard on each of `services`, told in `parts_per_shard` parts each."""
+
+    name: str
+    services: tuple[str, ...]
+    parts_per_shard: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class RegionPlan:
+    """What exists. Delays are one way; the data centres take endpoints and entries in turn."""
+
+    data_centres: tuple[str, ...]
+    entries: int
+    services: tuple[ServicePlan, ...]
+    collections: tuple[CollectionPlan, ...] = ()
+    between_data_centres_ms: float = 4.0
+    to_callers_ms: float = 3.0
+
+    def entry_names(self) -> list[str]:
+        """Return the names of the entries, `entry-1` and on."""
+        return [f"entry-{number}" for number in range(1, self.entries + 1)]
+
+    def data_centre_of(self, index: int) -> str:
+        """Return the data centre of the endpoint or entry at `index` of its list."""
+        return self.data_centres[index % len(self.data_centres)]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """Calls of one caller to `target`, at random times that average `rate_per_s`."""
+
+    caller: str
+    target: str
+    rate_per_s: float
+    deadline_ms: float
+    data_centre: str
+    prefer: str = "coverage"
+    priority: int = 5
+    quota_per_s: float = 10_000.0
+    hedge_ratio: float = 0.05
+    idempotent: bool = True
+    repeat_ratio: float = 0.0
+    from_ms: float = 0.0
+    until_ms: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class FaultPlan:
+    """One fault at `at_ms` after the load began. `target` names an endpoint or entries."""
+
+    kind: FaultKind
+    at_ms: float
+    until_ms: float | None = None
+    targets: tuple[str, ...] = ()
+    factor: float = 1.0
+    ratio: float = 0.0
+    extra_ms: float = 0.0
+    version: int = 0
+    drop_after_ms: float | None = None
+    shard: str = ""
+    to_service: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class BoundPlan:
+    """A promise on one figure; with `times` the limit is a multiple of another figure."""
+
+    figure: str
+    at_most: float | None = None
+    at_least: float | None = None
+    times: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class WindowPlan:
+    """A named time of the load whose latencies are told apart."""
+
+    name: str
+    from_ms: float
+    until_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class TrialPlan:
+    """One trial. Loads and faults are timed from the end of the warm-up."""
+
+    name: str
+    seed: int
+    warm_up_ms: float
+    duration_ms: float
+    region: RegionPlan
+    loads: tuple[LoadPlan, ...]
+    faults: tuple[FaultPlan, ...] = ()
+    bounds: tuple[BoundPlan, ...] = ()
+    windows: tuple[WindowPlan, ...] = ()
+    policy: dict[str, bool] = field(default_factory=dict)
+    baseline: bool = True
+
+    def loads_of_warm_up(self) -> list[LoadPlan]:
+        """Return the loads that begin at once, which also warm the system up."""
+        return [load for load in self.loads if load.from_ms == 0.0]
