--- a/src/radishmount/publication/__init__.py
+++ b/src/radishmount/publication/__init__.py
@@ -1,13 +1,9 @@
 """The published objects, their check as one, and the version that only grows."""
 
-from radishmount.publication._check import (
-    Fault,
-    PublishedObject,
-    check_objects,
-    check_publication,
-    subject_of,
-)
+from radishmount.publication._check import check_objects, check_publication
+from radishmount.publication._difference import Change, ChangeKind, changes_between
 from radishmount.publication._distribution import ConfigurationSource, Distribution
+from radishmount.publication._fault import Fault, PublishedObject, subject_of
 from radishmount.publication._in_force import InForce, ReadBundle
 from radishmount.publication._keys import ALL_KEYS, KeyRange, covers
 from radishmount.publication._objects import (
@@ -28,6 +24,8 @@
     "ALL_KEYS",
     "EMPTY_PUBLICATION",
     "Caller",
+    "Change",
+    "ChangeKind",
     "Collection",
     "ConfigurationSource",
     "DataCentre",
@@ -44,6 +42,7 @@
     "Rule",
     "Service",
     "Shard",
+    "changes_between",
     "check_objects",
     "check_publication",
     "covers",
