--- a/src/radishmount/border/_settings.py
+++ b/src/radishmount/border/_settings.py
@@ -30,7 +30,11 @@
 
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
-    """What an entry instance is told at its start; all else it reads from the platform."""
+    """What an entry instance is told at its start; all else it reads from the platform.
+
+    `seeds` are addresses of some peers, which are asked for the instance list and the bundle when
+    the platform is down at the start.
+    """
 
     name: str
     data_centre: str
@@ -39,6 +43,7 @@
     peer_listen: Listen
     platform: str
     peer_key: str
+    seeds: tuple[str, ...] = ()
 
 
 class EntrySettingsModel(BorderModel):
@@ -51,6 +56,7 @@
     peer_address: ListenAddress
     platform: ReachableAddress
     peer_key: Annotated[str, Field(min_length=16)]
+    seeds: Annotated[list[ReachableAddress], Field(max_length=100)] = []
 
 
 def split_address(address: str) -> Listen:
@@ -79,5 +85,6 @@
             peer_listen=split_address(model.peer_address),
             platform=model.platform,
             peer_key=model.peer_key,
+            seeds=tuple(model.seeds),
         )
     )
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -4,7 +4,7 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -12,41 +12,23 @@
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.codes import Code, Refusal
+from radishmount.control import Control, ControlParts, OpenPeerFor, Platform, make_control
 from radishmount.counters import Counters
 from radishmount.endpoints import EndpointPool, OpenChannel, make_choice
-from radishmount.fleet import (
-    AddressAnswer,
-    Fleet,
-    InstanceList,
-    InstanceListSource,
-    ListWatch,
-    choose_addresses,
-    watch_instances,
-)
+from radishmount.fleet import AddressAnswer, Fleet, InstanceList, Peers, choose_addresses
 from radishmount.policy import QueryPolicy
-from radishmount.publication import (
-    ConfigurationSource,
-    InForce,
-    Publication,
-    ReadBundle,
-    watch_configuration,
-)
+from radishmount.publication import InForce, Publication, ReadBundle
 from radishmount.queries import Answer, QueryTools, Search, SearchCall, run_search
 
 
 __all__ = ["Node", "NodeParts", "Platform", "make_node"]
 
-
-class Platform(ConfigurationSource, InstanceListSource, Protocol):
-    """The platform, which can only be read and watched."""
-
-    async def close(self) -> None:
-        """Close the connections."""
+LOAD_INTERVAL_MS = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
 class NodeParts:
-    """What an instance is handed from outside."""
+    """What an instance is handed from outside; `seeds` are peer addresses of its settings."""
 
     name: str
     data_centre: str
@@ -55,7 +37,9 @@
     platform: Platform
     open_channel: OpenChannel
     read_bundle: ReadBundle
+    open_peer_for: OpenPeerFor
     policy: QueryPolicy = QueryPolicy()
+    seeds: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -63,9 +47,7 @@
     """The state of one entry instance. Callers and operators are answered from here."""
 
     parts: NodeParts
-    fleet: Fleet
-    in_force: InForce
-    list_watch: ListWatch
+    control: Control
     pool: EndpointPool
     tools: QueryTools
     audit: AuditTrail
@@ -73,19 +55,41 @@
     admission: Admission = field(default_factory=Admission)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
+    @property
+    def fleet(self) -> Fleet:
+        """Return the instances as this one sees them."""
+        return self.control.fleet
+
+    @property
+    def in_force(self) -> InForce:
+        """Return the publication in force."""
+        return self.control.in_force
+
+    @property
+    def peers(self) -> Peers:
+        """Return the streams to the other instances."""
+        return self.control.peers
+
     def start(self) -> None:
-        """Start one task for each watch at the platform."""
-        platform = self.parts.platform
-        self._start_task("watch configuration", watch_configuration(self.in_force, platform))
-        self._start_task("watch instances", watch_instances(self.list_watch, platform))
+        """Start what keeps the instance in step with the fleet."""
+        self.control.start()
+        self._start_task("load", self._tell_load())
 
     async def stop(self) -> None:
-        """End the watches and close every connection."""
+        """End every task and close every connection."""
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.control.stop()
         await self.pool.stop()
-        await self.parts.platform.close()
+
+    def leave(self) -> None:
+        """Begin a graceful stop: callers are sent elsewhere, requests still answered a while."""
+        self.control.leave()
+
+    def is_leaving(self) -> bool:
+        """Tell whether callers are to be moved to other instances."""
+        return self.control.is_leaving()
 
     def new_request_id(self) -> str:
         """Return a request id that no other request has."""
@@ -100,8 +104,10 @@
 
     async def search(self, request_id: str, call: SearchCall) -> Result[Answer, Refusal]:
         """Admit a search and answer it."""
-        if not self.is_ready():
-            return Err(Refusal(Code.NOT_READY))
+        arrived_at_ms = self.parts.clock.now_ms()
+        taken = await self.may_take_request(call.deadline_ms)
+        if isinstance(taken, Err):
+            return taken
         publication = self.in_force.current
         collection = publication.collections_by_name.get(call.collection)
         if collection is None:
@@ -110,8 +116,7 @@
         if isinstance(found, Err):
             return found
         rule = found.ok_value
-        now_ms = self.parts.clock.now_ms()
-        admitted = self.admission.admit(call.caller, rule, now_ms)
+        admitted = self.admission.admit(call.caller, rule, self.parts.clock.now_ms())
         if isinstance(admitted, Err):
             return admitted
         deadline_ms = min(call.deadline_ms or rule.deadline_ms, rule.deadline_ms)
@@ -121,29 +126,34 @@
             collection=collection,
             rule=rule,
             terms=call.terms,
-            deadline_at_ms=now_ms + deadline_ms,
+            deadline_at_ms=arrived_at_ms + deadline_ms,
         )
         shards = publication.shards_by_collection[collection.name]
         return await run_search(search, shards, self.tools)
 
+    async def may_take_request(self, deadline_ms: float | None) -> Result[None, Refusal]:
+        """Tell whether a new request is taken; after a pause it waits for a renewed view."""
+        if not self.control.has_started:
+            return Err(Refusal(Code.NOT_READY))
+        if not self.control.takes_requests():
+            return Err(Refusal(Code.INSTANCE_LEAVING))
+        if not await self.control.wait_until_fresh(deadline_ms):
+            return Err(Refusal(Code.NOT_READY, detail="the view is being renewed after a pause"))
+        return Ok(None)
+
     def is_ready(self) -> bool:
-        """Tell whether the instance takes work."""
-        return self.in_force.current.version > 0 and self.fleet.list_version > 0
+        """Tell whether callers may be sent here."""
+        return self.control.is_ready()
 
     def status(self) -> dict[str, Any]:
         """Return the state of the instance in plain values."""
-        publication = self.in_force.current
         return {
             "name": self.parts.name,
             "data_centre": self.parts.data_centre,
             "ready": self.is_ready(),
-            "publication": {"version": publication.version, "digest": publication.digest},
-            "instance_list": {"version": self.fleet.list_version, "names": self.fleet.listed_names},
+            **self.control.status(),
         }
 
-    def _start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        self.tasks.append(asyncio.create_task(work, name=name))
-
     async def take_publication(self, publication: Publication) -> None:
         """Hand a new publication to the parts that follow it."""
         await self.pool.take_publication(publication, self.fleet.listed_names)
@@ -155,22 +165,59 @@
         await self.pool.take_publication(self.in_force.current, names)
         self.pool.take_leaving(instance_list.leaving_endpoints)
 
+    def load(self) -> float:
+        """Return the share of the instance's capacity in use, at least 1.0 when it is of no use."""
+        return load_of(self.pool, self.parts.clock.now_ms())
+
+    async def _tell_load(self) -> None:
+        while True:
+            await self.parts.clock.sleep_ms(LOAD_INTERVAL_MS)
+            self.control.take_load(self.load())
+
+    def _start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        self.tasks.append(asyncio.create_task(work, name=name))
+
+
+def load_of(pool: EndpointPool, now_ms: float) -> float:
+    """Return the load of an instance: in flight over slots, or 1.0 when most endpoints are lost.
+
+    An instance that cannot reach the endpoints which others reach is cut off; callers are sent
+    elsewhere just as when it is overloaded.
+    """
+    links = pool.links_by_name.values()
+    if not links:
+        return 0.0
+    fit = [link.endpoint for link in links if link.endpoint.may_take_work(now_ms)]
+    if 2 * len(fit) < len(links):
+        return 1.0
+    slots = sum(endpoint.slots for endpoint in fit)
+    in_flight = sum(endpoint.in_flight for endpoint in fit)
+    return min(0.99, in_flight / max(1, slots))
+
 
 def make_node(parts: NodeParts, audit: AuditTrail) -> Node:
     """Return an instance that is not started yet."""
     counters = Counters()
     pool = EndpointPool(parts.name, parts.open_channel, parts.clock, counters)
-    fleet = Fleet(parts.name, parts.data_centre)
+    control_parts = ControlParts(
+        name=parts.name,
+        data_centre=parts.data_centre,
+        clock=parts.clock,
+        random=parts.random,
+        platform=parts.platform,
+        read_bundle=parts.read_bundle,
+        open_peer_for=parts.open_peer_for,
+        seeds=parts.seeds,
+    )
     node = Node(
         parts=parts,
-        fleet=fleet,
-        in_force=InForce(parts.read_bundle, audit, counters, parts.clock),
-        list_watch=ListWatch(fleet, audit, counters, parts.clock),
+        control=make_control(control_parts, audit, counters),
         pool=pool,
         tools=QueryTools(pool, parts.clock, make_choice(parts.data_centre), counters, parts.policy),
         audit=audit,
         counters=counters,
     )
     node.in_force.on_change.append(node.take_publication)
-    node.list_watch.on_change.append(node.take_list)
+    node.control.list_watch.on_change.append(node.take_list)
+    node.control.membership.load = node.load
     return node
--- /dev/null
+++ b/src/radishmount/publication/_distribution.py
@@ -0,0 +1,128 @@
+"""The spread of bundles between instances: whoever holds a newer one is asked for it."""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from result import Err, Ok, Result
+
+from radishmount.clock import Clock
+from radishmount.codes import Code, Refusal
+from radishmount.counters import Counters
+from radishmount.fleet import AnswerPeer, BundlePiece, BundleRequest, Message
+from radishmount.publication._in_force import InForce
+
+
+__all__ = ["ConfigurationSource", "Distribution"]
+
+PIECE_BYTES = 64 * 1024
+MAX_BUNDLE_BYTES = 32 * 1024 * 1024
+PIECE_TIMEOUT_MS = 2_000.0
+KEPT_INVALID = 256
+
+
+class ConfigurationSource(Protocol):
+    """Where bundles come from. Each call counts once at the platform, a waiting one too."""
+
+    async def bundle(self, after: int, wait_ms: int) -> Result[bytes | None, Refusal]:
+        """Return the bundle newer than version `after`, or none within `wait_ms`."""
+
+
+class AskPeer(Protocol):
+    """What the spread needs of the peers; `Peers` is one."""
+
+    async def ask(
+        self, name: str, message: Message, timeout_ms: float = ...
+    ) -> Result[Message, Refusal]:
+        """Ask the instance `name`."""
+
+    def answer(self, kind: type, function: AnswerPeer) -> None:
+        """Have `function` answer requests of `kind`."""
+
+
+@dataclass(slots=True)
+class Distribution:
+    """Takes newer bundles from peers, and hands pieces of the one in force to them.
+
+    One bundle is fetched at a time; what was found to be invalid is not fetched again.
+    """
+
+    in_force: InForce
+    peers: AskPeer
+    clock: Clock
+    counters: Counters
+    fetching: asyncio.Task[None] | None = None
+    offers_by_peer: dict[str, tuple[int, str]] = field(default_factory=dict)
+    invalid: set[tuple[int, str]] = field(default_factory=set)
+
+    def start(self) -> None:
+        """Answer peers that ask for pieces."""
+        self.peers.answer(BundleRequest, self._answer_piece)
+
+    def see(self, peer: str, version: int, digest: str) -> None:
+        """Take note of the version that `peer` holds, and fetch it when it is newer."""
+        if not self.in_force.see(version, digest, f"peer {peer}"):
+            self.offers_by_peer.pop(peer, None)
+            return
+        if (version, digest) in self.invalid:
+            return
+        self.offers_by_peer[peer] = (version, digest)
+        if self.fetching is None or self.fetching.done():
+            self.fetching = asyncio.create_task(self._fetch_offers(), name="fetch bundle")
+
+    async def stop(self) -> None:
+        """End a fetch that is under way."""
+        if self.fetching is not None:
+            self.fetching.cancel()
+            await asyncio.gather(self.fetching, return_exceptions=True)
+
+    async def _fetch_offers(self) -> None:
+        """Fetch the highest version on offer, from one peer after the other."""
+        while self.offers_by_peer:
+            peer = max(self.offers_by_peer, key=lambda name: self.offers_by_peer[name][0])
+            version, digest = self.offers_by_peer.pop(peer)
+            if version <= self.in_force.current.version or (version, digest) in self.invalid:
+                continue
+            match await self.fetch(peer, version):
+                case Err(refusal):
+                    self.counters.add("bundle_fetch_errors", refusal.code.name)
+                    continue
+                case Ok(body):
+                    pass
+            await self.in_force.take(body, source=f"peer {peer}")
+            if self.in_force.current.version < version:
+                self._mark_invalid(version, digest)
+
+    async def fetch(self, peer: str, version: int) -> Result[bytes, Refusal]:
+        """Return the whole bundle of `version` from `peer`, piece by piece."""
+        body = bytearray()
+        while True:
+            request = BundleRequest(version, len(body))
+            answer = await self.peers.ask(peer, request, PIECE_TIMEOUT_MS)
+            if isinstance(answer, Err):
+                return answer
+            piece = answer.ok_value
+            if not _continues(piece, version, len(body)):
+                return Err(Refusal(Code.BAD_FRAME, detail=f"a piece of {peer} that does not fit"))
+            body += piece.content
+            if len(body) >= piece.total_bytes:
+                return Ok(bytes(body))
+
+    async def _answer_piece(self, peer: str, request: BundleRequest) -> Result[Any, Refusal]:
+        current = self.in_force.current
+        if request.version != current.version:
+            return Err(Refusal(Code.VERSION_NOT_GROWING, detail=f"{current.version} is in force"))
+        body = self.in_force.body
+        content = body[request.offset : request.offset + PIECE_BYTES]
+        return Ok(BundlePiece(current.version, current.digest, len(body), request.offset, content))
+
+    def _mark_invalid(self, version: int, digest: str) -> None:
+        if len(self.invalid) >= KEPT_INVALID:
+            self.invalid.clear()
+        self.invalid.add((version, digest))
+
+
+def _continues(piece: Any, version: int, offset: int) -> bool:
+    if not isinstance(piece, BundlePiece) or (piece.version, piece.offset) != (version, offset):
+        return False
+    return bool(piece.content) and piece.total_bytes <= MAX_BUNDLE_BYTES
