--- /dev/null
+++ b/src/radishmount/programs/_trial_callers.py
@@ -0,0 +1,108 @@
+"""The callers of a trial, of the entries and of the baseline."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+
+from radishmount.border import open_endpoint_channel
+from radishmount.clock import Clock
+from radishmount.standins import CallerStandIn, Stage, delayed_channels, link_delay
+from radishmount.trial import (
+    Arrival,
+    CallRecord,
+    NaiveCaller,
+    TrialPlan,
+    arrivals_of,
+    parts_of,
+)
+
+
+__all__ = ["WARM_UP_PREFIX", "Callers", "NaiveCallers", "wait_until_ready", "warm_up"]
+
+READY_TIMEOUT_S = 15.0
+READY_CHECK_S = 0.05
+WARM_UP_PREFIX = "w"
+
+
+def warm_up(plan: TrialPlan) -> list[Arrival]:
+    """Return the arrivals of the warm-up."""
+    return arrivals_of(plan.loads_of_warm_up(), plan.warm_up_ms, plan.seed + 1)
+
+
+async def wait_until_ready(plan: TrialPlan, callers: "Callers") -> None:
+    """Wait until every device gets a complete answer."""
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        for load in plan.loads_of_warm_up():
+            for number in range(len(plan.region.data_centres)):
+                arrival = Arrival(0.0, number, load)
+                while True:
+                    record = CallRecord(
+                        load.caller, f"ready{number}", load.target, "ready", 0.0, load.deadline_ms
+                    )
+                    await callers.ask(arrival, record)
+                    if record.complete:
+                        break
+                    await asyncio.sleep(READY_CHECK_S)
+
+
+class Callers:
+    """One stand-in of each caller in each data centre; calls go to them in turn."""
+
+    def __init__(
+        self, plan: TrialPlan, clock: Clock, first_addresses: Callable[[], Sequence[str]]
+    ) -> None:
+        random = Random(f"{plan.seed}/callers")
+        distance = link_delay(plan.region.to_callers_ms, random)
+        self._devices_by_caller: dict[str, list[CallerStandIn]] = {}
+        for load in plan.loads:
+            self._devices_by_caller[load.caller] = [
+                CallerStandIn(load.caller, data_centre, clock, first_addresses, distance)
+                for data_centre in plan.region.data_centres
+            ]
+
+    async def ask(self, arrival: Arrival, record: CallRecord) -> None:
+        """Make one call."""
+        devices = self._devices_by_caller[arrival.load.caller]
+        await devices[arrival.number % len(devices)].search(record)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        for devices in self._devices_by_caller.values():
+            for device in devices:
+                await device.close()
+
+
+class NaiveCallers:
+    """The baseline in each data centre; calls go to them in turn."""
+
+    def __init__(self, plan: TrialPlan, clock: Clock, stage: Stage) -> None:
+        self._clock = clock
+        self._distance = link_delay(plan.region.to_callers_ms, Random(f"{plan.seed}/callers"))
+        parts = {collection.name: parts_of(collection) for collection in plan.region.collections}
+        self._callers = []
+        for data_centre in plan.region.data_centres:
+            random = Random(f"{plan.seed}/baseline/{data_centre}")
+            delays = stage.delay_by_address(data_centre, random)
+            open_channel = delayed_channels(open_endpoint_channel, delays)
+            addresses = stage.addresses_by_service()
+            self._callers.append(
+                NaiveCaller(
+                    clock,
+                    random,
+                    open_channel,
+                    addresses,
+                    parts,
+                    published=lambda: (stage.shards, stage.index_version),
+                )
+            )
+
+    async def ask(self, arrival: Arrival, record: CallRecord) -> None:
+        """Make one call, as far from the baseline as a caller is from an entry."""
+        await self._clock.sleep_ms(self._distance())
+        await self._callers[arrival.number % len(self._callers)].ask(record)
+        await self._clock.sleep_ms(self._distance())
+
+    async def close(self) -> None:
+        """Close the connections."""
+        for caller in self._callers:
+            await caller.close()
--- /dev/null
+++ b/src/radishmount/programs/_trial_processes.py
@@ -0,0 +1,155 @@
+"""A trial whose parts run as processes of their own: the stand-ins, each entry, and the load.
+
+The operator starts `radishmount-entry` once for each settings file that the stand-ins wrote. Links
+between data centres have no delay then, and faults of entries are left to the operator.
+"""
+
+import asyncio
+import json
+import signal
+import socket
+from dataclasses import dataclass, replace
+from pathlib import Path
+from result import Err, Ok, Result
+
+from radishmount.border import EntrySettings, Listen, read_jsonc, split_address
+from radishmount.clock import loop_clock
+from radishmount.codes import Refusal
+from radishmount.programs._trial_callers import (
+    WARM_UP_PREFIX,
+    Callers,
+    wait_until_ready,
+    warm_up,
+)
+from radishmount.programs._trial_fleet import entry_settings
+from radishmount.standins import (
+    ListedInstance,
+    StageControl,
+    StageReader,
+    serve_stand_in,
+    start_stage,
+)
+from radishmount.trial import (
+    LOAD_PREFIX,
+    ControlCost,
+    Summary,
+    TrialPlan,
+    arrivals_of,
+    check_bounds,
+    drive,
+    judge_run,
+)
+
+
+__all__ = ["drive_processes", "serve_standins"]
+
+CONTROL_FILE = "standins.json"
+LOOPBACK = "127.0.0.1"
+
+
+@dataclass(frozen=True, slots=True)
+class StandInsFile:
+    """Where the other processes find the stand-ins."""
+
+    control: Listen
+    callers: list[str]
+
+
+async def serve_standins(plan: TrialPlan, folder: Path) -> None:
+    """Serve the stand-ins of `plan` until a signal, and write what the others need to `folder`."""
+    names = plan.region.entry_names()
+    stage = await start_stage(plan, names)
+    control = await serve_stand_in(StageControl(stage).app())
+    folder.mkdir(parents=True, exist_ok=True)
+    callers = []
+    for name in names:
+        settings = _with_free_ports(entry_settings(stage, name))
+        callers.append(str(settings.caller_listen))
+        await stage.list_instances(_line_of(settings))
+        content = json.dumps(_settings_content(settings), indent=2)
+        await asyncio.to_thread((folder / f"{name}.jsonc").write_text, content)
+    content = json.dumps({"control": str(control.address), "callers": callers}, indent=2)
+    await asyncio.to_thread((folder / CONTROL_FILE).write_text, content)
+    await _until_signal()
+    await control.stop()
+    await stage.stop()
+
+
+async def drive_processes(plan: TrialPlan, folder: Path) -> Result[Summary, Refusal]:
+    """Drive the load of `plan` against entries that were started from the settings in `folder`."""
+    match _read_standins_file(folder / CONTROL_FILE):
+        case Err(refusal):
+            return Err(refusal)
+        case Ok(found):
+            pass
+    clock = loop_clock(asyncio.get_running_loop())
+    reader = StageReader(found.control)
+    callers = Callers(plan, clock, lambda: found.callers)
+    try:
+        await wait_until_ready(plan, callers)
+        await drive(warm_up(plan), callers.ask, clock, WARM_UP_PREFIX)
+        await reader.begin()
+        arrivals = arrivals_of(plan.loads, plan.duration_ms, plan.seed)
+        calls = await drive(arrivals, callers.ask, clock, LOAD_PREFIX)
+        recorded = await reader.records()
+    finally:
+        await callers.close()
+    reads_per_s = recorded.platform_reads * 1000.0 / plan.duration_ms
+    cost = ControlCost(platform_reads_per_s=reads_per_s)
+    figures = judge_run(plan, calls, recorded.records, cost, recorded.connections_over_cap)
+    return Ok(Summary(plan, figures, None, check_bounds(plan.bounds, figures, None)))
+
+
+def _read_standins_file(path: Path) -> Result[StandInsFile, Refusal]:
+    match read_jsonc(path):
+        case Err(refusal):
+            return Err(refusal)
+        case Ok(content):
+            return Ok(StandInsFile(split_address(content["control"]), content["callers"]))
+
+
+def _with_free_ports(settings: EntrySettings) -> EntrySettings:
+    return replace(
+        settings,
+        caller_listen=_free_port(),
+        operator_listen=_free_port(),
+        peer_listen=_free_port(),
+    )
+
+
+def _free_port() -> Listen:
+    """Return a port that was free just now; the entry binds it when it is started."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return Listen(LOOPBACK, probe.getsockname()[1])
+
+
+def _line_of(settings: EntrySettings) -> ListedInstance:
+    return ListedInstance(
+        settings.name,
+        "entry",
+        settings.data_centre,
+        "live",
+        str(settings.caller_listen),
+        str(settings.peer_listen),
+    )
+
+
+def _settings_content(settings: EntrySettings) -> dict[str, str]:
+    return {
+        "name": settings.name,
+        "data_centre": settings.data_centre,
+        "caller_address": str(settings.caller_listen),
+        "operator_address": str(settings.operator_listen),
+        "peer_address": str(settings.peer_listen),
+        "platform": settings.platform,
+        "peer_key": settings.peer_key,
+    }
+
+
+async def _until_signal() -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
--- a/src/radishmount/standins/__init__.py
+++ b/src/radishmount/standins/__init__.py
@@ -2,6 +2,7 @@
 
 from radishmount.standins._behaviour import EndpointBehaviour
 from radishmount.standins._caller import CallerStandIn
+from radishmount.standins._control import StageControl, StageReader, StageRecords
 from radishmount.standins._endpoint import EndpointStandIn
 from radishmount.standins._faults import ENTRY_FAULTS, run_fault
 from radishmount.standins._network import delayed_channels, link_delay
@@ -22,6 +23,9 @@
     "PlatformStandIn",
     "PlatformView",
     "Stage",
+    "StageControl",
+    "StageReader",
+    "StageRecords",
     "StandInServer",
     "delayed_channels",
     "link_delay",
--- /dev/null
+++ b/src/radishmount/standins/_control.py
@@ -0,0 +1,115 @@
+"""The control of stand-ins in a process of their own: start the faults, read the records."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import orjson
+from aiohttp import web
+
+from radishmount.border import Listen
+from radishmount.standins._faults import ENTRY_FAULTS, run_fault
+from radishmount.standins._stage import Stage
+from radishmount.trial import EndpointRecord
+
+
+__all__ = ["StageControl", "StageReader", "StageRecords"]
+
+READ_TIMEOUT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class StageRecords:
+    """What the stand-ins recorded since the load began."""
+
+    records: Sequence[EndpointRecord]
+    connections_over_cap: int
+    platform_reads: int
+
+
+@dataclass(slots=True)
+class StageControl:
+    """Serves a stage to the process that drives the load."""
+
+    stage: Stage
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    reads_before: int = 0
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_post("/v1/begin", self._begin)
+        app.router.add_get("/v1/records", self._records)
+        return app
+
+    async def _begin(self, request: web.Request) -> web.Response:
+        """Start the schedule of faults, and forget what was recorded before."""
+        for endpoint in self.stage.endpoints_by_name.values():
+            endpoint.records.clear()
+        self.reads_before = self.stage.platform_reads
+        for fault in self.stage.plan.faults:
+            if fault.kind in ENTRY_FAULTS:
+                continue
+
+            async def at_its_time(fault: Any = fault) -> None:
+                await asyncio.sleep(fault.at_ms / 1000.0)
+                await run_fault(self.stage, fault)
+
+            self.tasks.append(asyncio.create_task(at_its_time()))
+        return web.Response(body=b"{}", content_type="application/json")
+
+    async def _records(self, request: web.Request) -> web.Response:
+        content = {
+            "records": [_plain(record) for record in self.stage.records],
+            "connections_over_cap": self.stage.connections_over_cap,
+            "platform_reads": self.stage.platform_reads - self.reads_before,
+        }
+        return web.Response(body=orjson.dumps(content), content_type="application/json")
+
+
+class StageReader:
+    """The other end of `StageControl`."""
+
+    def __init__(self, address: Listen) -> None:
+        self._url = f"http://{address}"
+
+    async def begin(self) -> None:
+        """Tell the stand-ins that the load begins."""
+        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as http,
+            http.post(f"{self._url}/v1/begin") as response,
+        ):
+            response.raise_for_status()
+
+    async def records(self) -> StageRecords:
+        """Return what the stand-ins recorded."""
+        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as http,
+            http.get(f"{self._url}/v1/records") as response,
+        ):
+            content = orjson.loads(await response.read())
+        return StageRecords(
+            records=[EndpointRecord(**fields) for fields in content["records"]],
+            connections_over_cap=content["connections_over_cap"],
+            platform_reads=content["platform_reads"],
+        )
+
+
+def _plain(record: EndpointRecord) -> dict[str, Any]:
+    return {
+        "endpoint": record.endpoint,
+        "at_ms": record.at_ms,
+        "request_id": record.request_id,
+        "attempt": record.attempt,
+        "shard": record.shard,
+        "index_version": record.index_version,
+        "text": record.text,
+        "outcome": record.outcome,
+        "ran": record.ran,
+        "leaving_since_ms": record.leaving_since_ms,
+        "order_key": record.order_key,
+    }
--- a/src/radishmount/standins/_endpoint.py
+++ b/src/radishmount/standins/_endpoint.py
@@ -207,7 +207,8 @@
         rows: list[Any] | None = None,
         detail: str = "",
     ) -> web.Response:
-        record.outcome = outcome
+        if record.outcome == "open":
+            record.outcome = outcome
         content = {
             "outcome": outcome,
             "ran": record.ran,
--- a/src/radishmount/trial/__init__.py
+++ b/src/radishmount/trial/__init__.py
@@ -10,6 +10,7 @@
     figures_of,
     latency_histogram,
 )
+from radishmount.trial._judge import LOAD_PREFIX, judge_run
 from radishmount.trial._naive import NaiveCaller, row_told
 from radishmount.trial._plan import (
     BoundPlan,
@@ -33,6 +34,7 @@
     "Ask",
     "BoundOutcome",
     "BoundPlan",
+    "LOAD_PREFIX",
     "CallRecord",
     "CallTry",
     "CollectionPlan",
@@ -57,6 +59,7 @@
     "drive",
     "extra_load_ratio",
     "figures_of",
+    "judge_run",
     "latency_histogram",
     "objects_of",
     "parts_of",
--- /dev/null
+++ b/src/radishmount/trial/_judge.py
@@ -0,0 +1,29 @@
+"""From what was recorded to the figures of a run."""
+
+from collections.abc import Iterable, Sequence
+
+from radishmount.trial._figures import ControlCost, Figures, figures_of
+from radishmount.trial._plan import TrialPlan
+from radishmount.trial._records import CallRecord, EndpointRecord
+from radishmount.trial._region import parts_of
+from radishmount.trial._violations import count_violations
+
+
+__all__ = ["LOAD_PREFIX", "judge_run"]
+
+LOAD_PREFIX = "q"
+
+
+def judge_run(
+    plan: TrialPlan,
+    calls: Sequence[CallRecord],
+    records: Iterable[EndpointRecord],
+    cost: ControlCost,
+    connections_over_cap: int = 0,
+    stopped_entries: Iterable[str] = (),
+) -> Figures:
+    """Return the figures of one run; records of the warm-up are left out."""
+    own = [record for record in records if record.request_id.startswith(LOAD_PREFIX)]
+    parts = {collection.name: parts_of(collection) for collection in plan.region.collections}
+    violations = count_violations(calls, own, parts, stopped_entries)
+    return figures_of(plan, calls, own, violations, cost, connections_over_cap)
--- /dev/null
+++ b/tests/forged.py
@@ -0,0 +1,61 @@
+"""Calls and endpoint records as a faultless run would leave them, for tests to forge."""
+
+from dataclasses import replace
+
+from radishmount.publication import KeyRange, Part
+from radishmount.trial import CallRecord, EndpointRecord, RowTold, Told
+
+
+PARTS = {"catalogue": [Part("low", KeyRange("", "5")), Part("high", KeyRange("5", None))]}
+
+
+def endpoint_record(shard: str = "shard-1", **fields) -> EndpointRecord:  # type: ignore[no-untyped-def]
+    values = {
+        "endpoint": f"{shard}-a",
+        "at_ms": 1_000.0,
+        "request_id": "q1.0",
+        "attempt": 1,
+        "shard": shard,
+        "index_version": 1,
+        "text": "words of q1",
+        "outcome": "ok",
+        "ran": True,
+    }
+    return EndpointRecord(**{**values, **fields})
+
+
+def row(shard: str, keys: KeyRange, **fields) -> RowTold:  # type: ignore[no-untyped-def]
+    told = RowTold(
+        key=f"{keys.low}{shard}",
+        endpoint=f"{shard}-a",
+        request_id="q1.0",
+        attempt=1,
+        index_version=1,
+        text="words of q1",
+        keys=keys,
+    )
+    return replace(told, **fields)
+
+
+def answered_call(**fields) -> CallRecord:  # type: ignore[no-untyped-def]
+    values = {
+        "load": "workshops",
+        "call_id": "q1",
+        "collection": "catalogue",
+        "text": "words of q1",
+        "at_ms": 0.0,
+        "deadline_ms": 200.0,
+        "latency_ms": 20.0,
+        "told": Told.ANSWER,
+        "request_id": "q1.0",
+        "echoed_request_id": "q1.0",
+        "index_version": 1,
+        "complete": True,
+        "covered": ("low", "high"),
+        "rows": (row("shard-1", KeyRange("", "5")), row("shard-2", KeyRange("5", None))),
+    }
+    return CallRecord(**{**values, **fields})
+
+
+def endpoint_records() -> list[EndpointRecord]:
+    return [endpoint_record("shard-1"), endpoint_record("shard-2")]
