--- a/src/radishmount/programs/_trial_processes.py
+++ b/src/radishmount/programs/_trial_processes.py
@@ -8,8 +8,10 @@
 import json
 import signal
 import socket
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
+
 from result import Err, Ok, Result
 
 from radishmount.border import EntrySettings, Listen, read_jsonc, split_address
@@ -60,16 +62,9 @@
     names = plan.region.entry_names()
     stage = await start_stage(plan, names)
     control = await serve_stand_in(StageControl(stage).app())
-    folder.mkdir(parents=True, exist_ok=True)
-    callers = []
-    for name in names:
-        settings = _with_free_ports(entry_settings(stage, name))
-        callers.append(str(settings.caller_listen))
-        await stage.list_instances(_line_of(settings))
-        content = json.dumps(_settings_content(settings), indent=2)
-        await asyncio.to_thread((folder / f"{name}.jsonc").write_text, content)
-    content = json.dumps({"control": str(control.address), "callers": callers}, indent=2)
-    await asyncio.to_thread((folder / CONTROL_FILE).write_text, content)
+    settings = [_with_free_ports(entry_settings(stage, name)) for name in names]
+    await stage.list_instances(*(_line_of(one) for one in settings))
+    await asyncio.to_thread(_write_settings, folder, settings, control.address)
     await _until_signal()
     await control.stop()
     await stage.stop()
@@ -108,6 +103,16 @@
             return Ok(StandInsFile(split_address(content["control"]), content["callers"]))
 
 
+def _write_settings(folder: Path, settings: Sequence[EntrySettings], control: Listen) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for one in settings:
+        text = json.dumps(_settings_content(one), indent=2)
+        (folder / f"{one.name}.jsonc").write_text(text, encoding="utf-8")
+    callers = [str(one.caller_listen) for one in settings]
+    text = json.dumps({"control": str(control), "callers": callers}, indent=2)
+    (folder / CONTROL_FILE).write_text(text, encoding="utf-8")
+
+
 def _with_free_ports(settings: EntrySettings) -> EntrySettings:
     return replace(
         settings,
--- a/src/radishmount/programs/_trial_run.py
+++ b/src/radishmount/programs/_trial_run.py
@@ -22,7 +22,6 @@
 from radishmount.trial import (
     LOAD_PREFIX,
     Ask,
-    BoundOutcome,
     CallRecord,
     ControlCost,
     FaultKind,
@@ -47,23 +46,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TrialOutcome:
-    """The figures of the system and of the baseline, every call, and the bounds."""
+    """What is shown of a trial, and every call of the system and of the baseline."""
 
-    plan: TrialPlan
-    figures: Figures
-    baseline: Figures | None
+    summary: Summary
     calls: Sequence[CallRecord]
     baseline_calls: Sequence[CallRecord]
-    bounds: Sequence[BoundOutcome]
-
-    @property
-    def bounds_met(self) -> bool:
-        """Tell whether every bound was met."""
-        return all(bound.met for bound in self.bounds)
-
-    def summary(self) -> Summary:
-        """Return what is shown of the trial."""
-        return Summary(self.plan, self.figures, self.baseline, self.bounds)
 
 
 async def run_trial(plan: TrialPlan) -> TrialOutcome:
@@ -74,7 +61,7 @@
     if plan.baseline:
         baseline, baseline_calls = await _run_baseline(plan)
     bounds = check_bounds(plan.bounds, figures, baseline)
-    return TrialOutcome(plan, figures, baseline, calls, baseline_calls, bounds)
+    return TrialOutcome(Summary(plan, figures, baseline, bounds), calls, baseline_calls)
 
 
 async def _run_system(plan: TrialPlan) -> tuple[Figures, list[CallRecord]]:
--- a/src/radishmount/programs/trial.py
+++ b/src/radishmount/programs/trial.py
@@ -7,74 +7,138 @@
 from dataclasses import replace
 from pathlib import Path
 
-from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
-from cleo.io.inputs.argv_input import ArgvInput
 from result import Err, Ok
 
-from radishmount import __version__
-from radishmount.programs._trial_run import TrialOutcome, run_trial
+from radishmount.programs._application import Exit, run_program, tell, tell_error
+from radishmount.programs._trial_processes import drive_processes, serve_standins
+from radishmount.programs._trial_run import run_trial
 from radishmount.standins import read_trial_file
-from radishmount.trial import TrialPlan, result_of, result_text
+from radishmount.trial import CallRecord, Summary, TrialPlan, report_page, result_of, result_text
 
 
 __all__ = ["main"]
 
-EXIT_BOUND_MISSED = 1
-EXIT_BAD_FILE = 2
+NAME = "radishmount-trial"
+REPORT_FILE = "index.html"
+# Entries run on threads of their own: short turns keep one from holding up the others.
 SWITCH_INTERVAL_S = 0.0005
-OWN_WORDS = frozenset({"run", "list", "help", "--help", "-h", "--version", "-V"})
 
+FILE = argument("file", "The trial file, JSON with comments.")
+SEED = option("seed", None, "Takes the place of the seed in the file.", flag=False)
+JSON = option("json", None, "Prints one JSON object.")
+SETTINGS_DIR = option("settings-dir", None, "Where the settings of the entries are.", flag=False)
 
-class RunCommand(Command):
-    """Runs a trial file within this process."""
 
-    name = "run"
-    description = "Runs a trial: the fleet and the baseline under the same load and faults."
-    arguments = [argument("file", "The trial file, JSON with comments.")]
-    options = [
-        option("seed", None, "Takes the place of the seed in the file.", flag=False),
-        option("json", None, "Prints one JSON object."),
-        option("report", None, "Writes an HTML page into this folder.", flag=False),
-    ]
+class TrialCommand(Command):
+    """Reads the trial file for every command."""
 
-    def handle(self) -> int:
-        """Run the trial and print its result."""
+    def read_plan(self) -> TrialPlan | None:
+        """Return the plan, or none after telling what is wrong with it."""
         match read_trial_file(Path(self.argument("file"))):
             case Err(refusal):
-                self.line_error(str(refusal))
-                return EXIT_BAD_FILE
+                tell_error(self, str(refusal))
+                return None
             case Ok(plan):
                 pass
         seed = self.option("seed")
-        if seed is not None:
-            if not seed.isdecimal():
-                self.line_error(f"--seed takes a whole number, not {seed!r}")
-                return EXIT_BAD_FILE
-            plan = replace(plan, seed=int(seed))
-        outcome = _run(plan)
+        if seed is None:
+            return plan
+        if not seed.isdecimal():
+            tell_error(self, f"--seed takes a whole number, not {seed!r}")
+            return None
+        return replace(plan, seed=int(seed))
+
+    def show(self, summary: Summary) -> int:
+        """Print the result; the exit code tells whether every bound was met."""
         if self.option("json"):
-            print(json.dumps(result_of(outcome.summary())))
+            tell(self, json.dumps(result_of(summary)))
         else:
-            print(result_text(outcome.summary()))
-        return 0 if outcome.bounds_met else EXIT_BOUND_MISSED
+            tell(self, result_text(summary))
+        return Exit.OK if summary.bounds_met else Exit.REFUSED
 
 
-def _run(plan: TrialPlan) -> TrialOutcome:
-    # Entries run on threads of their own: short turns keep one from holding up the others.
-    sys.setswitchinterval(SWITCH_INTERVAL_S)
-    return asyncio.run(run_trial(plan))
+class RunCommand(TrialCommand):
+    """Runs the whole trial within this process."""
 
+    name = NAME
+    description = "Runs the fleet and the baseline under the same load and faults."
+    arguments = [FILE]
+    options = [SEED, JSON, option("report", None, "Writes a page into this folder.", flag=False)]
+
+    def handle(self) -> int:
+        """Run the trial and print its result."""
+        plan = self.read_plan()
+        if plan is None:
+            return Exit.BAD_USAGE
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
+        outcome = asyncio.run(run_trial(plan))
+        if self.option("report"):
+            _write_report(
+                Path(self.option("report")),
+                outcome.summary,
+                outcome.calls,
+                outcome.baseline_calls,
+            )
+        return self.show(outcome.summary)
+
+
+class StandInsCommand(TrialCommand):
+    """Serves the stand-ins in this process."""
+
+    name = "standins"
+    description = "Serves the stand-ins of a trial file, and writes the settings of its entries."
+    arguments = [FILE]
+    options = [SEED, SETTINGS_DIR]
+
+    def handle(self) -> int:
+        """Serve until a signal."""
+        plan, folder = self.read_plan(), self.option("settings-dir")
+        if plan is None:
+            return Exit.BAD_USAGE
+        if not folder:
+            tell_error(self, "standins needs --settings-dir DIR")
+            return Exit.BAD_USAGE
+        asyncio.run(serve_standins(plan, Path(folder)))
+        return Exit.OK
 
-def main() -> None:
-    """Run the program; a trial file in the place of a command is run."""
-    application = Application("radishmount-trial", __version__)
-    application.add(RunCommand())
-    application.run(ArgvInput(_with_command(sys.argv)))
 
+class DriveCommand(TrialCommand):
+    """Drives the load against entries that run as processes of their own."""
 
-def _with_command(argv: Sequence[str]) -> list[str]:
-    if len(argv) < 2 or argv[1] in OWN_WORDS:
-        return list(argv)
-    return [argv[0], "run", *argv[1:]]
+    name = "drive"
+    description = "Drives the load of a trial file against entries that are already running."
+    arguments = [FILE]
+    options = [SEED, JSON, SETTINGS_DIR]
+
+    def handle(self) -> int:
+        """Drive the load and print the result."""
+        plan, folder = self.read_plan(), self.option("settings-dir")
+        if plan is None:
+            return Exit.BAD_USAGE
+        if not folder:
+            tell_error(self, "drive needs --settings-dir DIR")
+            return Exit.BAD_USAGE
+        match asyncio.run(drive_processes(plan, Path(folder))):
+            case Err(refusal):
+                tell_error(self, str(refusal))
+                return Exit.UNREACHABLE
+            case Ok(summary):
+                return self.show(summary)
+
+
+def _write_report(
+    folder: Path,
+    summary: Summary,
+    calls: Sequence[CallRecord],
+    baseline_calls: Sequence[CallRecord],
+) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    page = report_page(summary, calls, baseline_calls)
+    (folder / REPORT_FILE).write_text(page, encoding="utf-8")
+
+
+def main() -> None:
+    """Run the program."""
+    raise SystemExit(run_program(NAME, [RunCommand(), StandInsCommand(), DriveCommand()]))
--- a/src/radishmount/trial/__init__.py
+++ b/src/radishmount/trial/__init__.py
@@ -25,6 +25,7 @@
 )
 from radishmount.trial._records import CallRecord, CallTry, EndpointRecord, RowTold, Told
 from radishmount.trial._region import objects_of, parts_of, shards_of
+from radishmount.trial._report import report_page
 from radishmount.trial._summary import Summary, result_of, result_text
 from radishmount.trial._violations import Violations, count_violations
 
@@ -63,6 +64,7 @@
     "latency_histogram",
     "objects_of",
     "parts_of",
+    "report_page",
     "result_of",
     "result_text",
     "row_told",
--- a/src/radishmount/trial/_summary.py
+++ b/src/radishmount/trial/_summary.py
@@ -9,7 +9,7 @@
 from radishmount.trial._plan import TrialPlan
 
 
-__all__ = ["Summary", "result_of", "result_text"]
+__all__ = ["TEXT_ROWS", "Summary", "result_of", "result_text", "shown"]
 
 TEXT_ROWS = (
     ("queries", "queries"),
@@ -47,6 +47,11 @@
     baseline: Figures | None
     bounds: Sequence[BoundOutcome]
 
+    @property
+    def bounds_met(self) -> bool:
+        """Tell whether every bound was met."""
+        return all(bound.met for bound in self.bounds)
+
 
 def result_of(summary: Summary) -> dict[str, Any]:
     """Return the result in plain values, for programs."""
@@ -71,8 +76,8 @@
         f"{'':{LABEL_WIDTH}}{'radishmount':>{VALUE_WIDTH}}{'baseline':>{VALUE_WIDTH}}",
     ]
     for name, label in TEXT_ROWS:
-        own = _shown(summary.figures.by_name.get(name))
-        other = "" if summary.baseline is None else _shown(summary.baseline.by_name.get(name))
+        own = shown(summary.figures.by_name.get(name))
+        other = "" if summary.baseline is None else shown(summary.baseline.by_name.get(name))
         lines.append(f"{label:{LABEL_WIDTH}}{own:>{VALUE_WIDTH}}{other:>{VALUE_WIDTH}}")
     refusals = summary.figures.refusals_by_code
     if refusals:
@@ -85,8 +90,8 @@
         lines.append("")
     for bound in summary.bounds:
         verdict = "met   " if bound.met else "MISSED"
-        limit = "" if bound.limit is None else f" (limit {_shown(bound.limit)})"
-        lines.append(f"{verdict} {bound.text}: {_shown(bound.value)}{limit}")
+        limit = "" if bound.limit is None else f" (limit {shown(bound.limit)})"
+        lines.append(f"{verdict} {bound.text}: {shown(bound.value)}{limit}")
     return "\n".join(lines)
 
 
@@ -97,7 +102,8 @@
     return plain
 
 
-def _shown(value: float | Mapping[str, Any] | None) -> str:
+def shown(value: float | Mapping[str, Any] | None) -> str:
+    """Return a figure as people read it, `-` when it was not measured."""
     if value is None:
         return "-"
     if isinstance(value, int):
