--- a/src/radishmount/standins/_caller.py
+++ b/src/radishmount/standins/_caller.py
@@ -105,7 +105,7 @@
                 content = await response.read()
                 record.echoed_request_id = response.headers.get("X-Request-Id", "")
             await asyncio.sleep(self.distance_ms() / 1000.0)
-            answer: dict[str, Any] = orjson.loads(content)
+            answer = _content_of(content)
         except aiohttp.ClientConnectorError:
             self._tried(record, target)
         except (aiohttp.ClientError, OSError):
@@ -153,6 +153,17 @@
         return self.http
 
 
+def _content_of(content: bytes) -> dict[str, Any]:
+    """Return an answer; one that is no JSON object counts as an error that may have run."""
+    try:
+        answer = orjson.loads(content)
+    except orjson.JSONDecodeError:
+        answer = None
+    if isinstance(answer, dict):
+        return answer
+    return {"error": {"name": "UNREADABLE_ANSWER", "ran": "unknown"}}
+
+
 def _take_answer(record: CallRecord, answer: dict[str, Any]) -> None:
     record.told = Told.ANSWER
     record.index_version = answer["index_version"]
