--- /dev/null
+++ b/scripts/processes.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Runs a trial file with each part as a process of its own, and does to the entries what an
+# operator's day does: one is killed, one stands still for three seconds, one is stopped gracefully.
+#
+#   scripts/processes.sh examples/trials/processes.jsonc
+#
+# Exits with the result of the driver: 0 when every bound of the file was met.
+set -euo pipefail
+file=$1
+bin=${BIN:-.venv/bin}
+folder=$(mktemp -d)
+pids=()
+trap 'kill "${pids[@]}" 2>/dev/null || true; wait 2>/dev/null || true; rm -rf "$folder"' EXIT
+
+"$bin/radishmount-trial" standins "$file" --settings-dir "$folder" >"$folder/standins.log" 2>&1 &
+pids+=($!)
+for _ in $(seq 100); do
+    [ -f "$folder/standins.json" ] && break
+    sleep 0.1
+done
+
+entries=()
+for settings in "$folder"/*.jsonc; do
+    "$bin/radishmount-entry" --settings "$settings" 2>"${settings%.jsonc}.log" &
+    entries+=($!)
+    pids+=($!)
+done
+
+"$bin/radishmount-trial" drive "$file" --settings-dir "$folder" --json >"$folder/result.json" &
+driver=$!
+pids+=("$driver")
+sleep 6
+kill -KILL "${entries[0]}"
+kill -STOP "${entries[1]}"
+sleep 3
+kill -CONT "${entries[1]}"
+kill -TERM "${entries[2]}"
+status=0
+wait "$driver" || status=$?
+cat "$folder/result.json"
+exit "$status"
