--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -6,12 +6,10 @@
 from pathlib import Path
 from random import Random
 
-from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
 from result import Err, Ok, Result
 
-from radishmount import __version__
 from radishmount.audit import AuditTrail
 from radishmount.border import (
     EntrySettings,
@@ -27,13 +25,13 @@
 from radishmount.clock import Clock, loop_clock
 from radishmount.codes import Refusal
 from radishmount.node import Node, NodeParts, make_node
+from radishmount.programs._application import Exit, run_program, tell_error
 from radishmount.programs._logging import audit_log, log_state_change, set_up_logging
 
 
 __all__ = ["RunningEntry", "main", "start_entry"]
 
-EXIT_BAD_SETTINGS = 2
-EXIT_CANNOT_START = 3
+PROGRAM = "radishmount-entry"
 
 
 class RunningEntry:
@@ -81,7 +79,7 @@
 class RunCommand(Command):
     """The only command of the program."""
 
-    name = "run"
+    name = PROGRAM
     description = "Runs one entry instance from its settings."
     options = [option("settings", "s", "The settings, JSON with comments.", flag=False)]
 
@@ -89,12 +87,12 @@
         """Run until a signal asks for a graceful stop."""
         path = self.option("settings")
         if not path:
-            self.line_error("radishmount-entry needs --settings FILE")
-            return EXIT_BAD_SETTINGS
+            tell_error(self, f"{PROGRAM} needs --settings FILE")
+            return Exit.BAD_USAGE
         match read_entry_settings(Path(path)):
             case Err(refusal):
-                self.line_error(str(refusal))
-                return EXIT_BAD_SETTINGS
+                tell_error(self, f"{PROGRAM}: {refusal}")
+                return Exit.BAD_USAGE
             case Ok(settings):
                 return asyncio.run(_run(settings))
 
@@ -108,8 +106,8 @@
         loop.add_signal_handler(number, stop.set)
     started = await start_entry(settings, clock, Random(), AuditTrail(clock, emit=audit_log))
     if isinstance(started, Err):
-        sys.stderr.write(f"{started.err_value}\n")
-        return EXIT_CANNOT_START
+        sys.stderr.write(f"{PROGRAM}: {started.err_value}\n")
+        return Exit.UNREACHABLE
     entry = started.ok_value
     log_state_change("serving", callers=str(entry.callers.address))
     await stop.wait()
@@ -121,9 +119,4 @@
 
 def main() -> None:
     """Run the program."""
-    application = Application("radishmount-entry", __version__)
-    command = RunCommand()
-    application.add(command)
-    application._default_command = command.name or ""  # cleo has no public setter
-    application._single_command = True
-    application.run()
+    raise SystemExit(run_program(PROGRAM, [RunCommand()]))
