Give every request at the HTTP borders a limit and a numbered answer

A caller that sends slowly, sends nothing, or does not read its answer could hold a connection for an hour and a task for ever; what the library refused by itself had no number, and an unexpected error came back as plain text. The guard reads bodies and sends answers within limits of time, the server closes connections that bring no request head, and every error is told with its code.

--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -4,6 +4,7 @@
 from radishmount.border._callers import CallerService, make_caller_app
 from radishmount.border._endpoint_client import EndpointChannel, open_endpoint_channel
 from radishmount.border._jsonc import read_jsonc
+from radishmount.border._metrics import RequestMetrics
 from radishmount.border._models import BorderModel, describe_fault, read_json
 from radishmount.border._object_files import ObjectFolder, check_folder, read_folder
 from radishmount.border._objects import object_from, publication_from
@@ -28,6 +29,7 @@
     "Listen",
     "ObjectFolder",
     "OperatorService",
+    "RequestMetrics",
     "Server",
     "check_folder",
     "describe_fault",
--- /dev/null
+++ b/src/radishmount/border/_answers.py
@@ -0,0 +1,83 @@
+"""Answers as callers see them. Large ones are sent in chunks."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import orjson
+from aiohttp import HttpVersion11, web
+
+from radishmount.border._http import request_id_of
+from radishmount.border._refusals import (
+    RESULT_NAME,
+    chunked_response,
+    code_content,
+    json_response,
+    refusal_response,
+)
+from radishmount.codes import Code, Refusal
+from radishmount.endpoints import Row
+from radishmount.fleet import AddressAnswer
+from radishmount.queries import Answer
+
+
+__all__ = ["address_response", "answer_response"]
+
+ROWS_PER_CHUNK = 200
+
+
+def address_response(answer: AddressAnswer, request_id: str) -> web.StreamResponse:
+    """Return the addresses to use, or a refusal while none is known."""
+    if not answer.instances:
+        return refusal_response(Refusal(Code.NOT_READY, detail="no instance is known"), request_id)
+    addresses = [
+        {"name": i.name, "address": i.caller_address, "data_centre": i.data_centre}
+        for i in answer.instances
+    ]
+    content = {"addresses": addresses, "valid_for_ms": answer.valid_for_ms}
+    return json_response(content, request_id)
+
+
+def answer_response(answer: Answer, request: web.Request) -> web.StreamResponse:
+    """Return the answer to a search; one of many rows is sent in chunks."""
+    request_id = request_id_of(request)
+    if len(answer.rows) > ROWS_PER_CHUNK and request.version >= HttpVersion11:
+        response = chunked_response(_chunks_of(answer), request_id)
+    else:
+        content = {**_head_of(answer), "rows": [_row_content(row) for row in answer.rows]}
+        response = json_response(content, request_id)
+    if not answer.coverage.complete:
+        response[RESULT_NAME] = Code.PARTIAL.name
+    return response
+
+
+def _chunks_of(answer: Answer) -> Iterator[bytes]:
+    """Yield the answer piece by piece. What is said of coverage and version comes first."""
+    yield orjson.dumps(_head_of(answer)).removesuffix(b"}") + b',"rows":['
+    separator = b""
+    for start in range(0, len(answer.rows), ROWS_PER_CHUNK):
+        rows = [_row_content(row) for row in answer.rows[start : start + ROWS_PER_CHUNK]]
+        yield separator + orjson.dumps(rows).removeprefix(b"[").removesuffix(b"]")
+        separator = b","
+    yield b"]}"
+
+
+def _head_of(answer: Answer) -> dict[str, Any]:
+    coverage = answer.coverage
+    head: dict[str, Any] = {
+        "request_id": answer.request_id,
+        "index_version": answer.index_version,
+        "complete": coverage.complete,
+        "coverage": {
+            "ratio": coverage.ratio,
+            "covered": coverage.covered,
+            "missing": coverage.missing,
+        },
+        "sub_requests": answer.sub_requests,
+    }
+    if not coverage.complete:
+        head["code"] = code_content(Code.PARTIAL)
+    return head
+
+
+def _row_content(row: Row) -> dict[str, Any]:
+    return {"key": row.key, "score": row.score, "fields": row.fields}
--- a/src/radishmount/border/_callers.py
+++ b/src/radishmount/border/_callers.py
@@ -1,14 +1,22 @@
 """The callers' HTTP: addresses and search."""
 
-from collections.abc import Awaitable, Callable
-from typing import Annotated, Any, Protocol
+from typing import Annotated, Protocol
 
 from aiohttp import web
 from pydantic import Field
 from result import Err, Ok, Result
 
-from radishmount.border._models import BorderModel, read_json
-from radishmount.border._refusals import json_response, refusal_response
+from radishmount.border._answers import address_response, answer_response
+from radishmount.border._http import (
+    HttpService,
+    elapsed_ms,
+    expect_continue,
+    guard_requests,
+    request_id_of,
+)
+from radishmount.border._metrics import RequestMetrics
+from radishmount.border._models import BorderModel, Key, read_json, read_query
+from radishmount.border._refusals import refusal_response
 from radishmount.codes import Code, Refusal
 from radishmount.endpoints import SearchTerms
 from radishmount.fleet import AddressAnswer
@@ -19,19 +27,16 @@
 __all__ = ["CallerService", "make_caller_app"]
 
 MAX_BODY_BYTES = 64 * 1024
-MAX_LIMIT = 1000
-REQUEST_ID_HEADER = "X-Request-Id"
-REQUEST_ID = web.RequestKey("request_id", str)
+MAX_LIMIT = 10_000
+MAX_TEXT_CHARS = 4_096
+MAX_NAME_CHARS = 200
 
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+CallerName = Annotated[str, Field(max_length=MAX_NAME_CHARS)]
 
 
-class CallerService(Protocol):
+class CallerService(HttpService, Protocol):
     """What the callers' border needs of an instance; `Node` is one."""
 
-    def new_request_id(self) -> str:
-        """Return a request id that no other request has."""
-
     def addresses(self, caller: str, data_centre: str) -> Result[AddressAnswer, Refusal]:
         """Return the addresses that a caller is to use."""
 
@@ -42,101 +47,79 @@
 class KeysModel(BorderModel):
     """The keys that a search is narrowed to."""
 
-    from_: Annotated[str, Field(alias="from")] = ""
-    to: str | None = None
+    from_: Annotated[Key, Field(alias="from")] = ""
+    to: Key | None = None
+
+
+class AddressesModel(BorderModel):
+    """The query of a request for addresses."""
+
+    caller: CallerName
+    data_centre: CallerName = ""
 
 
 class SearchModel(BorderModel):
     """The body of a search."""
 
-    caller: str
-    collection: str
-    text: Annotated[str, Field(max_length=4096)]
+    caller: CallerName
+    collection: CallerName
+    text: Annotated[str, Field(max_length=MAX_TEXT_CHARS)]
     limit: Annotated[int, Field(ge=1, le=MAX_LIMIT)] = 20
     keys: KeysModel = KeysModel()
-    deadline_ms: Annotated[float, Field(gt=0)] | None = None
+    deadline_ms: float | None = None
 
-    def to_data(self) -> SearchCall:
-        """Return the search as a data class."""
+    def to_data(self, elapsed_ms: float) -> Result[SearchCall, Refusal]:
+        """Return the search as a data class; `elapsed_ms` have passed since its head arrived."""
+        if self.keys.to is not None and self.keys.to <= self.keys.from_:
+            detail = "keys: to is not above from"
+            return Err(Refusal(Code.BAD_FIELD, detail=detail))
         terms = SearchTerms(self.text, self.limit, KeyRange(self.keys.from_, self.keys.to))
-        return SearchCall(self.caller, self.collection, terms, self.deadline_ms)
+        if self.deadline_ms is None:
+            return Ok(SearchCall(self.caller, self.collection, terms))
+        deadline_ms = self.deadline_ms - elapsed_ms
+        if deadline_ms <= 0.0:
+            return Err(Refusal(Code.DEADLINE_PASSED, detail=f"{self.deadline_ms:g} ms"))
+        return Ok(SearchCall(self.caller, self.collection, terms, deadline_ms))
 
 
-def make_caller_app(service: CallerService) -> web.Application:
+def make_caller_app(
+    service: CallerService, metrics: RequestMetrics | None = None
+) -> web.Application:
     """Return the application that answers callers from `service`."""
 
     async def addresses(request: web.Request) -> web.StreamResponse:
-        caller = request.query.get("caller", "")
-        data_centre = request.query.get("data_centre", "")
-        request_id = _request_id(request, service)
-        match service.addresses(caller, data_centre):
+        request_id = request_id_of(request)
+        match read_query(AddressesModel, request.query):
+            case Err(refusal):
+                return refusal_response(refusal, request_id)
+            case Ok(model):
+                pass
+        match service.addresses(model.caller, model.data_centre):
             case Err(refusal):
                 return refusal_response(refusal, request_id)
             case Ok(answer):
-                return json_response(_address_content(answer), request_id)
+                return address_response(answer, request_id)
 
     async def search(request: web.Request) -> web.StreamResponse:
-        request_id = _request_id(request, service)
+        request_id = request_id_of(request)
         match read_json(SearchModel, await request.read()):
             case Err(refusal):
                 return refusal_response(refusal, request_id)
             case Ok(model):
                 pass
-        match await service.search(request_id, model.to_data()):
+        match model.to_data(elapsed_ms(request)):
+            case Err(refusal):
+                return refusal_response(refusal, request_id)
+            case Ok(call):
+                pass
+        match await service.search(request_id, call):
             case Err(refusal):
                 return refusal_response(refusal, request_id)
             case Ok(answer):
-                return json_response(_answer_content(answer), request_id)
+                return answer_response(answer, request)
 
-    app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[_numbered_errors(service)])
+    guard = guard_requests(service, metrics or RequestMetrics())
+    app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[guard])
     app.router.add_get("/v1/addresses", addresses)
-    app.router.add_post("/v1/search", search)
+    app.router.add_post("/v1/search", search, expect_handler=expect_continue)
     return app
-
-
-def _numbered_errors(service: CallerService) -> Any:
-    @web.middleware
-    async def numbered(request: web.Request, handler: Handler) -> web.StreamResponse:
-        """Give every error that the library raises its number."""
-        request_id = _request_id(request, service)
-        try:
-            return await handler(request)
-        except web.HTTPRequestEntityTooLarge:
-            return refusal_response(Refusal(Code.BODY_TOO_LARGE), request_id)
-        except web.HTTPNotFound:
-            return refusal_response(Refusal(Code.UNKNOWN_PATH, request.path), request_id)
-        except web.HTTPMethodNotAllowed:
-            return refusal_response(Refusal(Code.BAD_METHOD, request.method), request_id)
-
-    return numbered
-
-
-def _request_id(request: web.Request, service: CallerService) -> str:
-    known = request.get(REQUEST_ID)
-    if known is None:
-        known = request.headers.get(REQUEST_ID_HEADER) or service.new_request_id()
-        request[REQUEST_ID] = known
-    return known
-
-
-def _address_content(answer: AddressAnswer) -> dict[str, Any]:
-    addresses = [
-        {"name": i.name, "address": i.caller_address, "data_centre": i.data_centre}
-        for i in answer.instances
-    ]
-    return {"addresses": addresses, "valid_for_ms": answer.valid_for_ms}
-
-
-def _answer_content(answer: Answer) -> dict[str, Any]:
-    return {
-        "request_id": answer.request_id,
-        "index_version": answer.index_version,
-        "complete": answer.coverage.complete,
-        "coverage": {
-            "ratio": answer.coverage.ratio,
-            "covered": answer.coverage.covered,
-            "missing": answer.coverage.missing,
-        },
-        "rows": [{"key": r.key, "score": r.score, "fields": r.fields} for r in answer.rows],
-        "sub_requests": answer.sub_requests,
-    }
--- /dev/null
+++ b/src/radishmount/border/_http.py
@@ -0,0 +1,172 @@
+"""What all HTTP of an instance has in common: request ids, body limits and numbered errors."""
+
+import asyncio
+import re
+import traceback
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from radishmount.audit import AuditTrail
+from radishmount.border._metrics import RequestMetrics
+from radishmount.border._refusals import CHUNKS, RESULT_NAME, refusal_response
+from radishmount.clock import loop_clock
+from radishmount.codes import Code, Ran, Refusal
+from radishmount.counters import Counters
+
+
+__all__ = [
+    "HttpService",
+    "elapsed_ms",
+    "expect_continue",
+    "guard_requests",
+    "request_id_of",
+]
+
+REQUEST_ID_HEADER = "X-Request-Id"
+REQUEST_ID_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
+REQUEST_ID = web.RequestKey("request_id", str)
+ARRIVED_AT_MS = web.RequestKey("arrived_at_ms", float)
+BODY_TIMEOUT_S = 5.0
+SEND_TIMEOUT_S = 30.0
+UNKNOWN_PATH = "other"
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class HttpService(Protocol):
+    """What the HTTP of callers and of operators needs of an instance; `Node` is one."""
+
+    audit: AuditTrail
+    counters: Counters
+
+    def new_request_id(self) -> str:
+        """Return a request id that no other request has."""
+
+    def is_leaving(self) -> bool:
+        """Tell whether callers are to go to another instance."""
+
+
+def request_id_of(request: web.Request) -> str:
+    """Return the id under which `request` is answered."""
+    return request[REQUEST_ID]
+
+
+def elapsed_ms(request: web.Request) -> float:
+    """Return how long ago the head of `request` arrived."""
+    clock = loop_clock(asyncio.get_running_loop())
+    return clock.now_ms() - request[ARRIVED_AT_MS]
+
+
+async def expect_continue(request: web.Request) -> None:
+    """Ask for the body when the caller waits to be asked; other expectations are overlooked."""
+    is_known = request.headers.get("Expect", "").lower() == "100-continue"
+    if is_known and request.transport is not None:
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+def guard_requests(service: HttpService, metrics: RequestMetrics) -> Callable[..., Awaitable]:
+    """Return a middleware that answers each request with a result or with a numbered refusal.
+
+    It takes or makes the request id, reads the body within its limits of size and time, turns every
+    error into a refusal, and sends the answer within a limit of time, so that a caller that neither
+    sends nor reads cannot hold a task.
+    """
+
+    @web.middleware
+    async def guarded(request: web.Request, handler: Handler) -> web.StreamResponse:
+        clock = loop_clock(asyncio.get_running_loop())
+        request[ARRIVED_AT_MS] = clock.now_ms()
+        result_name = Code.CANCELLED.name
+        metrics.started()
+        try:
+            response = await _answer(request, handler, service)
+            result_name = response.get(RESULT_NAME, "OK")
+            if service.is_leaving():
+                response.force_close()
+            await _send(request, response, service)
+        finally:
+            path = _path_of(request)
+            metrics.ended(path, result_name, clock.now_ms() - request[ARRIVED_AT_MS])
+        return response
+
+    return guarded
+
+
+async def _answer(
+    request: web.Request, handler: Handler, service: HttpService
+) -> web.StreamResponse:
+    match _read_request_id(request):
+        case Err(refusal):
+            request[REQUEST_ID] = service.new_request_id()
+            return refusal_response(refusal, request[REQUEST_ID])
+        case Ok(request_id):
+            request[REQUEST_ID] = request_id or service.new_request_id()
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            await request.read()
+    except TimeoutError:
+        return _refuse_body(request, Refusal(Code.BODY_TOO_SLOW))
+    except web.HTTPRequestEntityTooLarge:
+        return _refuse_body(request, Refusal(Code.BODY_TOO_LARGE))
+    except web.RequestPayloadError as error:
+        return _refuse_body(request, Refusal(Code.BAD_HTTP, detail=str(error)))
+    try:
+        return await handler(request)
+    except web.HTTPNotFound:
+        return refusal_response(Refusal(Code.UNKNOWN_PATH, request.path), request[REQUEST_ID])
+    except web.HTTPMethodNotAllowed:
+        return refusal_response(Refusal(Code.BAD_METHOD, request.method), request[REQUEST_ID])
+    except Exception as error:
+        return _internal(request, error, service)
+
+
+def _read_request_id(request: web.Request) -> Result[str, Refusal]:
+    given = request.headers.get(REQUEST_ID_HEADER, "")
+    if given and REQUEST_ID_PATTERN.fullmatch(given) is None:
+        detail = f"{REQUEST_ID_HEADER} takes at most 128 visible ASCII characters"
+        return Err(Refusal(Code.BAD_REQUEST_ID, detail=detail))
+    return Ok(given)
+
+
+def _refuse_body(request: web.Request, refusal: Refusal) -> web.StreamResponse:
+    """Refuse a request whose body was not read to its end, and close its connection."""
+    response = refusal_response(refusal, request[REQUEST_ID])
+    response.force_close()
+    return response
+
+
+def _internal(request: web.Request, error: Exception, service: HttpService) -> web.StreamResponse:
+    """Refuse after an unexpected error: nobody can tell whether the request ran."""
+    last = traceback.extract_tb(error.__traceback__)[-1]
+    place = f"{last.name}:{last.lineno}"
+    is_first = service.counters.value("internal_errors", place) == 0
+    service.counters.add("internal_errors", place)
+    if is_first:
+        subject = f"request/{request[REQUEST_ID]}"
+        cause = f"{type(error).__name__} in {place}: {error}"
+        service.audit.record(subject, "internal error", cause=cause)
+    refusal = Refusal(Code.INTERNAL, detail=type(error).__name__, ran=Ran.UNKNOWN)
+    return refusal_response(refusal, request[REQUEST_ID])
+
+
+async def _send(request: web.Request, response: web.StreamResponse, service: HttpService) -> None:
+    """Send `response`; a caller that does not read it loses its connection."""
+    try:
+        async with asyncio.timeout(SEND_TIMEOUT_S):
+            await response.prepare(request)
+            for chunk in response.get(CHUNKS, ()):
+                await response.write(chunk)
+            await response.write_eof()
+    except TimeoutError:
+        service.counters.add("answers_not_read")
+        if request.transport is not None:
+            request.transport.abort()
+
+
+def _path_of(request: web.Request) -> str:
+    """Return the path as it was registered, so that metrics know few of them."""
+    resource = request.match_info.route.resource
+    return UNKNOWN_PATH if resource is None else resource.canonical
--- a/src/radishmount/border/_models.py
+++ b/src/radishmount/border/_models.py
@@ -1,5 +1,6 @@
 """The base of all validated models: unknown fields and wrong types are errors."""
 
+from collections.abc import Mapping
 from typing import Annotated, TypeVar
 
 import orjson
@@ -12,6 +13,7 @@
 
 __all__ = [
     "BorderModel",
+    "Digits",
     "IndexVersion",
     "Key",
     "Name",
@@ -19,6 +21,7 @@
     "describe_fault",
     "errors_of",
     "read_json",
+    "read_query",
 ]
 
 MAX_KEY_CHARS = 1_000
@@ -28,6 +31,7 @@
 Model = TypeVar("Model", bound="BorderModel")
 Name = Annotated[str, Field(min_length=1, max_length=200, pattern=r"^[A-Za-z0-9._-]+$")]
 Key = Annotated[str, Field(max_length=MAX_KEY_CHARS)]
+Digits = Annotated[str, Field(pattern=r"^[0-9]{1,15}$")]
 IndexVersion = Annotated[int, Field(ge=1, le=MAX_INDEX_VERSION)]
 
 
@@ -51,6 +55,17 @@
         return Err(Refusal(Code.BAD_FIELD, detail=describe_fault(error)))
 
 
+def read_query(model: type[Model], query: Mapping[str, str]) -> Result[Model, Refusal]:
+    """Return the query of a URL as `model`, or a refusal that names the parameter at fault.
+
+    All parameters are texts; a model that wants a number takes it with `Digits`.
+    """
+    try:
+        return Ok(model.model_validate(dict(query)))
+    except ValidationError as error:
+        return Err(Refusal(Code.BAD_FIELD, detail=describe_fault(error)))
+
+
 def errors_of(error: ValidationError) -> list[ErrorDetails]:
     """Return the single faults of `error`."""
     return error.errors(include_url=False, include_input=False)
--- a/src/radishmount/border/_refusals.py
+++ b/src/radishmount/border/_refusals.py
@@ -1,5 +1,6 @@
 """Refusals as callers see them: number, name, text, and whether the request ran."""
 
+from collections.abc import Iterator
 from http import HTTPStatus
 from typing import Any
 
@@ -9,14 +10,25 @@
 from radishmount.codes import TEXT_BY_CODE, Code, Refusal
 
 
-__all__ = ["json_response", "refusal_response", "status_of"]
+__all__ = [
+    "CHUNKS",
+    "RESULT_NAME",
+    "chunked_response",
+    "code_content",
+    "json_response",
+    "refusal_response",
+    "status_of",
+]
 
+RESULT_NAME = web.ResponseKey("result_name", str)
+CHUNKS = web.ResponseKey("chunks", Iterator)
 STATUS_BY_CODE = {
     Code.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     Code.BODY_TOO_SLOW: HTTPStatus.REQUEST_TIMEOUT,
     Code.UNKNOWN_COLLECTION: HTTPStatus.NOT_FOUND,
     Code.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
     Code.UNKNOWN_PATH: HTTPStatus.NOT_FOUND,
+    Code.UNKNOWN_REQUEST: HTTPStatus.NOT_FOUND,
     Code.UNKNOWN_TICKET: HTTPStatus.NOT_FOUND,
     Code.BAD_METHOD: HTTPStatus.METHOD_NOT_ALLOWED,
     Code.UNKNOWN_CALLER: HTTPStatus.FORBIDDEN,
@@ -40,28 +52,46 @@
     return HTTPStatus.SERVICE_UNAVAILABLE
 
 
+def code_content(code: Code) -> dict[str, Any]:
+    """Return a code as answers show it."""
+    return {"number": code.value, "name": code.name, "text": TEXT_BY_CODE[code]}
+
+
 def refusal_response(refusal: Refusal, request_id: str) -> web.Response:
     """Return the response that tells a caller of `refusal`."""
-    content = {
-        "request_id": request_id,
-        "error": {
-            "number": refusal.code.value,
-            "name": refusal.code.name,
-            "text": TEXT_BY_CODE[refusal.code],
-            "detail": refusal.detail,
-            "ran": refusal.ran.value,
-        },
+    error = {
+        **code_content(refusal.code),
+        "detail": _printable(refusal.detail),
+        "ran": refusal.ran.value,
     }
-    return json_response(content, request_id, status_of(refusal.code))
+    content = {"request_id": request_id, "error": error}
+    response = json_response(content, request_id, status_of(refusal.code))
+    response[RESULT_NAME] = refusal.code.name
+    return response
 
 
 def json_response(
-    content: dict[str, Any], request_id: str, status: HTTPStatus = HTTPStatus.OK
+    content: dict[str, Any], request_id: str = "", status: HTTPStatus = HTTPStatus.OK
 ) -> web.Response:
     """Return `content` as JSON under `request_id`."""
     return web.Response(
         body=orjson.dumps(content),
         status=status,
         content_type="application/json",
-        headers={"X-Request-Id": request_id},
+        headers={"X-Request-Id": request_id} if request_id else {},
     )
+
+
+def chunked_response(chunks: Iterator[bytes], request_id: str) -> web.StreamResponse:
+    """Return a JSON answer whose pieces are made and sent one by one."""
+    response = web.StreamResponse(
+        headers={"X-Request-Id": request_id, "Content-Type": "application/json"}
+    )
+    response.enable_chunked_encoding()
+    response[CHUNKS] = chunks
+    return response
+
+
+def _printable(detail: str) -> str:
+    """Return `detail` without what JSON cannot carry, such as undecodable bytes of a path."""
+    return detail.encode("utf-8", "backslashreplace").decode("utf-8")
--- a/src/radishmount/border/_serve.py
+++ b/src/radishmount/border/_serve.py
@@ -1,52 +1,109 @@
 """Listening on an address of the settings."""
 
+import asyncio
+from typing import Any
+
 from aiohttp import web
 from result import Err, Ok, Result
 
+from radishmount.border._refusals import refusal_response
 from radishmount.border._settings import Listen
-from radishmount.codes import Code, Refusal
+from radishmount.codes import Code, Ran, Refusal
 
 
 __all__ = ["Server", "serve"]
 
 SHUTDOWN_TIMEOUT_S = 60.0
+IDLE_TIMEOUT_S = 60.0
+UNREAD_BODY_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 4_000
+HANDLER_OPTIONS: dict[str, Any] = {
+    "lingering_time": UNREAD_BODY_TIMEOUT_S,
+    "access_log": None,
+    "auto_decompress": False,
+}
 
 
 class Server:
     """A running HTTP server and the address that it was given."""
 
-    def __init__(self, runner: web.AppRunner, address: Listen) -> None:
+    def __init__(self, listening: asyncio.Server, runner: web.AppRunner, address: Listen) -> None:
+        self._listening = listening
         self._runner = runner
         self.address = address
 
     async def stop(self) -> None:
         """Take no new connection, finish the requests in flight, and close."""
+        self._listening.close()
         await self._runner.cleanup()
 
 
+class NumberedHandler(web.RequestHandler):
+    """One connection of a client. What the library refuses by itself gets a number too."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the answer to a request that is not valid HTTP, or that failed unforeseen."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun already")
+        refusal = Refusal(Code.INTERNAL, detail=type(exc).__name__, ran=Ran.UNKNOWN)
+        if status < 500:
+            refusal = Refusal(Code.BAD_HTTP, detail=type(exc).__name__)
+        response = refusal_response(refusal, "")
+        response.force_close()
+        return response
+
+
+class CrowdedOut(asyncio.Protocol):
+    """One connection above the limit, which is closed at once."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Close the connection."""
+        transport.close()
+
+
 async def serve(
     app: web.Application,
     listen: Listen,
     *,
     shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
+    idle_timeout_s: float = IDLE_TIMEOUT_S,
     cancel_abandoned: bool = False,
 ) -> Result[Server, Refusal]:
     """Serve `app` on `listen`, or tell that the address cannot be bound.
 
-    With `cancel_abandoned` a handler is cancelled when its client closes the connection.
+    A connection that brings no whole request head within `idle_timeout_s` is closed. With
+    `cancel_abandoned` a handler is cancelled when its client closes the connection.
     """
+    loop = asyncio.get_running_loop()
     runner = web.AppRunner(
-        app,
-        access_log=None,
-        shutdown_timeout=shutdown_timeout_s,
-        handler_cancellation=cancel_abandoned,
+        app, shutdown_timeout=shutdown_timeout_s, handler_cancellation=cancel_abandoned
     )
     await runner.setup()
+    manager = runner.server
+    assert manager is not None
+
+    def connect() -> asyncio.Protocol:
+        if len(manager.connections) >= MAX_CONNECTIONS:
+            return CrowdedOut()
+        return NumberedHandler(
+            manager,
+            loop=loop,
+            keepalive_timeout=idle_timeout_s,
+            **HANDLER_OPTIONS,
+        )
+
     try:
-        site = web.TCPSite(runner, listen.host, listen.port)
-        await site.start()
+        listening = await loop.create_server(connect, listen.host, listen.port)
     except OSError as error:
         await runner.cleanup()
-        return Err(Refusal(Code.ADDRESS_IN_USE, detail=f"{listen}: {error}"))
-    host, port = runner.addresses[0][:2]
-    return Ok(Server(runner, Listen(host, port)))
+        return Err(Refusal(Code.ADDRESS_IN_USE, detail=f"{listen}: {error.strerror}"))
+    host, port = listening.sockets[0].getsockname()[:2]
+    return Ok(Server(listening, runner, Listen(host, port)))
--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -31,6 +31,7 @@
     NO_RULE = 1011
     BAD_REQUEST_ID = 1012
     BAD_HTTP = 1013
+    UNKNOWN_REQUEST = 1014
 
     OVER_QUOTA = 2001
     OVERLOADED = 2002
@@ -101,6 +102,7 @@
     Code.NO_RULE: "no rule binds the caller to the target",
     Code.BAD_REQUEST_ID: "the request id is too long or holds characters that are not allowed",
     Code.BAD_HTTP: "the request is not valid HTTP",
+    Code.UNKNOWN_REQUEST: "no record of the request is kept",
     Code.OVER_QUOTA: "the caller has used up its quota",
     Code.OVERLOADED: "the queue is full",
     Code.CANNOT_MEET_DEADLINE: "the deadline cannot be met",
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -31,7 +31,7 @@
     ReadBundle,
     watch_configuration,
 )
-from radishmount.queries import Answer, QueryTools, Search, SearchCall, run_search
+from radishmount.queries import Answer, QueryTools, RequestRecord, Search, SearchCall, run_search
 
 
 __all__ = ["Node", "NodeParts", "Platform", "make_node"]
@@ -130,6 +130,29 @@
         """Tell whether the instance takes work."""
         return self.in_force.current.version > 0 and self.fleet.list_version > 0
 
+    def is_leaving(self) -> bool:
+        """Tell whether callers are to go to another instance."""
+        return self.fleet.leaving
+
+    def explain(self, request_id: str) -> RequestRecord | None:
+        """Return the record of a slow, partial or refused request, if it is kept."""
+        return self.tools.explain.find(request_id)
+
+    def gauges(self) -> dict[str, float]:
+        """Return the present values that the metrics show."""
+        in_force = self.in_force
+        version = in_force.current.version
+        age_ms = self.parts.clock.now_ms() - in_force.since_ms if version else 0.0
+        return {
+            "ready": float(self.is_ready()),
+            "leaving": float(self.is_leaving()),
+            "publication_version": float(version),
+            "publication_age_ms": age_ms,
+            "instance_list_version": float(self.fleet.list_version),
+            "instances_listed": float(len(self.fleet.listed_names)),
+            "endpoints_known": float(len(self.pool.links_by_name)),
+        }
+
     def status(self) -> dict[str, Any]:
         """Return the state of the instance in plain values."""
         publication = self.in_force.current
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -14,6 +14,7 @@
 from radishmount.border import (
     EntrySettings,
     HttpPlatform,
+    RequestMetrics,
     Server,
     make_caller_app,
     make_operator_app,
@@ -65,10 +66,11 @@
         ),
         audit,
     )
-    callers = await serve(make_caller_app(node), settings.caller_listen)
+    metrics = RequestMetrics()
+    callers = await serve(make_caller_app(node, metrics), settings.caller_listen)
     if isinstance(callers, Err):
         return callers
-    operators = await serve(make_operator_app(node), settings.operator_listen)
+    operators = await serve(make_operator_app(node, metrics), settings.operator_listen)
     if isinstance(operators, Err):
         await callers.ok_value.stop()
         return operators
--- /dev/null
+++ b/tests/fake_service.py
@@ -0,0 +1,114 @@
+"""A fake of an instance, for tests of the HTTP borders alone."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from radishmount.audit import AuditTrail
+from radishmount.border import (
+    Listen,
+    RequestMetrics,
+    make_caller_app,
+    make_operator_app,
+    serve,
+)
+from radishmount.clock import Clock
+from radishmount.codes import Code, Refusal
+from radishmount.counters import Counters
+from radishmount.endpoints import Row
+from radishmount.fleet import AddressAnswer, Instance
+from radishmount.queries import Answer, RequestRecord, SearchCall
+from radishmount.snapshots import Coverage
+
+
+FREE = Listen("127.0.0.1", 0)
+STILL = Clock(now_ms=lambda: 0.0, wall_ms=lambda: 0.0)
+
+
+@dataclass
+class FakeService:
+    """Answers as the test sets it, and keeps the calls that came through the border."""
+
+    rows: int = 1
+    missing: tuple[str, ...] = ()
+    error: Exception | None = None
+    leaving: bool = False
+    ready: bool = True
+    record: RequestRecord | None = None
+    calls: list[SearchCall] = field(default_factory=list)
+    audit: AuditTrail = field(default_factory=lambda: AuditTrail(STILL))
+    counters: Counters = field(default_factory=Counters)
+    made_ids: int = 0
+
+    def new_request_id(self) -> str:
+        self.made_ids += 1
+        return f"made-{self.made_ids}"
+
+    def is_leaving(self) -> bool:
+        return self.leaving
+
+    def is_ready(self) -> bool:
+        return self.ready
+
+    def status(self) -> dict[str, Any]:
+        return {"name": "fake"}
+
+    def explain(self, request_id: str) -> RequestRecord | None:
+        return self.record
+
+    def gauges(self) -> dict[str, float]:
+        return {"publication_version": 7.0}
+
+    def addresses(self, caller: str, data_centre: str) -> Result[AddressAnswer, Refusal]:
+        if caller != "workshop":
+            return Err(Refusal(Code.UNKNOWN_CALLER, detail=caller))
+        return Ok(AddressAnswer((Instance("entry-a", "milano", "127.0.0.1:1", ""),)))
+
+    async def search(self, request_id: str, call: SearchCall) -> Result[Answer, Refusal]:
+        self.calls.append(call)
+        if self.error is not None:
+            raise self.error
+        rows = tuple(Row(f"key-{n}", 1.0, {"n": n}) for n in range(self.rows))
+        coverage = Coverage(("low",), self.missing)
+        return Ok(Answer(request_id, 1, rows, coverage, sub_requests=1))
+
+
+MakeApp = Callable[[FakeService, RequestMetrics], web.Application]
+
+
+@asynccontextmanager
+async def serving(
+    service: FakeService, make_app: MakeApp = make_caller_app, **options: Any
+) -> AsyncIterator[str]:
+    """Serve `service` on loopback and yield its address."""
+    server = (await serve(make_app(service, RequestMetrics()), FREE, **options)).unwrap()
+    try:
+        yield str(server.address)
+    finally:
+        await server.stop()
+
+
+def operators(service: FakeService, metrics: RequestMetrics) -> web.Application:
+    """Return the operators' application."""
+    return make_operator_app(service, metrics)
+
+
+async def send_raw(address: str, *pieces: bytes, pause_s: float = 0.0) -> bytes:
+    """Send `pieces` over a connection of its own and return all that comes back."""
+    host, _, port = address.partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        return await reader.read()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
