--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -25,6 +25,7 @@
 )
 from radishmount.clock import Clock, loop_clock
 from radishmount.codes import Refusal
+from radishmount.endpoints import OpenChannel
 from radishmount.node import Node, NodeParts, make_node
 from radishmount.programs._application import Exit, run_program, tell_error
 from radishmount.programs._logging import audit_log, log_state_change, set_up_logging
@@ -51,7 +52,11 @@
 
 
 async def start_entry(
-    settings: EntrySettings, clock: Clock, random: Random, audit: AuditTrail
+    settings: EntrySettings,
+    clock: Clock,
+    random: Random,
+    audit: AuditTrail,
+    open_channel: OpenChannel = open_endpoint_channel,
 ) -> Result[RunningEntry, Refusal]:
     """Start an entry from its settings."""
     node = make_node(
@@ -61,7 +66,7 @@
             clock=clock,
             random=random,
             platform=HttpPlatform(settings.platform),
-            open_channel=open_endpoint_channel,
+            open_channel=open_channel,
             read_bundle=read_bundle,
         ),
         audit,
