--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -1,5 +1,6 @@
 """The border: bytes become data classes here, and data classes bytes."""
 
+from radishmount.border._ask_client import AskAnswer, AskClient
 from radishmount.border._bundle import digest_of, read_bundle, write_bundle
 from radishmount.border._callers import CallerService, make_caller_app
 from radishmount.border._endpoint_client import EndpointChannel, open_endpoint_channel
@@ -21,6 +22,8 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "AskAnswer",
+    "AskClient",
     "BorderModel",
     "CallerService",
     "EndpointChannel",
--- /dev/null
+++ b/src/radishmount/border/_ask_client.py
@@ -0,0 +1,197 @@
+"""A client of instances, as callers and operators may use it: it follows address answers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+import orjson
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from radishmount.border._models import BorderModel, describe_fault
+from radishmount.codes import Code, Ran, Refusal
+
+
+__all__ = ["AskAnswer", "AskClient"]
+
+CONNECT_TIMEOUT_S = 2.0
+TOTAL_TIMEOUT_S = 60.0
+NOT_CONNECTED_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
+)
+MOVE_ON_NAMES = frozenset({"NOT_READY", "INSTANCE_LEAVING", "OVERLOADED"})
+
+
+class AddressModel(BorderModel):
+    """One address of an answer."""
+
+    name: str
+    address: str
+    data_centre: str
+
+
+class AddressesModel(BorderModel):
+    """The answer to the question which addresses to use."""
+
+    addresses: list[AddressModel]
+    valid_for_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskAnswer:
+    """What an instance answered, and at which address."""
+
+    address: str
+    status: int
+    content: dict[str, Any]
+
+    @property
+    def error(self) -> dict[str, Any] | None:
+        """Return the refusal in the answer, none if there is none."""
+        error = self.content.get("error")
+        return error if isinstance(error, dict) else None
+
+    @property
+    def ran(self) -> str:
+        """Return whether the request ran, as the answer tells it."""
+        told = self.content.get("ran") or (self.error or {}).get("ran")
+        return str(told or Ran.UNKNOWN.value)
+
+
+@dataclass(slots=True)
+class AskClient:
+    """Asks one instance, or the instances that a first one names for a caller.
+
+    async with AskClient(["127.0.0.1:8080"]) as client:
+        answer = await client.ask_any("workshop-lodi", "/v1/search", body)
+    """
+
+    entries: list[str]
+    notes: list[str] = field(default_factory=list)
+    http: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "AskClient":
+        """Open the session."""
+        self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        """Close the session."""
+        if self.http is not None:
+            await self.http.close()
+
+    async def get(
+        self, address: str, path: str, query: dict[str, str] | None = None
+    ) -> Result[AskAnswer, Refusal]:
+        """Read `path` at `address`."""
+        return await self._ask("GET", address, path, query=query)
+
+    async def post(
+        self, address: str, path: str, body: dict[str, Any], key: str | None = None
+    ) -> Result[AskAnswer, Refusal]:
+        """Send `body` to `path` at `address`, with an idempotency key if there is one."""
+        headers = {"Idempotency-Key": key} if key else {}
+        return await self._ask("POST", address, path, body=body, headers=headers)
+
+    async def addresses(self, caller: str, data_centre: str = "") -> Result[AskAnswer, Refusal]:
+        """Ask the given entries, one after the other, which addresses `caller` is to use."""
+        query = {"caller": caller}
+        if data_centre:
+            query["data_centre"] = data_centre
+        last = Refusal(Code.NOT_CONNECTED, detail="no entry was given")
+        for entry in self.entries:
+            match await self.get(entry, "/v1/addresses", query):
+                case Ok(answer):
+                    if not _moves_on(answer):
+                        return Ok(answer)
+                    last = Refusal(Code.NOT_READY, detail=entry)
+                case Err(refusal):
+                    last = refusal
+            self.notes.append(f"{entry}: {last}")
+        return Err(last)
+
+    async def ask_any(
+        self,
+        caller: str,
+        path: str,
+        body: dict[str, Any],
+        *,
+        key: str | None = None,
+        is_idempotent: bool = True,
+    ) -> Result[AskAnswer, Refusal]:
+        """Post `body` to the addresses that `caller` is told to use, until one of them answers.
+
+        One that is not idempotent goes to the next address only while it has surely not run.
+        """
+        match await self._addresses_of(caller):
+            case Err(refusal):
+                return Err(refusal)
+            case Ok(addresses):
+                pass
+        last = Refusal(Code.NOT_CONNECTED, detail="no address was answered")
+        for address in addresses:
+            match await self.post(address, path, body, key):
+                case Ok(answer):
+                    if not _moves_on(answer) or (not is_idempotent and answer.ran != Ran.NOT_RUN):
+                        return Ok(answer)
+                    last = Refusal(Code.NOT_READY, detail=address)
+                case Err(refusal):
+                    if refusal.ran is not Ran.NOT_RUN and not is_idempotent:
+                        return Err(refusal)
+                    last = refusal
+            self.notes.append(f"{address}: {last}")
+        return Err(last)
+
+    async def _addresses_of(self, caller: str) -> Result[Iterable[str], Refusal]:
+        match await self.addresses(caller):
+            case Err(refusal):
+                return Err(refusal)
+            case Ok(answer):
+                pass
+        if answer.error is not None:
+            return Err(Refusal(Code.NOT_CONNECTED, detail=f"{answer.error.get('text')}: {caller}"))
+        try:
+            model = AddressesModel.model_validate(answer.content)
+        except ValidationError as error:
+            return Err(Refusal(Code.BAD_REPLY, detail=describe_fault(error)))
+        return Ok([line.address for line in model.addresses])
+
+    async def _ask(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        *,
+        query: dict[str, str] | None = None,
+        body: dict[str, Any] | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Result[AskAnswer, Refusal]:
+        timeout = aiohttp.ClientTimeout(total=TOTAL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        data = None if body is None else orjson.dumps(body)
+        url = f"http://{address}{quote(path)}"
+        assert self.http is not None, "used outside of `async with`"
+        try:
+            async with self.http.request(
+                method, url, params=query, data=data, headers=headers, timeout=timeout
+            ) as response:
+                content = orjson.loads(await response.read())
+                status = response.status
+        except NOT_CONNECTED_ERRORS as error:
+            return Err(Refusal(Code.NOT_CONNECTED, detail=f"{address}: {error}"))
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            detail = f"{address}: {type(error).__name__}"
+            return Err(Refusal(Code.CONNECTION_LOST, detail=detail, ran=Ran.UNKNOWN))
+        except orjson.JSONDecodeError as error:
+            return Err(Refusal(Code.BAD_REPLY, detail=f"{address}: {error}", ran=Ran.UNKNOWN))
+        if not isinstance(content, dict):
+            return Err(Refusal(Code.BAD_REPLY, detail=f"{address}: no object", ran=Ran.UNKNOWN))
+        return Ok(AskAnswer(address, status, content))
+
+
+def _moves_on(answer: AskAnswer) -> bool:
+    """Tell whether another instance may answer what this one refused."""
+    return answer.error is not None and answer.error.get("name") in MOVE_ON_NAMES
--- a/src/radishmount/programs/_application.py
+++ b/src/radishmount/programs/_application.py
@@ -24,6 +24,8 @@
     REFUSED = 1
     BAD_USAGE = 2
     UNREACHABLE = 3
+    PARTIAL = 4
+    OUTCOME_UNKNOWN = 5
     INTERNAL = 70
 
 
