--- /dev/null
+++ b/src/radishmount/control.py
@@ -0,0 +1,314 @@
+"""What keeps one instance in step with the fleet: platform, peers, versions, pauses, leaving."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, Protocol
+
+from result import Result
+
+from radishmount.audit import AuditTrail
+from radishmount.clock import Clock
+from radishmount.codes import Refusal
+from radishmount.counters import Counters
+from radishmount.fleet import (
+    ADDRESSES_VALID_FOR_MS,
+    RENEWAL_LIMIT_MS,
+    Fleet,
+    Freshness,
+    Heartbeat,
+    HeldVersions,
+    InstanceList,
+    InstanceListSource,
+    ListSpread,
+    ListWatch,
+    Members,
+    Membership,
+    MemberState,
+    MemberUpdate,
+    OpenPeer,
+    Peers,
+    PlatformWatch,
+    first_incarnation,
+    make_freshness,
+)
+from radishmount.publication import (
+    ConfigurationSource,
+    Distribution,
+    InForce,
+    Publication,
+    ReadBundle,
+)
+
+
+__all__ = ["LEAVING_GRACE_MS", "Control", "ControlParts", "OpenPeerFor", "Platform", "make_control"]
+
+START_LIMIT_MS = 5_000.0
+SEED_INTERVAL_MS = 1_000.0
+LEAVING_GRACE_MS = ADDRESSES_VALID_FOR_MS + 1_000.0
+
+OpenPeerFor = Callable[[Members, Counters], OpenPeer]
+
+
+class Platform(ConfigurationSource, InstanceListSource, Protocol):
+    """The platform, which can only be read and watched."""
+
+    async def close(self) -> None:
+        """Close the connections."""
+
+
+@dataclass(frozen=True, slots=True)
+class ControlParts:
+    """What the control of an instance is handed from outside.
+
+    `seeds` are peer addresses to ask while no instance list is known; `forget` drops what the
+    rest of the instance believes of endpoints.
+    """
+
+    name: str
+    data_centre: str
+    clock: Clock
+    random: Random
+    platform: Platform
+    read_bundle: ReadBundle
+    open_peer_for: OpenPeerFor
+    seeds: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Control:
+    """The parts that follow the platform and the peers, and their tasks."""
+
+    parts: ControlParts
+    audit: AuditTrail
+    counters: Counters
+    fleet: Fleet
+    in_force: InForce
+    list_watch: ListWatch
+    peers: Peers
+    membership: Membership
+    distribution: Distribution
+    list_spread: ListSpread
+    bundle_reader: PlatformWatch
+    list_reader: PlatformWatch
+    freshness: Freshness
+    on_forget: list[Callable[[], None]] = field(default_factory=list)
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    reader_tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    has_started: bool = False
+    leaving_at_ms: float | None = None
+
+    def start(self) -> None:
+        """Start the watches at the platform, the streams to peers and the tick."""
+        self.membership.start()
+        self.distribution.start()
+        self.list_spread.start()
+        self._start_readers()
+        self._start_task("tick", self.freshness.run())
+        self._start_task("start up", self._start_up())
+        self._start_task("seeds", self._ask_seeds())
+        self._start_task("probe random", self.membership.probe_random())
+        self._start_task("close idle", self.membership.close_idle())
+
+    async def stop(self) -> None:
+        """End every task and stream."""
+        tasks = [*self.tasks, *self.reader_tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.freshness.stop()
+        await self.distribution.stop()
+        await self.list_spread.stop()
+        await self.membership.stop()
+        await self.peers.stop()
+        await self.parts.platform.close()
+
+    def leave(self) -> None:
+        """Say that this instance leaves. Requests are taken for a while, as callers keep addresses.
+
+        A second call changes nothing.
+        """
+        if self.leaving_at_ms is not None:
+            return
+        self.leaving_at_ms = self.parts.clock.now_ms()
+        self.fleet.members.say(MemberState.LEAVING, "asked to stop")
+
+    def is_leaving(self) -> bool:
+        """Tell whether callers are to be sent elsewhere."""
+        return self.leaving_at_ms is not None
+
+    def takes_requests(self) -> bool:
+        """Tell whether new requests are answered, in the time of grace of a leave too."""
+        if not self.has_started:
+            return False
+        if self.leaving_at_ms is None:
+            return True
+        return self.parts.clock.now_ms() < self.leaving_at_ms + LEAVING_GRACE_MS
+
+    async def wait_until_fresh(self, limit_ms: float | None) -> bool:
+        """Wait for the view to be renewed after a pause; tell whether it was in time."""
+        return await self.freshness.wait(limit_ms or RENEWAL_LIMIT_MS)
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.has_started and not self.is_leaving() and self.freshness.check()
+
+    def take_load(self, load: float) -> None:
+        """Say that this instance is overloaded, or that it is no more."""
+        state = self.fleet.members.own.state
+        if state is MemberState.LIVE and load >= 1.0:
+            self.fleet.members.say(MemberState.OVERLOADED, f"load {load:.2f}")
+        if state is MemberState.OVERLOADED and load < 0.75:
+            self.fleet.members.say(MemberState.LIVE, f"load {load:.2f}")
+
+    def status(self) -> dict[str, Any]:
+        """Return what operators are shown of versions and peers."""
+        publication = self.in_force.current
+        members = self.fleet.members
+        states = {name: str(member.update.state) for name, member in members.by_name.items()}
+        return {
+            "incarnation": members.own.incarnation,
+            "leaving": self.is_leaving(),
+            "publication": {
+                "version": publication.version,
+                "digest": publication.digest,
+                "age_ms": self.in_force.age_ms(),
+            },
+            "instance_list": {"version": self.fleet.list_version, "names": self.fleet.listed_names},
+            "peers": {"open": sorted(self.peers.sessions_by_name), "states": states},
+        }
+
+    def _start_readers(self) -> None:
+        platform = self.parts.platform
+
+        async def read_bundle(wait_ms: int) -> Result[bytes | None, Refusal]:
+            return await platform.bundle(self.in_force.current.version, wait_ms)
+
+        async def read_list(wait_ms: int) -> Result[InstanceList | None, Refusal]:
+            return await platform.instance_list(self.fleet.list_version, wait_ms)
+
+        async def take_bundle(body: bytes) -> Any:
+            return await self.in_force.take(body, source="platform")
+
+        work = {
+            "watch configuration": self.bundle_reader.run(read_bundle, take_bundle),
+            "watch instances": self.list_reader.run(read_list, self.list_watch.take),
+        }
+        for name, reading in work.items():
+            self.reader_tasks.append(asyncio.create_task(reading, name=name))
+
+    async def _start_up(self) -> None:
+        """Be ready only with the highest version that the platform and the peers hold."""
+        await self.list_reader.was_read.wait()
+        await self.bundle_reader.was_read.wait()
+        await self._wait_for(lambda: self.fleet.list_version > 0)
+        try:
+            async with asyncio.timeout(START_LIMIT_MS / 1000.0):
+                await self._wait_for(self.membership.all_tried)
+                await self._end_fetch()
+        except TimeoutError:
+            self.counters.add("starts_without_all_peers")
+        await self._wait_for(lambda: self.in_force.current.version > 0)
+        self.has_started = True
+        version = self.in_force.current.version
+        self.audit.record(
+            "instance", "ready", cause="platform and peers were asked", version=version
+        )
+
+    async def _wait_for(self, condition: Callable[[], bool]) -> None:
+        while not condition():
+            self.membership.progress.clear()
+            await self.membership.progress.wait()
+
+    async def _end_fetch(self) -> None:
+        for fetching in (self.list_spread.fetching, self.distribution.fetching):
+            if fetching is not None:
+                await asyncio.wait([fetching])
+
+    async def _ask_seeds(self) -> None:
+        """Ask the addresses of the settings for a list while the platform gives none."""
+        await self.list_reader.was_read.wait()
+        while self.fleet.list_version == 0 and self.parts.seeds:
+            for address in self.parts.seeds:
+                await self.peers.open_address(address)
+            await self.parts.clock.sleep_ms(SEED_INTERVAL_MS)
+
+    def _start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        self.tasks.append(asyncio.create_task(work, name=name))
+
+    def see_heartbeat(self, peer: str, beat: Heartbeat) -> None:
+        """Compare the versions that a peer holds with those here."""
+        self.list_spread.see(peer, beat)
+        self.distribution.see(peer, beat.bundle_version, beat.bundle_digest)
+
+    def held(self) -> HeldVersions:
+        """Return the versions that this instance holds."""
+        current = self.in_force.current
+        return HeldVersions(current.version, current.digest, self.fleet.list_version)
+
+    async def take_publication(self, publication: Publication) -> None:
+        """Tell the peers of a new version at once."""
+        self.membership.progress.set()
+        self.membership.beat()
+
+    async def take_list(self, instance_list: InstanceList) -> None:
+        """Keep streams to the neighbours of a new list, and tell them of it."""
+        self.membership.take_list()
+        self.membership.progress.set()
+        self.membership.beat()
+
+    def forget(self) -> None:
+        """Drop what was believed before a pause."""
+        self.fleet.members.forget_evidence()
+        for tell in self.on_forget:
+            tell()
+
+    async def renew(self) -> None:
+        """Ask the platform and every neighbour for what changed during a pause."""
+        for task in self.reader_tasks:
+            task.cancel()
+        await asyncio.gather(*self.reader_tasks, return_exceptions=True)
+        self.reader_tasks.clear()
+        self._start_readers()
+        await asyncio.gather(
+            self.membership.ask_all(),
+            self.list_reader.was_read.wait(),
+            self.bundle_reader.was_read.wait(),
+        )
+        await self._end_fetch()
+
+
+def make_control(parts: ControlParts, audit: AuditTrail, counters: Counters) -> Control:
+    """Return the control of an instance, not started yet."""
+    clock, random = parts.clock, parts.random
+    incarnation = first_incarnation(clock.wall_ms(), random)
+    own = MemberUpdate(parts.name, incarnation, 0, MemberState.LIVE)
+    members = Members(own, parts.data_centre)
+    fleet = Fleet(parts.name, parts.data_centre, members)
+    in_force = InForce(parts.read_bundle, audit, counters, clock)
+    list_watch = ListWatch(fleet, audit, counters, clock)
+    peers = Peers(fleet, parts.open_peer_for(members, counters), clock, counters)
+    control = Control(
+        parts=parts,
+        audit=audit,
+        counters=counters,
+        fleet=fleet,
+        in_force=in_force,
+        list_watch=list_watch,
+        peers=peers,
+        membership=Membership(
+            fleet, peers, clock, random, audit, counters, held=lambda: control.held()
+        ),
+        distribution=Distribution(in_force, peers, clock, counters),
+        list_spread=ListSpread(list_watch, peers, counters),
+        bundle_reader=PlatformWatch(fleet, clock, random, counters, "bundle"),
+        list_reader=PlatformWatch(fleet, clock, random, counters, "instances"),
+        freshness=make_freshness(
+            clock, audit, counters, lambda: control.forget(), lambda: control.renew()
+        ),
+    )
+    control.membership.on_heartbeat.append(control.see_heartbeat)
+    in_force.on_change.append(control.take_publication)
+    list_watch.on_change.append(control.take_list)
+    return control
--- /dev/null
+++ b/src/radishmount/fleet/_freshness.py
@@ -0,0 +1,95 @@
+"""Whether the view of this instance is younger than its last pause."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from radishmount.audit import AuditTrail
+from radishmount.clock import Clock, PauseWatch
+from radishmount.counters import Counters
+
+
+__all__ = ["RENEWAL_LIMIT_MS", "Freshness", "make_freshness"]
+
+TICK_INTERVAL_MS = 250.0
+RENEWAL_LIMIT_MS = 1_500.0
+
+
+@dataclass(slots=True)
+class Freshness:
+    """Finds pauses by late ticks and holds new work until the view was renewed after one.
+
+    `forget` drops what was believed before the pause, at once; `renew` reads it anew.
+    """
+
+    clock: Clock
+    audit: AuditTrail
+    counters: Counters
+    forget: Callable[[], None]
+    renew: Callable[[], Awaitable[None]]
+    pause_watch: PauseWatch
+    fresh: asyncio.Event = field(default_factory=asyncio.Event)
+    renewal: asyncio.Task[None] | None = None
+
+    async def run(self) -> None:
+        """Tick for as long as the instance runs."""
+        while True:
+            await self.clock.sleep_ms(TICK_INTERVAL_MS)
+            self._note(self.pause_watch.tick(self.clock.now_ms()))
+
+    def check(self) -> bool:
+        """Tell whether the view is fresh; a request may come before the late tick does."""
+        late_ms = self.clock.now_ms() - self.pause_watch.last_tick_at_ms
+        if late_ms > TICK_INTERVAL_MS:
+            self._note(self.pause_watch.tick(self.clock.now_ms()))
+        return self.fresh.is_set()
+
+    async def wait(self, limit_ms: float) -> bool:
+        """Wait until the view is fresh, `limit_ms` at most; tell whether it is."""
+        if self.check():
+            return True
+        try:
+            async with asyncio.timeout(limit_ms / 1000.0):
+                await self.fresh.wait()
+        except TimeoutError:
+            pass
+        return self.fresh.is_set()
+
+    async def stop(self) -> None:
+        """End a renewal that is under way."""
+        if self.renewal is not None:
+            self.renewal.cancel()
+            await asyncio.gather(self.renewal, return_exceptions=True)
+
+    def _note(self, pause_ms: float) -> None:
+        if pause_ms <= 0.0:
+            return
+        self.counters.add("pauses")
+        self.audit.record("instance", "woke from a pause", cause=f"{pause_ms:.0f} ms late")
+        self.fresh.clear()
+        self.forget()
+        if self.renewal is not None:
+            self.renewal.cancel()
+        self.renewal = asyncio.create_task(self._renew(), name="renew view")
+
+    async def _renew(self) -> None:
+        try:
+            async with asyncio.timeout(RENEWAL_LIMIT_MS / 1000.0):
+                await self.renew()
+        except TimeoutError:
+            self.counters.add("renewals_cut_short")
+        self.fresh.set()
+
+
+def make_freshness(
+    clock: Clock,
+    audit: AuditTrail,
+    counters: Counters,
+    forget: Callable[[], None],
+    renew: Callable[[], Awaitable[None]],
+) -> Freshness:
+    """Return a watch over pauses that starts with a fresh view."""
+    pause_watch = PauseWatch(TICK_INTERVAL_MS, clock.now_ms())
+    freshness = Freshness(clock, audit, counters, forget, renew, pause_watch)
+    freshness.fresh.set()
+    return freshness
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -14,17 +14,22 @@
 from radishmount.border import (
     EntrySettings,
     HttpPlatform,
+    PeerKey,
+    PeerServer,
     RequestMetrics,
     Server,
     make_caller_app,
+    make_open_peer,
     make_operator_app,
     open_endpoint_channel,
     read_bundle,
     read_entry_settings,
     serve,
+    serve_peers,
 )
 from radishmount.clock import Clock, loop_clock
 from radishmount.codes import Refusal
+from radishmount.control import LEAVING_GRACE_MS
 from radishmount.endpoints import OpenChannel
 from radishmount.node import Node, NodeParts, make_node
 from radishmount.programs._application import Exit, run_program, tell_error
@@ -34,19 +39,32 @@
 __all__ = ["RunningEntry", "main", "start_entry"]
 
 PROGRAM = "radishmount-entry"
+REFUSING_MS = 2_000.0
 
 
 class RunningEntry:
     """An entry that is being served, in this process."""
 
-    def __init__(self, node: Node, callers: Server, operators: Server) -> None:
+    def __init__(self, node: Node, callers: Server, operators: Server, peers: PeerServer) -> None:
         self.node = node
         self.callers = callers
         self.operators = operators
+        self.peers = peers
+
+    async def leave(self) -> None:
+        """Stop gracefully: have callers moved elsewhere first, and finish what is in flight.
+
+        Requests are answered for as long as callers may hold this address, then refused as not
+        run for a short while, and then no connection is taken any more.
+        """
+        self.node.leave()
+        await self.node.parts.clock.sleep_ms(LEAVING_GRACE_MS + REFUSING_MS)
+        await self.stop()
 
     async def stop(self) -> None:
         """Finish the requests in flight and stop."""
         await self.callers.stop()
+        await self.peers.stop()
         await self.node.stop()
         await self.operators.stop()
 
@@ -59,6 +77,7 @@
     open_channel: OpenChannel = open_endpoint_channel,
 ) -> Result[RunningEntry, Refusal]:
     """Start an entry from its settings."""
+    key = settings.peer_key.encode()
     node = make_node(
         NodeParts(
             name=settings.name,
@@ -68,6 +87,8 @@
             platform=HttpPlatform(settings.platform),
             open_channel=open_channel,
             read_bundle=read_bundle,
+            open_peer_for=lambda members, counters: make_open_peer(PeerKey(key, members), counters),
+            seeds=settings.seeds,
         ),
         audit,
     )
@@ -79,8 +100,14 @@
     if isinstance(operators, Err):
         await callers.ok_value.stop()
         return operators
+    own = PeerKey(key, node.fleet.members)
+    peers = await serve_peers(settings.peer_listen, own, node.counters, node.peers.accept)
+    if isinstance(peers, Err):
+        await callers.ok_value.stop()
+        await operators.ok_value.stop()
+        return peers
     node.start()
-    return Ok(RunningEntry(node, callers.ok_value, operators.ok_value))
+    return Ok(RunningEntry(node, callers.ok_value, operators.ok_value, peers.ok_value))
 
 
 class RunCommand(Command):
@@ -119,7 +146,7 @@
     log_state_change("serving", callers=str(entry.callers.address))
     await stop.wait()
     log_state_change("leaving")
-    await entry.stop()
+    await entry.leave()
     log_state_change("stopped")
     return 0
 
--- /dev/null
+++ b/tests/fleet_world.py
@@ -0,0 +1,145 @@
+"""Instances without endpoints on one virtual loop, each with a platform of its own choice."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from result import Err, Ok, Result
+
+from fakes import FakePlatform, SessionLog, virtual_clock
+from peer_fakes import FakeNetwork
+from radishmount.audit import AuditTrail
+from radishmount.clock import Clock
+from radishmount.codes import Code
+from radishmount.control import Control, ControlParts, make_control
+from radishmount.counters import Counters
+from radishmount.fleet import Instance, InstanceList
+from radishmount.publication import Fault, Publication
+
+
+def read_small_bundle(body: bytes) -> Result[Publication, list[Fault]]:
+    """Read a bundle that is written as `version digest` and any padding."""
+    words = body.split()
+    if len(words) < 2 or not words[0].isdigit():
+        return Err([Fault(Code.BROKEN_SYNTAX, "bundle")])
+    return Ok(Publication(int(words[0]), words[1].decode()))
+
+
+@dataclass
+class FleetWorld:
+    """The instances by name, the network between them, and one log of the whole session."""
+
+    log: SessionLog
+    clock: Clock
+    network: FakeNetwork = field(default_factory=FakeNetwork)
+    platform: FakePlatform = field(default_factory=FakePlatform)
+    controls_by_name: dict[str, Control] = field(default_factory=dict)
+    counters_by_name: dict[str, Counters] = field(default_factory=dict)
+    data_centres_by_name: dict[str, str] = field(default_factory=dict)
+    starts: int = 0
+    versions_seen_by_name: dict[str, list[int]] = field(default_factory=dict)
+
+    def start(
+        self,
+        name: str,
+        data_centre: str = "milano",
+        platform: FakePlatform | None = None,
+        wall_ms: float | None = None,
+        seeds: tuple[str, ...] = (),
+    ) -> Control:
+        """Start an instance; `wall_ms` is the time of day that it believes in."""
+        self.starts += 1
+        now_ms = self.clock.now_ms
+        started_wall_ms = now_ms() if wall_ms is None else wall_ms
+        offset_ms = started_wall_ms - now_ms()
+        clock = Clock(now_ms=now_ms, wall_ms=lambda: now_ms() + offset_ms)
+        counters = Counters()
+        audit = AuditTrail(
+            clock, emit=lambda line: self.log.add(f"{name}: {line.subject} {line.change}")
+        )
+        parts = ControlParts(
+            name=name,
+            data_centre=data_centre,
+            clock=clock,
+            random=Random(self.starts),
+            platform=platform or self.platform,
+            read_bundle=read_small_bundle,
+            open_peer_for=self.network.open_peer_for,
+            seeds=seeds,
+        )
+        control = make_control(parts, audit, counters)
+        self.controls_by_name[name] = control
+        self.counters_by_name[name] = counters
+        self.data_centres_by_name[name] = data_centre
+        seen = self.versions_seen_by_name.setdefault(f"{name}/{self.starts}", [])
+
+        async def note_version(publication: Publication) -> None:
+            seen.append(publication.version)
+
+        control.in_force.on_change.append(note_version)
+        self.network.down.discard(name)
+        self.network.add(name, control.fleet.members, control.peers)
+        control.start()
+        return control
+
+    async def start_all(self, names: Iterable[str], data_centres: tuple[str, ...]) -> None:
+        """Start instances spread over `data_centres`, listed and ready at version 1."""
+        names = list(names)
+        for number, name in enumerate(names):
+            self.start(name, data_centres[number % len(data_centres)])
+        self.platform.publish_bundle(1, b"1 one")
+        self.list_all()
+        await asyncio.sleep(3.0)
+
+    def list_all(self, *platforms: FakePlatform) -> None:
+        """List every instance that was started, at the platform of the world or at others."""
+        listed = tuple(
+            Instance(name, data_centre, f"{name}:1", f"{name}:2")
+            for name, data_centre in self.data_centres_by_name.items()
+        )
+        for platform in platforms or (self.platform,):
+            platform.list_instances(InstanceList(platform.instances.version + 1, listed))
+
+    async def kill(self, name: str) -> None:
+        """End an instance without a word."""
+        self.network.down.add(name)
+        await self.controls_by_name.pop(name).stop()
+
+    async def pause(self, name: str, duration_s: float) -> None:
+        """Keep an instance from hearing and saying anything, then have its tick come late.
+
+        The tasks of the paused instance cannot be held on a shared loop; what they send meanwhile
+        is dropped, and what is sent to them arrives when it wakes.
+        """
+        self.log.add(f"-- {name} pauses for {duration_s:.0f} s")
+        self.network.freeze(name)
+        await asyncio.sleep(duration_s)
+        self.network.thaw(name)
+        self.log.add(f"-- {name} wakes")
+        control = self.controls_by_name[name]
+        control.freshness.pause_watch.last_tick_at_ms -= duration_s * 1000.0
+        control.freshness.check()
+
+    def versions(self) -> dict[str, int]:
+        """Return the version in force at each instance."""
+        return {name: c.in_force.current.version for name, c in self.controls_by_name.items()}
+
+    def states_of(self, name: str) -> dict[str, str]:
+        """Return what each other instance believes of `name`."""
+        return {
+            other: str(control.fleet.members.state_of(name))
+            for other, control in self.controls_by_name.items()
+            if other != name
+        }
+
+    async def stop(self) -> None:
+        """Stop every instance."""
+        for control in self.controls_by_name.values():
+            await control.stop()
+
+
+def make_world() -> FleetWorld:
+    """Return a world without instances."""
+    clock = virtual_clock()
+    return FleetWorld(SessionLog(clock), clock)
