--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -6,18 +6,17 @@
 from pathlib import Path
 from random import Random
 
-from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
 from result import Err, Ok, Result
 
-from radishmount import __version__
 from radishmount.audit import AuditTrail
 from radishmount.border import (
     EntrySettings,
     HttpPlatform,
     PeerKey,
     PeerServer,
+    RequestMetrics,
     Server,
     make_caller_app,
     make_open_peer,
@@ -33,13 +32,13 @@
 from radishmount.control import LEAVING_GRACE_MS
 from radishmount.endpoints import OpenChannel
 from radishmount.node import Node, NodeParts, make_node
+from radishmount.programs._application import Exit, run_program, tell_error
 from radishmount.programs._logging import audit_log, log_state_change, set_up_logging
 
 
 __all__ = ["RunningEntry", "main", "start_entry"]
 
-EXIT_BAD_SETTINGS = 2
-EXIT_CANNOT_START = 3
+PROGRAM = "radishmount-entry"
 REFUSING_MS = 2_000.0
 
 
@@ -93,10 +92,11 @@
         ),
         audit,
     )
-    callers = await serve(make_caller_app(node), settings.caller_listen)
+    metrics = RequestMetrics()
+    callers = await serve(make_caller_app(node, metrics), settings.caller_listen)
     if isinstance(callers, Err):
         return callers
-    operators = await serve(make_operator_app(node), settings.operator_listen)
+    operators = await serve(make_operator_app(node, metrics), settings.operator_listen)
     if isinstance(operators, Err):
         await callers.ok_value.stop()
         return operators
@@ -113,7 +113,7 @@
 class RunCommand(Command):
     """The only command of the program."""
 
-    name = "run"
+    name = PROGRAM
     description = "Runs one entry instance from its settings."
     options = [option("settings", "s", "The settings, JSON with comments.", flag=False)]
 
@@ -121,12 +121,12 @@
         """Run until a signal asks for a graceful stop."""
         path = self.option("settings")
         if not path:
-            self.line_error("radishmount-entry needs --settings FILE")
-            return EXIT_BAD_SETTINGS
+            tell_error(self, f"{PROGRAM} needs --settings FILE")
+            return Exit.BAD_USAGE
         match read_entry_settings(Path(path)):
             case Err(refusal):
-                self.line_error(str(refusal))
-                return EXIT_BAD_SETTINGS
+                tell_error(self, f"{PROGRAM}: {refusal}")
+                return Exit.BAD_USAGE
             case Ok(settings):
                 return asyncio.run(_run(settings))
 
@@ -140,8 +140,8 @@
         loop.add_signal_handler(number, stop.set)
     started = await start_entry(settings, clock, Random(), AuditTrail(clock, emit=audit_log))
     if isinstance(started, Err):
-        sys.stderr.write(f"{started.err_value}\n")
-        return EXIT_CANNOT_START
+        sys.stderr.write(f"{PROGRAM}: {started.err_value}\n")
+        return Exit.UNREACHABLE
     entry = started.ok_value
     log_state_change("serving", callers=str(entry.callers.address))
     await stop.wait()
@@ -153,9 +153,4 @@
 
 def main() -> None:
     """Run the program."""
-    application = Application("radishmount-entry", __version__)
-    command = RunCommand()
-    application.add(command)
-    application._default_command = command.name or ""  # cleo has no public setter
-    application._single_command = True
-    application.run()
+    raise SystemExit(run_program(PROGRAM, [RunCommand()]))
