--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -1,17 +1,19 @@
 """The border: bytes become data classes here, and data classes bytes."""
 
+from radishmount.border._ask_client import AskAnswer, AskClient
+from radishmount.border._bundle import digest_of, read_bundle, write_bundle
 from radishmount.border._callers import CallerService, make_caller_app
 from radishmount.border._endpoint_client import EndpointChannel, open_endpoint_channel
 from radishmount.border._jsonc import read_jsonc
+from radishmount.border._metrics import RequestMetrics
 from radishmount.border._models import BorderModel, describe_fault, read_json
-from radishmount.border._objects import (
-    digest_of,
-    object_from,
-    publication_from,
-    read_bundle,
-    write_bundle,
-)
+from radishmount.border._object_files import ObjectFolder, check_folder, read_folder
+from radishmount.border._objects import object_from, publication_from
 from radishmount.border._operators import OperatorService, make_operator_app
+from radishmount.border._peer_codec import add_peer_models, pack_frame, unpack_frame
+from radishmount.border._peer_models import PeerModel
+from radishmount.border._peer_orders import ORDER_PEER_MODELS
+from radishmount.border._peer_stream import PeerKey, PeerServer, make_open_peer, serve_peers
 from radishmount.border._platform_client import CONFIGURATION_KEY, HttpPlatform
 from radishmount.border._serve import Server, serve
 from radishmount.border._settings import (
@@ -23,15 +25,29 @@
 
 
 __all__ = [
+    "PeerKey",
+    "PeerModel",
+    "PeerServer",
+    "add_peer_models",
+    "make_open_peer",
+    "pack_frame",
+    "serve_peers",
+    "unpack_frame",
     "CONFIGURATION_KEY",
+    "AskAnswer",
+    "AskClient",
     "BorderModel",
     "CallerService",
     "EndpointChannel",
     "EntrySettings",
     "HttpPlatform",
+    "ORDER_PEER_MODELS",
     "Listen",
+    "ObjectFolder",
     "OperatorService",
+    "RequestMetrics",
     "Server",
+    "check_folder",
     "describe_fault",
     "digest_of",
     "make_caller_app",
@@ -41,6 +57,7 @@
     "publication_from",
     "read_bundle",
     "read_entry_settings",
+    "read_folder",
     "read_json",
     "read_jsonc",
     "serve",
--- a/src/radishmount/border/_caller_orders.py
+++ b/src/radishmount/border/_caller_orders.py
@@ -1,14 +1,22 @@
 """The callers' HTTP for orders and tickets."""
 
+from collections.abc import Callable
 from typing import Annotated, Any, Protocol
 
 from aiohttp import web
 from pydantic import Field
 from result import Err, Ok, Result
 
+from radishmount.border._http import elapsed_ms, expect_continue, request_id_of
 from radishmount.border._models import BorderModel, read_json
-from radishmount.border._refusals import json_response, refusal_response, status_of
-from radishmount.codes import TEXT_BY_CODE, Code, Refusal
+from radishmount.border._refusals import (
+    RESULT_NAME,
+    code_content,
+    json_response,
+    refusal_response,
+    status_of,
+)
+from radishmount.codes import Code, Refusal
 from radishmount.orders import OrderAnswer, OrderCall, OrderLimits, Wish
 
 
@@ -41,13 +49,14 @@
     ticket: Annotated[str, Field(max_length=1000)] | None = None
     wants_ticket: bool = False
 
-    def to_data(self, key: str | None) -> OrderCall:
-        """Return the order as a data class."""
+    def to_data(self, key: str | None, elapsed_ms: float) -> OrderCall:
+        """Return the order as a data class; `elapsed_ms` have passed since its head arrived."""
+        deadline_ms = None if self.deadline_ms is None else self.deadline_ms - elapsed_ms
         return OrderCall(
             self.caller,
             self.service,
             self.order,
-            self.deadline_ms,
+            deadline_ms,
             self.ticket,
             key,
             self.wants_ticket,
@@ -61,7 +70,7 @@
     service: str
 
 
-def add_order_routes(app: web.Application, service: OrderService, request_id_of: Any) -> None:
+def add_order_routes(app: web.Application, orders: Callable[[], OrderService]) -> None:
     """Serve orders and tickets in `app`."""
 
     async def place(request: web.Request) -> web.StreamResponse:
@@ -74,7 +83,8 @@
                 return refusal_response(refusal, request_id)
             case Ok(model):
                 pass
-        return answer_response(await service.place(request_id, model.to_data(key)), request_id)
+        call = model.to_data(key, elapsed_ms(request))
+        return answer_response(await orders().place(request_id, call), request_id)
 
     async def issue(request: web.Request) -> web.StreamResponse:
         request_id = request_id_of(request)
@@ -83,7 +93,7 @@
                 return refusal_response(refusal, request_id)
             case Ok(model):
                 pass
-        match service.issue(OrderCall(model.caller, model.service, {})):
+        match orders().issue(OrderCall(model.caller, model.service, {})):
             case Err(refusal):
                 return refusal_response(refusal, request_id)
             case Ok(ticket):
@@ -94,11 +104,11 @@
         request_id = request_id_of(request)
         wish = Wish.VOID if request.method == "DELETE" else Wish.ENQUIRE
         caller = request.query.get("caller", "")
-        answer = await service.enquire(request_id, wish, caller, request.match_info["ticket"])
+        answer = await orders().enquire(request_id, wish, caller, request.match_info["ticket"])
         return answer_response(answer, request_id)
 
-    app.router.add_post("/v1/orders", place)
-    app.router.add_post("/v1/tickets", issue)
+    app.router.add_post("/v1/orders", place, expect_handler=expect_continue)
+    app.router.add_post("/v1/tickets", issue, expect_handler=expect_continue)
     app.router.add_get("/v1/tickets/{ticket}", enquire)
     app.router.add_delete("/v1/tickets/{ticket}", enquire)
 
@@ -116,10 +126,10 @@
             content["detail"] = outcome.detail
         return json_response(content, request_id)
     content["error"] = {
-        "number": outcome.code.value,
-        "name": outcome.code.name,
-        "text": TEXT_BY_CODE[outcome.code],
+        **code_content(outcome.code),
         "detail": outcome.detail,
         "ran": outcome.ran.value,
     }
-    return json_response(content, request_id, status_of(outcome.code))
+    response = json_response(content, request_id, status_of(outcome.code))
+    response[RESULT_NAME] = outcome.code.name
+    return response
--- a/src/radishmount/border/_settings.py
+++ b/src/radishmount/border/_settings.py
@@ -9,15 +9,12 @@
 
 from radishmount.border._jsonc import read_jsonc
 from radishmount.border._models import BorderModel, describe_fault
+from radishmount.border._quantities import ListenAddress, ReachableAddress
 from radishmount.codes import Code, Refusal
 
 
 __all__ = ["EntrySettings", "Listen", "read_entry_settings", "split_address"]
 
-ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
-
-Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
-
 
 @dataclass(frozen=True, slots=True)
 class Listen:
@@ -33,7 +30,11 @@
 
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
-    """What an entry instance is told at its start; all else it reads from the platform."""
+    """What an entry instance is told at its start; all else it reads from the platform.
+
+    `seeds` are addresses of some peers, which are asked for the instance list and the bundle when
+    the platform is down at the start.
+    """
 
     name: str
     data_centre: str
@@ -42,6 +43,7 @@
     peer_listen: Listen
     platform: str
     peer_key: str
+    seeds: tuple[str, ...] = ()
 
 
 class EntrySettingsModel(BorderModel):
@@ -49,11 +51,12 @@
 
     name: Annotated[str, Field(min_length=1, max_length=100)]
     data_centre: Annotated[str, Field(min_length=1, max_length=100)]
-    caller_address: Address
-    operator_address: Address
-    peer_address: Address
-    platform: Address
+    caller_address: ListenAddress
+    operator_address: ListenAddress
+    peer_address: ListenAddress
+    platform: ReachableAddress
     peer_key: Annotated[str, Field(min_length=16)]
+    seeds: Annotated[list[ReachableAddress], Field(max_length=100)] = []
 
 
 def split_address(address: str) -> Listen:
@@ -82,5 +85,6 @@
             peer_listen=split_address(model.peer_address),
             platform=model.platform,
             peer_key=model.peer_key,
+            seeds=tuple(model.seeds),
         )
     )
--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -29,6 +29,9 @@
     BAD_METHOD = 1009
     BODY_TOO_SLOW = 1010
     NO_RULE = 1011
+    BAD_REQUEST_ID = 1012
+    BAD_HTTP = 1013
+    UNKNOWN_REQUEST = 1014
 
     OVER_QUOTA = 2001
     OVERLOADED = 2002
@@ -69,6 +72,9 @@
     UNKNOWN_UNIT = 5009
     VERSION_NOT_GROWING = 5010
     DIGEST_CONFLICT = 5011
+    EMPTY_RANGE = 5012
+    DUPLICATE_ADDRESS = 5013
+    AMBIGUOUS_TARGET = 5014
 
     PLATFORM_DOWN = 6001
     PLATFORM_RUBBISH = 6002
@@ -78,6 +84,12 @@
     FRAME_TOO_LARGE = 7002
     STRANGER = 7003
     PEER_SILENT = 7004
+    PEER_UNREACHABLE = 7005
+    PEER_LOST = 7006
+    PEER_TIMED_OUT = 7007
+    PEER_BUSY = 7008
+    UNKNOWN_MESSAGE = 7009
+    OLD_INCARNATION = 7010
 
     BAD_SETTING = 8001
     UNREADABLE_FILE = 8002
@@ -98,6 +110,9 @@
     Code.BAD_METHOD: "the path does not take this method",
     Code.BODY_TOO_SLOW: "the body did not arrive in time",
     Code.NO_RULE: "no rule binds the caller to the target",
+    Code.BAD_REQUEST_ID: "the request id is too long or holds characters that are not allowed",
+    Code.BAD_HTTP: "the request is not valid HTTP",
+    Code.UNKNOWN_REQUEST: "no record of the request is kept",
     Code.OVER_QUOTA: "the caller has used up its quota",
     Code.OVERLOADED: "the queue is full",
     Code.CANNOT_MEET_DEADLINE: "the deadline cannot be met",
@@ -134,6 +149,9 @@
     Code.UNKNOWN_UNIT: "a quantity has an unknown unit",
     Code.VERSION_NOT_GROWING: "the version does not grow",
     Code.DIGEST_CONFLICT: "the same version has another digest",
+    Code.EMPTY_RANGE: "a range ends before it begins",
+    Code.DUPLICATE_ADDRESS: "two endpoints have the same address",
+    Code.AMBIGUOUS_TARGET: "more than one object or rule could be meant",
     Code.PLATFORM_DOWN: "the platform does not answer",
     Code.PLATFORM_RUBBISH: "the platform's answer cannot be read",
     Code.PLATFORM_WENT_BACK: "the platform answered an older version than before",
@@ -141,6 +159,12 @@
     Code.FRAME_TOO_LARGE: "the frame is larger than allowed",
     Code.STRANGER: "the peer is not known or not authenticated",
     Code.PEER_SILENT: "the peer sent no heartbeat in time",
+    Code.PEER_UNREACHABLE: "no stream to the peer could be opened",
+    Code.PEER_LOST: "the stream ended after the request was sent",
+    Code.PEER_TIMED_OUT: "the peer did not answer in time",
+    Code.PEER_BUSY: "the peer answers too many requests at once",
+    Code.UNKNOWN_MESSAGE: "the peer does not know the message",
+    Code.OLD_INCARNATION: "the peer knows a later start of the instance",
     Code.BAD_SETTING: "a setting is missing, unknown or of the wrong type",
     Code.UNREADABLE_FILE: "the file cannot be read",
     Code.ADDRESS_IN_USE: "the address cannot be bound",
--- a/src/radishmount/node_orders.py
+++ b/src/radishmount/node_orders.py
@@ -1,12 +1,16 @@
-"""The orders of one instance, joined to its other aggregates."""
+"""The orders of one instance, joined to its other aggregates and to its peers."""
 
-from typing import TYPE_CHECKING
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
 
 from result import Err, Ok, Result
 
-from radishmount.admission import Admission
+from radishmount.clock import Clock
 from radishmount.codes import Code, Ran, Refusal
+from radishmount.fleet import Peers
 from radishmount.orders import (
+    Admit,
     KeyAgreement,
     KeyClaim,
     OrderAnswer,
@@ -14,28 +18,52 @@
     OrderDesk,
     OrderParts,
     OrderQuestion,
+    OrderReport,
     OrderTools,
     make_order_desk,
-    new_start_number,
 )
 from radishmount.publication import InForce, Rule
-from radishmount.queries import QueryTools
 
 
-if TYPE_CHECKING:
-    from radishmount.node import NodeParts
+__all__ = ["OrderWiring", "join_orders"]
 
+HOP_ALLOWANCE_MS = 200.0
+AGREEMENT_TIMEOUT_MS = 500.0
 
-__all__ = ["make_node_orders"]
 
-SECRET_BYTES = 32
+@dataclass(frozen=True, slots=True)
+class OrderWiring:
+    """What the orders of an instance need of it. `secret` is the same in the whole fleet."""
 
+    own_name: str
+    start_number: int
+    secret: bytes
+    clock: Clock
+    in_force: InForce
+    peers: Peers
+    admit: Admit
 
-def make_node_orders(
-    parts: "NodeParts", tools: QueryTools, in_force: InForce, admission: Admission
-) -> OrderDesk:
-    """Return the desk of an instance, with nobody to forward to yet."""
 
+def join_orders(wiring: OrderWiring, tools: OrderTools) -> OrderDesk:
+    """Return the desk of an instance, and have it answer its peers."""
+    desk = make_order_desk(
+        OrderParts(
+            own_name=wiring.own_name,
+            start_number=wiring.start_number,
+            secret=wiring.secret,
+            tools=tools,
+            bind=_make_bind(wiring.in_force),
+            admit=wiring.admit,
+            forward=_make_forward(wiring.peers),
+            ask_agreement=_make_ask_agreement(wiring.peers),
+        )
+    )
+    wiring.peers.answer(OrderQuestion, _answer_questions(desk))
+    wiring.peers.answer(KeyClaim, _answer_claims(desk))
+    return desk
+
+
+def _make_bind(in_force: InForce) -> Callable[[OrderCall], Result[Rule, Refusal]]:
     def bind(call: OrderCall) -> Result[Rule, Refusal]:
         publication = in_force.current
         if publication.version == 0:
@@ -44,25 +72,47 @@
             return Err(Refusal(Code.UNKNOWN_SERVICE, detail=call.service))
         return publication.rule_for(call.caller, call.service)
 
-    async def admit(call: OrderCall, rule: Rule, deadline_at_ms: float) -> Result:
-        admitted = admission.admit(call.caller, rule, parts.clock.now_ms())
-        return admitted if isinstance(admitted, Err) else Ok(lambda: None)
+    return bind
 
+
+def _make_forward(
+    peers: Peers,
+) -> Callable[[str, OrderQuestion], Awaitable[Result[OrderAnswer, Refusal]]]:
     async def forward(instance: str, question: OrderQuestion) -> Result[OrderAnswer, Refusal]:
-        return Err(Refusal(Code.PEER_SILENT, detail=instance, ran=Ran.NOT_RUN))
+        limit_ms = question.remaining_ms + HOP_ALLOWANCE_MS
+        answered = await peers.ask(instance, question, limit_ms)
+        if isinstance(answered, Err):
+            return answered
+        report = answered.ok_value
+        if not isinstance(report, OrderReport):
+            return Err(Refusal(Code.BAD_FRAME, detail=instance, ran=Ran.UNKNOWN))
+        return Ok(report.answer)
+
+    return forward
 
+
+def _make_ask_agreement(
+    peers: Peers,
+) -> Callable[[str, KeyClaim], Awaitable[KeyAgreement | None]]:
     async def ask_agreement(instance: str, claim: KeyClaim) -> KeyAgreement | None:
-        return None
+        answered = await peers.ask(instance, claim, AGREEMENT_TIMEOUT_MS)
+        agreement = answered.ok()
+        return agreement if isinstance(agreement, KeyAgreement) else None
 
-    return make_order_desk(
-        OrderParts(
-            own_name=parts.name,
-            start_number=new_start_number(parts.clock, parts.random),
-            secret=parts.secret or parts.random.randbytes(SECRET_BYTES),
-            tools=OrderTools(tools.pool, parts.clock, tools.choose, tools.counters),
-            bind=bind,
-            admit=admit,
-            forward=forward,
-            ask_agreement=ask_agreement,
-        )
-    )
+    return ask_agreement
+
+
+def _answer_questions(desk: OrderDesk) -> Callable[[str, Any], Awaitable[Result[Any, Refusal]]]:
+    async def answer(peer: str, question: OrderQuestion) -> Result[Any, Refusal]:
+        return Ok(OrderReport(await desk.take_forwarded(question)))
+
+    return answer
+
+
+def _answer_claims(desk: OrderDesk) -> Callable[[str, Any], Awaitable[Result[Any, Refusal]]]:
+    async def answer(peer: str, claim: KeyClaim) -> Result[Any, Refusal]:
+        if claim.owner != peer:
+            return Err(Refusal(Code.STRANGER, detail=f"{peer} claims for {claim.owner}"))
+        return Ok(desk.keys.answer_claim(claim))
+
+    return answer
--- a/src/radishmount/orders/_desk.py
+++ b/src/radishmount/orders/_desk.py
@@ -30,7 +30,7 @@
 
     async def place(self, request_id: str, call: OrderCall) -> OrderAnswer:
         """Run an order at most once, or answer a repeat of it."""
-        remaining_ms = call.deadline_ms or DEFAULT_REMAINING_MS
+        remaining_ms = DEFAULT_REMAINING_MS if call.deadline_ms is None else call.deadline_ms
         question = OrderQuestion(request_id, Wish.PLACE, call, remaining_ms)
         if call.ticket is not None and call.key is not None:
             return OrderAnswer(refused(Refusal(Code.BAD_FIELD, detail="a ticket and a key")))
--- a/src/radishmount/programs/trial.py
+++ b/src/radishmount/programs/trial.py
@@ -1,8 +1,144 @@
-"""`radishmount-trial`."""
+"""`radishmount-trial`: load and faults on a fleet over small stand-ins, beside a baseline."""
+
+import asyncio
+import json
+import sys
+from collections.abc import Sequence
+from dataclasses import replace
+from pathlib import Path
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from result import Err, Ok
+
+from radishmount.programs._application import Exit, run_program, tell, tell_error
+from radishmount.programs._trial_processes import drive_processes, serve_standins
+from radishmount.programs._trial_run import run_trial
+from radishmount.standins import read_trial_file
+from radishmount.trial import CallRecord, Summary, TrialPlan, report_page, result_of, result_text
+
 
 __all__ = ["main"]
 
+NAME = "radishmount-trial"
+REPORT_FILE = "index.html"
+# Entries run on threads of their own: short turns keep one from holding up the others.
+SWITCH_INTERVAL_S = 0.0005
+
+FILE = argument("file", "The trial file, JSON with comments.")
+SEED = option("seed", None, "Takes the place of the seed in the file.", flag=False)
+JSON = option("json", None, "Prints one JSON object.")
+SETTINGS_DIR = option("settings-dir", None, "Where the settings of the entries are.", flag=False)
+
+
+class TrialCommand(Command):
+    """Reads the trial file for every command."""
+
+    def read_plan(self) -> TrialPlan | None:
+        """Return the plan, or none after telling what is wrong with it."""
+        match read_trial_file(Path(self.argument("file"))):
+            case Err(refusal):
+                tell_error(self, str(refusal))
+                return None
+            case Ok(plan):
+                pass
+        seed = self.option("seed")
+        if seed is None:
+            return plan
+        if not seed.isdecimal():
+            tell_error(self, f"--seed takes a whole number, not {seed!r}")
+            return None
+        return replace(plan, seed=int(seed))
+
+    def show(self, summary: Summary) -> int:
+        """Print the result; the exit code tells whether every bound was met."""
+        if self.option("json"):
+            tell(self, json.dumps(result_of(summary)))
+        else:
+            tell(self, result_text(summary))
+        return Exit.OK if summary.bounds_met else Exit.REFUSED
+
+
+class RunCommand(TrialCommand):
+    """Runs the whole trial within this process."""
+
+    name = NAME
+    description = "Runs the fleet and the baseline under the same load and faults."
+    arguments = [FILE]
+    options = [SEED, JSON, option("report", None, "Writes a page into this folder.", flag=False)]
+
+    def handle(self) -> int:
+        """Run the trial and print its result."""
+        plan = self.read_plan()
+        if plan is None:
+            return Exit.BAD_USAGE
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
+        outcome = asyncio.run(run_trial(plan))
+        if self.option("report"):
+            _write_report(
+                Path(self.option("report")),
+                outcome.summary,
+                outcome.calls,
+                outcome.baseline_calls,
+            )
+        return self.show(outcome.summary)
+
+
+class StandInsCommand(TrialCommand):
+    """Serves the stand-ins in this process."""
+
+    name = "standins"
+    description = "Serves the stand-ins of a trial file, and writes the settings of its entries."
+    arguments = [FILE]
+    options = [SEED, SETTINGS_DIR]
+
+    def handle(self) -> int:
+        """Serve until a signal."""
+        plan, folder = self.read_plan(), self.option("settings-dir")
+        if plan is None:
+            return Exit.BAD_USAGE
+        if not folder:
+            tell_error(self, "standins needs --settings-dir DIR")
+            return Exit.BAD_USAGE
+        asyncio.run(serve_standins(plan, Path(folder)))
+        return Exit.OK
+
+
+class DriveCommand(TrialCommand):
+    """Drives the load against entries that run as processes of their own."""
+
+    name = "drive"
+    description = "Drives the load of a trial file against entries that are already running."
+    arguments = [FILE]
+    options = [SEED, JSON, SETTINGS_DIR]
+
+    def handle(self) -> int:
+        """Drive the load and print the result."""
+        plan, folder = self.read_plan(), self.option("settings-dir")
+        if plan is None:
+            return Exit.BAD_USAGE
+        if not folder:
+            tell_error(self, "drive needs --settings-dir DIR")
+            return Exit.BAD_USAGE
+        match asyncio.run(drive_processes(plan, Path(folder))):
+            case Err(refusal):
+                tell_error(self, str(refusal))
+                return Exit.UNREACHABLE
+            case Ok(summary):
+                return self.show(summary)
+
+
+def _write_report(
+    folder: Path,
+    summary: Summary,
+    calls: Sequence[CallRecord],
+    baseline_calls: Sequence[CallRecord],
+) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    page = report_page(summary, calls, baseline_calls)
+    (folder / REPORT_FILE).write_text(page, encoding="utf-8")
+
 
 def main() -> None:
     """Run the program."""
-    raise SystemExit("radishmount-trial is not built yet")
+    raise SystemExit(run_program(NAME, [RunCommand(), StandInsCommand(), DriveCommand()]))
--- a/src/radishmount/publication/__init__.py
+++ b/src/radishmount/publication/__init__.py
@@ -1,18 +1,10 @@
 """The published objects, their check as one, and the version that only grows."""
 
-from radishmount.publication._check import (
-    Fault,
-    PublishedObject,
-    check_objects,
-    check_publication,
-    subject_of,
-)
-from radishmount.publication._in_force import (
-    ConfigurationSource,
-    InForce,
-    ReadBundle,
-    watch_configuration,
-)
+from radishmount.publication._check import check_objects, check_publication
+from radishmount.publication._difference import Change, ChangeKind, changes_between
+from radishmount.publication._distribution import ConfigurationSource, Distribution
+from radishmount.publication._fault import Fault, PublishedObject, subject_of
+from radishmount.publication._in_force import InForce, ReadBundle
 from radishmount.publication._keys import ALL_KEYS, KeyRange, covers
 from radishmount.publication._objects import (
     Caller,
@@ -32,9 +24,12 @@
     "ALL_KEYS",
     "EMPTY_PUBLICATION",
     "Caller",
+    "Change",
+    "ChangeKind",
     "Collection",
     "ConfigurationSource",
     "DataCentre",
+    "Distribution",
     "EndpointSpec",
     "Fault",
     "InForce",
@@ -47,9 +42,9 @@
     "Rule",
     "Service",
     "Shard",
+    "changes_between",
     "check_objects",
     "check_publication",
     "covers",
     "subject_of",
-    "watch_configuration",
 ]
--- a/src/radishmount/standins/__init__.py
+++ b/src/radishmount/standins/__init__.py
@@ -1,6 +1,11 @@
-"""Small stand-ins of the platform and of endpoints, for tests and trials."""
+"""Small stand-ins of the platform, of endpoints and of callers, for tests and trials."""
 
-from radishmount.standins._endpoint import EndpointBehaviour, EndpointRecord, EndpointStandIn
+from radishmount.standins._behaviour import EndpointBehaviour
+from radishmount.standins._caller import CallerStandIn
+from radishmount.standins._control import StageControl, StageReader, StageRecords
+from radishmount.standins._endpoint import EndpointStandIn
+from radishmount.standins._faults import ENTRY_FAULTS, run_fault
+from radishmount.standins._network import delayed_channels, link_delay
 from radishmount.standins._orders import (
     OrderBehaviour,
     OrderRecord,
@@ -8,10 +13,15 @@
     runs_by_request_id,
 )
 from radishmount.standins._platform import ListedInstance, PlatformStandIn
-from radishmount.standins._serve import serve_stand_in
+from radishmount.standins._serve import StandInServer, serve_stand_in
+from radishmount.standins._stage import PlatformView, Stage, start_stage
+from radishmount.standins._trial_file import read_trial_file
+from radishmount.trial import EndpointRecord
 
 
 __all__ = [
+    "ENTRY_FAULTS",
+    "CallerStandIn",
     "EndpointBehaviour",
     "EndpointRecord",
     "EndpointStandIn",
@@ -20,6 +30,17 @@
     "OrderRecord",
     "OrderStandIn",
     "PlatformStandIn",
+    "PlatformView",
+    "Stage",
+    "StageControl",
+    "StageReader",
+    "StageRecords",
+    "StandInServer",
+    "delayed_channels",
+    "link_delay",
+    "read_trial_file",
+    "run_fault",
     "runs_by_request_id",
     "serve_stand_in",
+    "start_stage",
 ]
--- a/src/radishmount/standins/_orders.py
+++ b/src/radishmount/standins/_orders.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from random import Random
 from typing import Any, Protocol
 
 import orjson
@@ -13,6 +14,8 @@
 
 __all__ = ["OrderBehaviour", "OrderRecord", "OrderStandIn", "runs_by_request_id"]
 
+SILENCE_CHECK_S = 0.05
+
 
 @dataclass(slots=True)
 class OrderBehaviour:
@@ -33,7 +36,7 @@
 class OrderRecord:
     """One order whose body reached the stand-in, and whether it ran there."""
 
-    at_s: float
+    at_ms: float
     request_id: str
     attempt: int
     caller: str
@@ -46,6 +49,7 @@
 
     name: str
     behaviour: Any
+    random: Random
     in_flight: int
     queued: int
     slot_free: asyncio.Semaphore
@@ -53,8 +57,14 @@
     def load(self) -> dict[str, Any]:
         """Return the load report."""
 
-    def service_s(self) -> float:
-        """Return how long the next work takes."""
+    def now_ms(self) -> float:
+        """Return the monotonic time that records are told in."""
+
+    async def arrive(self, request: web.Request) -> None:
+        """Wait as long as a new connection takes."""
+
+    async def speak(self) -> None:
+        """Wait until the stand-in is not silent."""
 
 
 @dataclass(slots=True)
@@ -68,8 +78,10 @@
         """Serve orders in `app`."""
 
         async def expect(request: web.Request) -> web.StreamResponse | None:
-            while self.behaviour.silent_before_body or shared.behaviour.silent:
-                await asyncio.sleep(0.05)
+            await shared.arrive(request)
+            await shared.speak()
+            while self.behaviour.silent_before_body:
+                await asyncio.sleep(SILENCE_CHECK_S)
             if self.behaviour.refuse_before_body:
                 return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
             assert request.transport is not None
@@ -85,7 +97,7 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + body["deadline_ms"] / 1000.0
         while self.behaviour.silent_before_run:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(SILENCE_CHECK_S)
         if shared.behaviour.draining:
             return self._reply(body, shared, "draining", ran=False)
         if shared.behaviour.shedding:
@@ -100,12 +112,13 @@
             if loop.time() >= ends_at:
                 return self._reply(body, shared, "deadline", ran=False)
             self._record(body, ran=True)
-            await asyncio.sleep(shared.service_s())
+            work_ms = shared.behaviour.work_ms(shared.now_ms(), shared.random)
+            await asyncio.sleep(work_ms / 1000.0)
         finally:
             shared.in_flight -= 1
             shared.slot_free.release()
         while self.behaviour.lose_reply:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(SILENCE_CHECK_S)
         outcome = "error" if self.behaviour.failing else "ok"
         return self._reply(body, shared, outcome, ran=True)
 
@@ -126,7 +139,7 @@
 
     def _record(self, body: dict[str, Any], *, ran: bool) -> None:
         record = OrderRecord(
-            at_s=asyncio.get_running_loop().time(),
+            at_ms=asyncio.get_running_loop().time() * 1000.0,
             request_id=body["request_id"],
             attempt=body["attempt"],
             caller=body["caller"],
