Admit by quota, class and caller, and refuse early what cannot be in time

Cause: admission knew quotas only; under overload everything queued at the endpoints.

Each target has a lane: a limit on what runs, grown while endpoints hardly queue and shrunk when the least crowded replica has more waiting than slots, and a bounded queue by class and caller, newest first once it stands. Every request gets a permit or a refusal that says not-run.

--- a/src/radishmount/admission/_admission.py
+++ b/src/radishmount/admission/_admission.py
@@ -1,54 +1,90 @@
-"""The root of the aggregate: how much each caller may still ask of this instance."""
+"""The root of the aggregate: who may ask this instance for what, and when."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from result import Err, Ok, Result
+from result import Err, Result
 
-from radishmount.codes import Code, Refusal
+from radishmount.admission._lane import CrowdingOf, Lane, Permit
+from radishmount.admission._limit import ConcurrencyLimit
+from radishmount.admission._quota import Quotas
+from radishmount.clock import Clock
+from radishmount.codes import Refusal
+from radishmount.counters import Counters
 from radishmount.publication import Rule
 
 
-__all__ = ["Admission", "TokenBucket"]
+__all__ = ["Admission", "ShareOf"]
 
-BURST_S = 1.0
+SHARE_INTERVAL_MS = 1_000.0
+
+ShareOf = Callable[[str], float]
 
 
 @dataclass(slots=True)
-class TokenBucket:
-    """Grants `rate_per_s` requests, with a burst of what one second allows."""
+class Admission:
+    """The quotas, and one lane for each collection or service.
 
-    rate_per_s: float
-    tokens: float
-    filled_at_ms: float
+    `share_of` returns this instance's share of the slots behind a target, `crowding_of` how many
+    requests wait there for each slot.
 
-    def take(self, now_ms: float) -> bool:
-        """Take one token; tell whether there was one."""
-        passed_s = (now_ms - self.filled_at_ms) / 1000.0
-        self.filled_at_ms = now_ms
-        limit = max(1.0, self.rate_per_s * BURST_S)
-        self.tokens = min(limit, self.tokens + passed_s * self.rate_per_s)
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
+        admitted = await admission.enter("workshop", rule, deadline_at_ms)
+    """
 
+    clock: Clock
+    counters: Counters
+    share_of: ShareOf
+    crowding_of: CrowdingOf
+    quotas: Quotas = field(default_factory=Quotas)
+    lanes_by_target: dict[str, Lane] = field(default_factory=dict)
+    shared_at_ms: float = 0.0
 
-@dataclass(slots=True)
-class Admission:
-    """The quotas by caller and rule. Each instance grants its share of the fleet's quota."""
-
-    instances: int = 1
-    buckets_by_key: dict[tuple[str, str], TokenBucket] = field(default_factory=dict)
-
-    def admit(self, caller: str, rule: Rule, now_ms: float) -> Result[None, Refusal]:
-        """Grant or refuse one request of `caller` under `rule`."""
-        rate_per_s = rule.quota_per_s / max(1, self.instances)
-        key = (caller, rule.name)
-        bucket = self.buckets_by_key.get(key)
-        if bucket is None:
-            bucket = TokenBucket(rate_per_s, max(1.0, rate_per_s * BURST_S), now_ms)
-            self.buckets_by_key[key] = bucket
-        bucket.rate_per_s = rate_per_s
-        if bucket.take(now_ms):
-            return Ok(None)
-        return Err(Refusal(Code.OVER_QUOTA, detail=f"{caller} under {rule.name}"))
+    def take_instances(self, count: int) -> None:
+        """Divide the quotas over `count` listed instances."""
+        self.quotas.instances = count
+
+    async def enter(
+        self, caller: str, rule: Rule, deadline_at_ms: float
+    ) -> Result[Permit, Refusal]:
+        """Return a permit to run one request now, or refuse it as not run."""
+        now_ms = self.clock.now_ms()
+        self._renew_shares(now_ms)
+        within = self.quotas.take(caller, rule, now_ms)
+        if isinstance(within, Err):
+            return self._refused(within.err_value)
+        entered = await self._lane_of(rule.target).enter(caller, rule, deadline_at_ms)
+        if isinstance(entered, Err):
+            return self._refused(entered.err_value)
+        return entered
+
+    @property
+    def running(self) -> int:
+        """Return how many requests hold a permit."""
+        return sum(lane.running for lane in self.lanes_by_target.values())
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for a permit."""
+        return sum(len(lane.waiting) for lane in self.lanes_by_target.values())
+
+    def _refused(self, refusal: Refusal) -> Err[Refusal]:
+        self.counters.add("refused", refusal.code.name)
+        return Err(refusal)
+
+    def _lane_of(self, target: str) -> Lane:
+        lane = self.lanes_by_target.get(target)
+        if lane is None:
+            lane = Lane(
+                target, self.clock, ConcurrencyLimit(self.share_of(target)), self.crowding_of
+            )
+            self.lanes_by_target[target] = lane
+        return lane
+
+    def _renew_shares(self, now_ms: float) -> None:
+        """Follow endpoints and instances that come and go."""
+        if now_ms - self.shared_at_ms < SHARE_INTERVAL_MS:
+            return
+        self.shared_at_ms = now_ms
+        for lane in self.lanes_by_target.values():
+            lane.limit.share = self.share_of(lane.target)
+            lane.limit.limit = max(lane.limit.limit, lane.limit.floor)
--- /dev/null
+++ b/src/radishmount/admission/_share.py
@@ -0,0 +1,32 @@
+"""What the endpoints behind a target can take, and how crowded they are."""
+
+from collections.abc import Iterable
+
+from radishmount.endpoints import Endpoint
+
+
+__all__ = ["crowding_at", "share_of_slots"]
+
+
+def share_of_slots(endpoints: Iterable[Endpoint], instances: int, now_ms: float) -> float:
+    """Return the part of the slots of the fit `endpoints` that falls to one of `instances`.
+
+    While no endpoint is known to be fit, all count: what they can do is not known to be less.
+    """
+    listed = list(endpoints)
+    fit = [endpoint for endpoint in listed if endpoint.may_take_work(now_ms)] or listed
+    return sum(endpoint.slots for endpoint in fit) / max(1, instances)
+
+
+def crowding_at(endpoints: Iterable[Endpoint], now_ms: float) -> float:
+    """Return how many requests wait for each slot at the least crowded of the fit `endpoints`.
+
+    The choice of endpoint goes round a crowded one, so that only the best of them tells whether
+    the service as a whole is at its limit.
+    """
+    ratios = [
+        endpoint.report.queued / max(1, endpoint.slots)
+        for endpoint in endpoints
+        if endpoint.may_take_work(now_ms)
+    ]
+    return min(ratios, default=0.0)
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -1,14 +1,14 @@
 """One entry instance: its aggregates, put together."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
 from result import Err, Ok, Result
 
-from radishmount.admission import Admission
+from radishmount.admission import Admission, Permit
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.codes import Code, Refusal
@@ -16,6 +16,7 @@
 from radishmount.counters import Counters
 from radishmount.endpoints import EndpointPool, OpenChannel, make_choice
 from radishmount.fleet import AddressAnswer, Fleet, InstanceList, Peers, choose_addresses
+from radishmount.node_admission import join_admission
 from radishmount.node_orders import OrderWiring, join_orders
 from radishmount.orders import OrderCall, OrderDesk, OrderTools, new_start_number
 from radishmount.policy import QueryPolicy
@@ -60,7 +61,7 @@
     orders: OrderDesk
     audit: AuditTrail
     counters: Counters
-    admission: Admission = field(default_factory=Admission)
+    admission: Admission
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     @property
@@ -125,31 +126,36 @@
         if isinstance(found, Err):
             return found
         rule = found.ok_value
-        admitted = self.admission.admit(call.caller, rule, self.parts.clock.now_ms())
+        deadline_ms = min(call.deadline_ms or rule.deadline_ms, rule.deadline_ms)
+        deadline_at_ms = arrived_at_ms + deadline_ms
+        admitted = await self.admission.enter(call.caller, rule, deadline_at_ms)
         if isinstance(admitted, Err):
             return admitted
-        deadline_ms = min(call.deadline_ms or rule.deadline_ms, rule.deadline_ms)
         search = Search(
             request_id=request_id,
             caller=call.caller,
             collection=collection,
             rule=rule,
             terms=call.terms,
-            deadline_at_ms=arrived_at_ms + deadline_ms,
+            deadline_at_ms=deadline_at_ms,
         )
         shards = publication.shards_by_collection[collection.name]
-        return await run_search(search, shards, self.tools)
+        answer: Result[Answer, Refusal] | None = None
+        try:
+            answer = await run_search(search, shards, self.tools)
+        finally:
+            admitted.ok_value.release(answered=answer is not None and _is_complete(answer))
+        return answer
 
     async def admit_order(
         self, call: OrderCall, rule: Rule, deadline_at_ms: float
-    ) -> Result[Callable[[], None], Refusal]:
+    ) -> Result[Permit, Refusal]:
         """Admit an order at the instance that runs it."""
         clock = self.parts.clock
         taken = await self.may_take_request(clock.remaining_ms(deadline_at_ms))
         if isinstance(taken, Err):
             return taken
-        admitted = self.admission.admit(call.caller, rule, clock.now_ms())
-        return admitted if isinstance(admitted, Err) else Ok(lambda: None)
+        return await self.admission.enter(call.caller, rule, deadline_at_ms)
 
     async def may_take_request(self, deadline_ms: float | None) -> Result[None, Refusal]:
         """Tell whether a new request is taken; after a pause it waits for a renewed view."""
@@ -200,7 +206,7 @@
     async def take_list(self, instance_list: InstanceList) -> None:
         """Hand a new instance list to the parts that follow it."""
         names = self.fleet.listed_names
-        self.admission.instances = len(names)
+        self.admission.take_instances(len(names))
         self.orders.keys.ownership.take_list(names, self.parts.clock.now_ms())
         await self.pool.take_publication(self.in_force.current, names)
         self.pool.take_leaving(instance_list.leaving_endpoints)
@@ -218,6 +224,10 @@
         self.tasks.append(asyncio.create_task(work, name=name))
 
 
+def _is_complete(answer: Result[Answer, Refusal]) -> bool:
+    return isinstance(answer, Ok) and answer.ok_value.coverage.complete
+
+
 def load_of(pool: EndpointPool, now_ms: float) -> float:
     """Return the load of an instance: in flight over slots, or 1.0 when most endpoints are lost.
 
@@ -269,6 +279,7 @@
         orders=join_orders(wiring, OrderTools(pool, parts.clock, choose, counters)),
         audit=audit,
         counters=counters,
+        admission=join_admission(parts.clock, counters, pool, control.fleet, control.in_force),
     )
     node.in_force.on_change.append(node.take_publication)
     node.control.list_watch.on_change.append(node.take_list)
--- /dev/null
+++ b/src/radishmount/node_admission.py
@@ -0,0 +1,40 @@
+"""The admission of one instance, joined to its endpoints and to what is published."""
+
+from collections.abc import Iterable
+
+from radishmount.admission import Admission, crowding_at, share_of_slots
+from radishmount.clock import Clock
+from radishmount.counters import Counters
+from radishmount.endpoints import EndpointPool
+from radishmount.fleet import Fleet
+from radishmount.publication import InForce
+
+
+__all__ = ["join_admission"]
+
+
+def join_admission(
+    clock: Clock, counters: Counters, pool: EndpointPool, fleet: Fleet, in_force: InForce
+) -> Admission:
+    """Return an admission whose limits follow the endpoints behind each target."""
+
+    def services_of(target: str) -> Iterable[str]:
+        """Return the services that a request to `target` goes to; all of a collection's."""
+        shards = in_force.current.shards_by_collection.get(target)
+        return [target] if shards is None else {shard.service for shard in shards}
+
+    def share_of(target: str) -> float:
+        now_ms = clock.now_ms()
+        instances = len(fleet.listed_names)
+        shares = [
+            share_of_slots(pool.endpoints_of(service), instances, now_ms)
+            for service in services_of(target)
+        ]
+        return min(shares, default=0.0)
+
+    def crowding_of(target: str) -> float:
+        now_ms = clock.now_ms()
+        ratios = [crowding_at(pool.endpoints_of(name), now_ms) for name in services_of(target)]
+        return max(ratios, default=0.0)
+
+    return Admission(clock, counters, share_of, crowding_of)
--- a/src/radishmount/orders/_runner.py
+++ b/src/radishmount/orders/_runner.py
@@ -6,7 +6,8 @@
 
 from result import Err, Result
 
-from radishmount.codes import Refusal
+from radishmount.admission import Permit
+from radishmount.codes import Ran, Refusal
 from radishmount.orders._messages import OrderQuestion
 from radishmount.orders._order import Order, OrderCall, OrderOutcome, refused
 from radishmount.orders._records import OutcomeRecord, OutcomeRecords
@@ -18,8 +19,7 @@
 __all__ = ["Admit", "Bind", "OrderRunner"]
 
 Bind = Callable[[OrderCall], Result[Rule, Refusal]]
-Release = Callable[[], None]
-Admit = Callable[[OrderCall, Rule, float], Awaitable[Result[Release, Refusal]]]
+Admit = Callable[[OrderCall, Rule, float], Awaitable[Result[Permit, Refusal]]]
 
 
 @dataclass(slots=True)
@@ -100,7 +100,10 @@
         run = OrderRun(order, self.tools)
         if keep is not None:
             keep(run)
+        answered = False
         try:
-            return await run.run()
+            outcome = await run.run()
+            answered = outcome.ran is Ran.RAN
+            return outcome
         finally:
-            admitted.ok_value()
+            admitted.ok_value.release(answered=answered)
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -301,8 +301,15 @@
         return ask
 
 
+class NoPermit:
+    """A permit that counts nothing."""
+
+    def release(self, *, answered: bool) -> None:
+        """Do nothing."""
+
+
 async def _admit_all(call: OrderCall, rule: Rule, deadline_at_ms: float) -> Any:
-    return Ok(lambda: None)
+    return Ok(NoPermit())
 
 
 async def start_order_world(
