--- a/src/radishmount/admission/_lane.py
+++ b/src/radishmount/admission/_lane.py
@@ -20,6 +20,7 @@
 MAX_WAITING = 64
 STANDING_QUEUE_MS = 20.0
 MIN_TAIL_WAIT_MS = 5.0
+TAIL_WAIT_SHARE = 0.75
 
 
 @dataclass(slots=True, eq=False)
@@ -172,7 +173,7 @@
         latest_ms = deadline_at_ms - self.limit.base_ms
         if rule.prefer is Preference.COVERAGE:
             return latest_ms
-        return min(latest_ms, now_ms + max(MIN_TAIL_WAIT_MS, self.limit.base_ms / 2.0))
+        return min(latest_ms, now_ms + max(MIN_TAIL_WAIT_MS, TAIL_WAIT_SHARE * self.limit.base_ms))
 
     def _is_late(self, now_ms: float, deadline_at_ms: float) -> bool:
         return now_ms + self.limit.base_ms > deadline_at_ms
