--- a/src/radishmount/border/_endpoint_client.py
+++ b/src/radishmount/border/_endpoint_client.py
@@ -7,6 +7,7 @@
 from pydantic import Field, ValidationError
 from result import Err, Ok, Result
 
+from radishmount.border._endpoint_connection import EndpointConnection
 from radishmount.border._models import BorderModel, describe_fault
 from radishmount.codes import Code, Ran
 from radishmount.endpoints import Channel, Failure, LoadReport, Outcome, Row, SubReply, SubRequest
@@ -14,7 +15,6 @@
 
 __all__ = ["EndpointChannel", "open_endpoint_channel"]
 
-CONNECT_TIMEOUT_S = 0.25
 CODE_BY_OUTCOME = {
     "shed": Code.SHED,
     "draining": Code.ENDPOINT_LEAVING,
@@ -59,15 +59,16 @@
 
     def __init__(self, address: str) -> None:
         self._url = f"http://{address}"
-        self._session: aiohttp.ClientSession | None = None
+        self._connection = EndpointConnection()
 
     async def exchange(self, request: SubRequest, remaining_ms: float) -> Outcome:
         """Send `request` and return the reply, checked to be the one for this request."""
         body = orjson.dumps(_body_of(request, remaining_ms))
         try:
-            async with self._open().post(f"{self._url}/v1/search", data=body) as response:
+            session = self._connection.session()
+            async with session.post(f"{self._url}/v1/search", data=body) as response:
                 content = await response.read()
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Err(Failure(Code.NOT_CONNECTED, detail=str(error)))
         except (aiohttp.ClientError, OSError) as error:
             return Err(Failure(Code.CONNECTION_LOST, Ran.UNKNOWN, detail=repr(error)))
@@ -76,7 +77,7 @@
     async def probe(self) -> Result[LoadReport, Failure]:
         """Ask for the endpoint's state."""
         try:
-            async with self._open().get(f"{self._url}/v1/state") as response:
+            async with self._connection.session().get(f"{self._url}/v1/state") as response:
                 content = await response.read()
         except (aiohttp.ClientError, OSError) as error:
             return Err(Failure(Code.NOT_CONNECTED, detail=repr(error)))
@@ -85,20 +86,9 @@
         except (orjson.JSONDecodeError, ValidationError):
             return Err(Failure(Code.BAD_REPLY))
 
-    async def close(self) -> None:
-        """Close the connection."""
-        if self._session is not None:
-            await self._session.close()
-
-    def _open(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=1),
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                auto_decompress=False,
-            )
-        return self._session
+    async def close(self) -> bool:
+        """Close the connection; tell whether the endpoint was seen to close its side."""
+        return await self._connection.close()
 
 
 def open_endpoint_channel(address: str) -> Channel:
--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -48,6 +48,7 @@
     NO_SNAPSHOT = 3010
     CANCELLED = 3011
     PARTIAL = 3012
+    QUEUE_FULL = 3013
 
     OUTCOME_UNKNOWN = 4001
     UNKNOWN_TICKET = 4002
@@ -111,6 +112,7 @@
     Code.NO_SNAPSHOT: "no index version is held by a live replica of every shard",
     Code.CANCELLED: "the request was cancelled",
     Code.PARTIAL: "the answer does not cover every part",
+    Code.QUEUE_FULL: "the queue for the endpoint is full",
     Code.OUTCOME_UNKNOWN: "the order may or may not have run",
     Code.UNKNOWN_TICKET: "no such ticket was issued",
     Code.TICKET_EXPIRED: "the ticket has expired",
--- a/src/radishmount/endpoints/__init__.py
+++ b/src/radishmount/endpoints/__init__.py
@@ -1,7 +1,9 @@
 """Endpoints: the evidence of each, the choice among them, and the connections to them."""
 
+from radishmount.endpoints._attempt import Attempt, Purpose
 from radishmount.endpoints._choice import Choose, expected_ms, make_choice
-from radishmount.endpoints._endpoint import Endpoint
+from radishmount.endpoints._ejection import Ejection, ejectable
+from radishmount.endpoints._endpoint import EVIDENCE_MAX_AGE_MS, Endpoint
 from radishmount.endpoints._exchange import (
     Channel,
     Failure,
@@ -14,27 +16,36 @@
     SubRequest,
 )
 from radishmount.endpoints._holders import connections_of_holder, holders_of
-from radishmount.endpoints._link import Attempt, Link
+from radishmount.endpoints._latency import LatencyEstimate, faded
+from radishmount.endpoints._limit import InFlightLimit
+from radishmount.endpoints._link import Link
 from radishmount.endpoints._pool import EndpointPool
 
 
 __all__ = [
+    "EVIDENCE_MAX_AGE_MS",
     "Attempt",
     "Channel",
     "Choose",
+    "Ejection",
     "Endpoint",
     "EndpointPool",
     "Failure",
+    "InFlightLimit",
+    "LatencyEstimate",
     "Link",
     "LoadReport",
     "OpenChannel",
     "Outcome",
+    "Purpose",
     "Row",
     "SearchTerms",
     "SubReply",
     "SubRequest",
     "connections_of_holder",
+    "ejectable",
     "expected_ms",
+    "faded",
     "holders_of",
     "make_choice",
 ]
--- /dev/null
+++ b/src/radishmount/endpoints/_attempt.py
@@ -0,0 +1,62 @@
+"""One sub-request on its way to one endpoint."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from math import inf
+
+from result import Err
+
+from radishmount.endpoints._endpoint import Endpoint
+from radishmount.endpoints._exchange import Outcome, SubRequest
+
+
+__all__ = ["Attempt", "Purpose"]
+
+RESULT_OK = "OK"
+
+
+class Purpose(StrEnum):
+    """Why an attempt is made."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One sub-request for one endpoint. `deliver` is called exactly once.
+
+    An exchange that lasts longer than `progress_limit_ms` is broken off. `interrupt` is set by
+    the link that holds the attempt, and takes it out of the queue or breaks its exchange off.
+    """
+
+    request: SubRequest
+    endpoint: Endpoint
+    deliver: Callable[["Attempt", Outcome], None]
+    submitted_at_ms: float
+    purpose: Purpose = Purpose.FIRST
+    progress_limit_ms: float = inf
+    sent_at_ms: float | None = None
+    ended_at_ms: float | None = None
+    result: str = ""
+    cancelled: bool = False
+    interrupt: Callable[[], None] | None = None
+
+    def cancel(self) -> None:
+        """Give the attempt up: it is not sent, or its connection is closed."""
+        if self.cancelled or self.ended_at_ms is not None:
+            return
+        self.cancelled = True
+        if self.interrupt is not None:
+            self.interrupt()
+
+    def finish(self, outcome: Outcome, now_ms: float) -> None:
+        """Deliver `outcome`. Later outcomes of the same attempt are dropped."""
+        if self.ended_at_ms is not None:
+            return
+        self.ended_at_ms = now_ms
+        self.interrupt = None
+        self.result = outcome.err_value.code.name if isinstance(outcome, Err) else RESULT_OK
+        self.deliver(self, outcome)
--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -1,45 +1,109 @@
 """The choice of the endpoint that an attempt goes to."""
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable
+from random import Random
 
 from radishmount.endpoints._endpoint import Endpoint
+from radishmount.endpoints._latency import faded
+from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 
 
 __all__ = ["Choose", "expected_ms", "make_choice"]
 
 OTHER_DATA_CENTRE_MS = 8.0
 UNKNOWN_LATENCY_MS = 5.0
+SAMPLED_REPLICAS = 3
+REPORT_HALF_LIFE_MS = 500.0
+REPORTED_ROUNDS_BELIEVED = 4
+RAMP_MS = 5_000.0
+RAMP_START = 0.1
+SHED_HALF_LIFE_MS = 250.0
+SHED_WEIGHT = 8.0
+FAILURE_WEIGHT = 2.0
 
 Choose = Callable[[Iterable[Endpoint], Collection[str], float], Endpoint | None]
 
 
-def make_choice(own_data_centre: str) -> Choose:
+def make_choice(
+    own_data_centre: str, random: Random, policy: QueryPolicy = EVERY_MECHANISM
+) -> Choose:
     """Return a function that picks the replica with the lowest expected completion.
 
-    choose = make_choice("milano")
-    endpoint = choose(replicas, excluded, clock.now_ms())
+    An ejected endpoint is picked only where no other is left.
+
+        choose = make_choice("milano", Random(7))
+        endpoint = choose(replicas, excluded, clock.now_ms())
     """
 
     def choose(
         replicas: Iterable[Endpoint], excluded: Collection[str], now_ms: float
     ) -> Endpoint | None:
-        fit = _fit(replicas, excluded, now_ms)
-        if not fit:
-            return None
-        return min(fit, key=lambda endpoint: expected_ms(endpoint, own_data_centre))
+        live = [e for e in replicas if e.name not in excluded and e.is_live(now_ms)]
+        fit = [e for e in live if e.ejection.since_ms is None] or live
+        if len(fit) <= 1:
+            return fit[0] if fit else None
+        sampled = _sample(fit, random)
+        if policy.ramp:
+            sampled = _ramped(sampled, now_ms, random)
+        least_ms = _least_ms(sampled)
+        best = sampled[0]
+        best_ms = float("inf")
+        for endpoint in sampled:
+            cost_ms = expected_ms(endpoint, own_data_centre, least_ms, now_ms, policy)
+            if cost_ms < best_ms:
+                best, best_ms = endpoint, cost_ms
+        return best
 
     return choose
 
 
-def expected_ms(endpoint: Endpoint, own_data_centre: str) -> float:
-    """Return the expected time to completion of one more request, in milliseconds."""
-    service_ms = endpoint.latency_ms or UNKNOWN_LATENCY_MS
-    waiting = endpoint.in_flight / max(1, endpoint.slots)
-    distance_ms = 0.0 if endpoint.spec.data_centre == own_data_centre else OTHER_DATA_CENTRE_MS
-    return service_ms * (1.0 + waiting) + distance_ms
+def expected_ms(
+    endpoint: Endpoint,
+    own_data_centre: str,
+    least_ms: float,
+    now_ms: float,
+    policy: QueryPolicy = EVERY_MECHANISM,
+) -> float:
+    """Return the expected time to completion of one more request, in milliseconds.
+
+    `least_ms` is the latency of the quickest replica, which old evidence falls back to.
+    """
+    load = float(endpoint.in_flight)
+    if policy.reports and endpoint.reported_at_ms is not None:
+        believed = min(endpoint.load_of_others, REPORTED_ROUNDS_BELIEVED * endpoint.slots)
+        load += believed * faded(now_ms - endpoint.reported_at_ms, REPORT_HALF_LIFE_MS)
+    service_ms = endpoint.latency.seen_from(least_ms, now_ms)
+    expected = service_ms * (1.0 + load / max(1, endpoint.usable_slots))
+    expected *= 1.0 + SHED_WEIGHT * faded(now_ms - endpoint.shed_at_ms, SHED_HALF_LIFE_MS)
+    expected *= 1.0 + FAILURE_WEIGHT * endpoint.ejection.failures_in_row
+    if policy.own_data_centre_first and endpoint.spec.data_centre != own_data_centre:
+        expected += OTHER_DATA_CENTRE_MS
+    return expected
+
+
+def ramp_weight(endpoint: Endpoint, now_ms: float) -> float:
+    """Return the share of its work that an endpoint takes, growing since it was first live."""
+    passed = (now_ms - endpoint.live_since_ms) / RAMP_MS
+    return min(1.0, RAMP_START + (1.0 - RAMP_START) * passed)
+
+
+def _sample(fit: list[Endpoint], random: Random) -> list[Endpoint]:
+    """Return a few of the replicas, in an order that differs from call to call."""
+    if len(fit) > SAMPLED_REPLICAS:
+        return random.sample(fit, SAMPLED_REPLICAS)
+    first = int(random.random() * len(fit))
+    return fit[first:] + fit[:first]
+
+
+def _ramped(sampled: list[Endpoint], now_ms: float, random: Random) -> list[Endpoint]:
+    """Leave out endpoints that became live later than the others, less often with time."""
+    weights = [ramp_weight(endpoint, now_ms) for endpoint in sampled]
+    most = max(weights)
+    if min(weights) == most:
+        return sampled
+    return [e for e, w in zip(sampled, weights, strict=True) if random.random() * most < w]
 
 
-def _fit(
-    replicas: Iterable[Endpoint], excluded: Collection[str], now_ms: float
-) -> Sequence[Endpoint]:
-    return [e for e in replicas if e.name not in excluded and e.may_take_work(now_ms)]
+def _least_ms(sampled: list[Endpoint]) -> float:
+    known = [e.latency.value_ms for e in sampled if e.latency.value_ms is not None]
+    return min(known) if known else UNKNOWN_LATENCY_MS
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -1,33 +1,54 @@
 """The root of the aggregate: one endpoint and the evidence that this instance has of it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from radishmount.codes import Code
+from radishmount.endpoints._ejection import Ejection
 from radishmount.endpoints._exchange import Failure, LoadReport
+from radishmount.endpoints._latency import LatencyEstimate
+from radishmount.endpoints._limit import InFlightLimit
 from radishmount.publication import EndpointSpec
 
 
-__all__ = ["Endpoint"]
+__all__ = ["EVIDENCE_MAX_AGE_MS", "Endpoint"]
 
-LATENCY_WEIGHT = 0.2
 EVIDENCE_MAX_AGE_MS = 2_000.0
-FAILURES_BEFORE_EJECTION = 3
-EJECTION_MS = 2_000.0
+DENIAL_KEPT_MS = 2_000.0
+LEAVING_KEPT_MS = 2_000.0
+NEVER_MS = float("-inf")
+BLAMED_CODES = frozenset({Code.TIMED_OUT, Code.CONNECTION_LOST, Code.NOT_CONNECTED})
 
+OnChange = Callable[["Endpoint", str, str], None]
 
-@dataclass(slots=True)
+
+@dataclass(slots=True, eq=False)
 class Endpoint:
-    """One endpoint as this instance knows it. Times are in milliseconds of the clock."""
+    """One endpoint as this instance knows it. Times are in milliseconds of the clock.
+
+    Evidence is dated by when its request was sent, so that a pause of this process between
+    request and reply makes no old word young. `may_eject` tells whether the shard's other
+    replicas allow an ejection; `on_change` is told of ejection, recovery and leaving.
+    """
 
     spec: EndpointSpec
     slots: int
+    may_eject: Callable[["Endpoint"], bool] = lambda endpoint: True
+    on_change: OnChange = lambda endpoint, change, cause: None
     in_flight: int = 0
-    latency_ms: float = 0.0
+    sent: int = 0
+    latency: LatencyEstimate = field(default_factory=LatencyEstimate)
+    limit: InFlightLimit = field(default_factory=InFlightLimit)
+    ejection: Ejection = field(default_factory=Ejection)
     report: LoadReport = field(default_factory=LoadReport)
     reported_at_ms: float | None = None
+    load_of_others: int = 0
+    live_since_ms: float = NEVER_MS
+    shed_at_ms: float = NEVER_MS
     listed_as_leaving: bool = False
-    failures_in_row: int = 0
-    ejected_until_ms: float = 0.0
+    refused_as_leaving_at_ms: float = NEVER_MS
+    was_leaving: bool = False
+    denied_until_by_version: dict[int, float] = field(default_factory=dict)
 
     @property
     def name(self) -> str:
@@ -39,41 +60,121 @@
         """Return the index versions that the endpoint last said it holds."""
         return self.report.versions
 
-    def may_take_work(self, now_ms: float) -> bool:
-        """Tell whether there is young evidence that the endpoint lives and is not leaving."""
-        if self.listed_as_leaving or self.report.draining:
-            return False
-        if self.reported_at_ms is None or now_ms - self.reported_at_ms > EVIDENCE_MAX_AGE_MS:
+    @property
+    def usable_slots(self) -> int:
+        """Return the slots that it reports, at most those published."""
+        if self.report.slots <= 0:
+            return self.slots
+        return min(self.report.slots, self.slots)
+
+    def holds(self, index_version: int, now_ms: float) -> bool:
+        """Tell whether it says it holds a version and has not just answered the contrary."""
+        if index_version not in self.report.versions:
             return False
-        return now_ms >= self.ejected_until_ms
+        denied_until_ms = self.denied_until_by_version.get(index_version)
+        return denied_until_ms is None or now_ms >= denied_until_ms
+
+    def is_leaving(self, now_ms: float) -> bool:
+        """Tell whether the list, its report or a refusal says that it is leaving."""
+        if self.listed_as_leaving or self.report.draining:
+            return True
+        return now_ms - self.refused_as_leaving_at_ms < LEAVING_KEPT_MS
+
+    def is_known(self, now_ms: float) -> bool:
+        """Tell whether there is evidence young enough to send new work on."""
+        return self.reported_at_ms is not None and (
+            now_ms - self.reported_at_ms <= EVIDENCE_MAX_AGE_MS
+        )
+
+    def is_live(self, now_ms: float) -> bool:
+        """Tell whether there is young evidence that it lives and is not leaving."""
+        return self.is_known(now_ms) and not self.is_leaving(now_ms)
+
+    def may_take_work(self, now_ms: float) -> bool:
+        """Tell whether it is live and not ejected."""
+        return self.ejection.since_ms is None and self.is_live(now_ms)
+
+    def awaits_evidence(self, now_ms: float) -> bool:
+        """Tell whether its evidence is merely old: no probe has failed since."""
+        return not self.is_known(now_ms) and self.ejection.failures_in_row == 0
 
     def took_request(self) -> None:
-        """Count a request that was sent."""
+        """Count a request that was handed over."""
         self.in_flight += 1
 
-    def replied(self, report: LoadReport, now_ms: float, latency_ms: float) -> None:
-        """Take a reply as evidence of life, load and latency."""
+    def ended_request(self) -> None:
+        """Count the end of a request that was handed over."""
         self.in_flight -= 1
-        self.failures_in_row = 0
-        self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
-        self.reported(report, now_ms)
-
-    def reported(self, report: LoadReport, now_ms: float) -> None:
-        """Take what the endpoint says of itself."""
-        self.report = report
-        self.reported_at_ms = now_ms
 
-    def failed(self, failure: Failure, now_ms: float) -> None:
-        """Take a failed attempt; only failures of connection and time lead to ejection."""
-        self.in_flight -= 1
-        if failure.load is not None:
-            self.reported(failure.load, now_ms)
-        self.blame(failure, now_ms)
+    def replied(self, report: LoadReport, sent_at_ms: float, now_ms: float) -> None:
+        """Take a reply as evidence of life, load and latency."""
+        latency_ms = now_ms - sent_at_ms
+        self.latency.add(latency_ms, now_ms)
+        self.ejection.answered()
+        self.limit.replied(latency_ms, report.queued > self.usable_slots, now_ms)
+        self.reported(report, sent_at_ms, now_ms)
+
+    def reported(self, report: LoadReport, asked_at_ms: float, now_ms: float) -> None:
+        """Take what the endpoint says of itself in answer to what was sent at `asked_at_ms`."""
+        if not self.is_known(now_ms):
+            self.live_since_ms = now_ms
+        if self.reported_at_ms is None or asked_at_ms >= self.reported_at_ms:
+            self.report = report
+            self.reported_at_ms = asked_at_ms
+            self.load_of_others = max(0, report.in_flight + report.queued - self.sent)
+        if self.ejection.succeeded(now_ms):
+            self.live_since_ms = now_ms
+            self.on_change(self, "recovered", "steady replies")
+        self.note_leaving(now_ms)
+
+    def failed(self, failure: Failure, sent_at_ms: float | None, now_ms: float) -> None:
+        """Take a failed attempt: what the endpoint said, and how long it took at least."""
+        if sent_at_ms is not None and failure.code in (Code.TIMED_OUT, Code.CANCELLED):
+            self.latency.add_at_least(now_ms - sent_at_ms, now_ms)
+        if failure.code is Code.SHED:
+            self.shed_at_ms = now_ms
+            self.limit.shrink_from(self.sent, now_ms)
+        if failure.code is Code.ENDPOINT_LEAVING and sent_at_ms is not None:
+            self.refused_as_leaving_at_ms = now_ms
+        if failure.load is not None and sent_at_ms is not None:
+            self.reported(failure.load, sent_at_ms, now_ms)
+
+    def denied(self, index_version: int, now_ms: float) -> None:
+        """Take the answer that it does not hold a version, which goes before its reports."""
+        self.denied_until_by_version[index_version] = now_ms + DENIAL_KEPT_MS
+        for known in [v for v, until in self.denied_until_by_version.items() if until <= now_ms]:
+            del self.denied_until_by_version[known]
 
     def blame(self, failure: Failure, now_ms: float) -> None:
-        """Count a failure of connection or time towards ejection."""
-        if failure.code not in (Code.TIMED_OUT, Code.CONNECTION_LOST, Code.NOT_CONNECTED):
+        """Count a failure of connection or time towards ejection; no other failure counts."""
+        if failure.code in BLAMED_CODES and self.ejection.failed(now_ms):
+            self._eject(f"{self.ejection.failures_in_row} failures in a row", failure, now_ms)
+
+    def suspect(self, failure: Failure, now_ms: float) -> None:
+        """Count an exchange that was lost although new connections may work."""
+        if self.ejection.suspected():
+            self._eject(f"{self.ejection.suspicions_in_row} exchanges lost", failure, now_ms)
+
+    def _eject(self, why: str, failure: Failure, now_ms: float) -> None:
+        if not self.may_eject(self):
+            return
+        self.ejection.begin(now_ms)
+        self.on_change(self, "ejected", f"{why}, last {failure.code.name}")
+
+    def list_as_leaving(self, listed: bool, now_ms: float) -> None:
+        """Take what the instance list says."""
+        self.listed_as_leaving = listed
+        self.note_leaving(now_ms)
+
+    def forget_evidence(self) -> None:
+        """Make all evidence stale, as after a pause of this process."""
+        self.reported_at_ms = None
+
+    def note_leaving(self, now_ms: float) -> None:
+        """Tell of a change between leaving and not leaving."""
+        leaving = self.is_leaving(now_ms)
+        if leaving == self.was_leaving:
             return
-        self.failures_in_row += 1
-        if self.failures_in_row >= FAILURES_BEFORE_EJECTION:
-            self.ejected_until_ms = now_ms + EJECTION_MS
+        self.was_leaving = leaving
+        cause = "instance list" if self.listed_as_leaving else "its own word"
+        self.on_change(self, "leaving" if leaving else "no longer leaving", cause)
--- a/src/radishmount/endpoints/_exchange.py
+++ b/src/radishmount/endpoints/_exchange.py
@@ -75,6 +75,15 @@
     rows: tuple[Row, ...]
     load: LoadReport
 
+    def answers(self, request: SubRequest) -> bool:
+        """Tell whether this is the reply to `request`, of its shard and its version."""
+        return (
+            self.attempt == request.attempt
+            and self.shard == request.shard
+            and self.index_version == request.index_version
+            and self.request_id == request.request_id
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Failure:
@@ -98,8 +107,11 @@
     async def probe(self) -> Result[LoadReport, Failure]:
         """Ask the endpoint for its state without any work."""
 
-    async def close(self) -> None:
-        """Close the connection."""
+    async def close(self) -> bool:
+        """Close the connection; tell whether the endpoint was seen to close its side.
+
+        The next exchange or probe opens a new one.
+        """
 
 
 OpenChannel = Callable[[str], Channel]
--- /dev/null
+++ b/src/radishmount/endpoints/_latency.py
@@ -0,0 +1,47 @@
+"""The latency that one endpoint has shown to this instance, faded by its age."""
+
+from dataclasses import dataclass
+
+
+__all__ = ["LatencyEstimate", "faded"]
+
+SAMPLE_WEIGHT = 0.2
+HALF_LIFE_MS = 3_000.0
+
+
+def faded(age_ms: float, half_life_ms: float) -> float:
+    """Return the weight of evidence that is `age_ms` old, 1 when new and towards 0 with age."""
+    if age_ms <= 0.0:
+        return 1.0
+    return 0.5 ** (age_ms / half_life_ms)
+
+
+@dataclass(slots=True)
+class LatencyEstimate:
+    """A moving average of exchanges, in milliseconds. It is unknown until the first one."""
+
+    value_ms: float | None = None
+    taken_at_ms: float = 0.0
+
+    def add(self, latency_ms: float, now_ms: float) -> None:
+        """Take the latency of an exchange that was answered."""
+        if self.value_ms is None:
+            self.value_ms = latency_ms
+        else:
+            self.value_ms += SAMPLE_WEIGHT * (latency_ms - self.value_ms)
+        self.taken_at_ms = now_ms
+
+    def add_at_least(self, elapsed_ms: float, now_ms: float) -> None:
+        """Take an exchange that was broken off after `elapsed_ms`: it would have taken longer."""
+        if self.value_ms is None or elapsed_ms > self.value_ms:
+            self.add(elapsed_ms, now_ms)
+
+    def seen_from(self, least_ms: float, now_ms: float) -> float:
+        """Return the estimate, which falls with its age to `least_ms`, the best of the others.
+
+        So an endpoint that was slow is tried again after a while.
+        """
+        if self.value_ms is None:
+            return least_ms
+        weight = faded(now_ms - self.taken_at_ms, HALF_LIFE_MS)
+        return least_ms + weight * (self.value_ms - least_ms)
--- a/src/radishmount/endpoints/_link.py
+++ b/src/radishmount/endpoints/_link.py
@@ -4,78 +4,137 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
-from result import Err
+from result import Err, Ok
 
 from radishmount.clock import Clock
-from radishmount.codes import Code
+from radishmount.codes import Code, Ran
 from radishmount.counters import Counters
+from radishmount.endpoints._attempt import Attempt
 from radishmount.endpoints._endpoint import Endpoint
-from radishmount.endpoints._exchange import Channel, Failure, OpenChannel, Outcome, SubRequest
+from radishmount.endpoints._exchange import Channel, Failure, OpenChannel, Outcome
+from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 
 
-__all__ = ["Attempt", "Link"]
+__all__ = ["Link"]
 
 PROBE_INTERVAL_MS = 1_000.0
-PROBE_TIMEOUT_MS = 1_000.0
+PROBE_TIMEOUT_MS = 500.0
+IDLE_CLOSE_MS = 30_000.0
+TIMER_SLACK_MS = 0.01
+UNCONFIRMED_CLOSE_KEPT_MS = 10_000.0
+RESTART_AFTER_ERROR_MS = 1_000.0
+LONGEST_FOR_PROBER_MS = 1_500.0
+QUEUED_PER_CONNECTION = 8
+BROKEN_CODES = frozenset(
+    {Code.TIMED_OUT, Code.CANCELLED, Code.CONNECTION_LOST, Code.NOT_CONNECTED, Code.BAD_REPLY}
+)
 
 
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One sub-request on its way to one endpoint. `deliver` is called exactly once."""
-
-    request: SubRequest
-    endpoint: Endpoint
-    deliver: Callable[["Attempt", Outcome], None]
-    submitted_at_ms: float
-    cancelled: bool = False
-    timeout: asyncio.Timeout | None = None
+class Turn(Enum):
+    """What a connection does next when there is no attempt for it."""
 
-    def cancel(self) -> None:
-        """Give the attempt up: it is not sent, or its connection is closed."""
-        self.cancelled = True
-        if self.timeout is not None and not self.timeout.expired():
-            self.timeout.reschedule(0.0)
+    PROBE = auto()
+    END = auto()
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Link:
-    """The queue and the connections to one endpoint, at most `connection_limit` of them."""
+    """The queue and the connections to one endpoint.
+
+    There are never more than `connection_limit` connections. One counts from before it is opened
+    until the endpoint has closed its side, or for a while where that was not seen. The first one
+    also probes, so that evidence stays young.
+    """
 
     endpoint: Endpoint
     open_channel: OpenChannel
     clock: Clock
     counters: Counters
     connection_limit: int
+    policy: QueryPolicy = EVERY_MECHANISM
+    on_evidence: Callable[[], None] = lambda: None
     waiting: deque[Attempt] = field(default_factory=deque)
     wakers: deque[asyncio.Future[None]] = field(default_factory=deque)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    prober: asyncio.Task[None] | None = None
+    probe_at_ms: float = 0.0
+    unconfirmed: int = 0
+    retired: bool = False
 
     def start(self) -> None:
-        """Open the first connection, which also probes while there is nothing to send."""
-        self._add_connection(probes=True)
+        """Open the connection that also probes, unless this instance may have none."""
+        if self.retired or self.connection_limit < 1 or self.prober is not None:
+            return
+        self.prober = self._add_connection(probes=True)
 
     def submit(self, attempt: Attempt) -> None:
         """Hand over one attempt; it is sent by the next free connection."""
         attempt.endpoint.took_request()
+        if self.retired or self.connection_limit < 1:
+            self._finish(attempt, Err(Failure(Code.NOT_CONNECTED, detail="no connection allowed")))
+            return
+        if len(self.waiting) >= QUEUED_PER_CONNECTION * self.connection_limit:
+            self._finish(attempt, Err(Failure(Code.QUEUE_FULL)))
+            return
+        attempt.interrupt = lambda: self._give_up(attempt)
         self.waiting.append(attempt)
-        if self.wakers:
-            _wake(self.wakers.popleft())
-        elif len(self.tasks) < self.connection_limit:
-            self._add_connection(probes=False)
+        self._put_to_work()
+
+    def set_limit(self, connection_limit: int) -> None:
+        """Change how many connections there may be; idle ones over the limit are closed."""
+        self.connection_limit = connection_limit
+        if connection_limit < 1:
+            self._fail_waiting("no connection allowed")
+        self.start()
+        self._wake_all()
+
+    def retire(self) -> None:
+        """Take no more attempts; exchanges in flight end before their connection is closed."""
+        self.retired = True
+        self._fail_waiting("the endpoint was taken out")
+        self._wake_all()
+
+    def revive(self) -> None:
+        """Take attempts again after `retire`."""
+        self.retired = False
+        self.start()
+
+    def probe_now(self) -> None:
+        """Probe at once, or after the exchange that the probing connection is busy with."""
+        self.probe_at_ms = self.clock.now_ms()
+        self._wake_all()
 
     async def stop(self) -> None:
-        """Close every connection."""
+        """Close every connection, whatever is in flight."""
+        self.retired = True
+        self._fail_waiting("the instance stops")
         tasks = list(self.tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _add_connection(self, *, probes: bool) -> None:
+    def _add_connection(self, *, probes: bool) -> asyncio.Task[None]:
         name = f"connection {self.endpoint.name}"
         task = asyncio.get_running_loop().create_task(self._run_connection(probes), name=name)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._connection_ended)
+        return task
+
+    def _connection_ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        self._put_to_work()
+        failed = not task.cancelled() and task.exception() is not None
+        if failed:
+            self.counters.add("connection_errors", repr(task.exception()))
+        if task is not self.prober:
+            return
+        self.prober = None
+        if failed:
+            asyncio.get_running_loop().call_later(RESTART_AFTER_ERROR_MS / 1000.0, self.start)
+        else:
+            self.start()
 
     async def _run_connection(self, probes: bool) -> None:
         """Own one connection: take the next attempt, send it, await its reply, deliver."""
@@ -84,58 +143,149 @@
             if probes:
                 await self._probe(channel)
             while True:
-                attempt = await self._next_attempt(PROBE_INTERVAL_MS if probes else None)
-                if attempt is None:
-                    await self._probe(channel)
-                    continue
-                await self._carry(channel, attempt)
+                match await self._next(probes):
+                    case Turn.END:
+                        return
+                    case Turn.PROBE:
+                        await self._probe(channel)
+                    case Attempt() as attempt:
+                        await self._carry(channel, attempt)
         finally:
-            await channel.close()
-
-    async def _next_attempt(self, wait_ms: float | None) -> Attempt | None:
-        """Return the next attempt, or none when `wait_ms` pass without one."""
-        while not self.waiting:
-            waker = asyncio.get_running_loop().create_future()
-            self.wakers.append(waker)
-            try:
-                async with asyncio.timeout(None if wait_ms is None else wait_ms / 1000.0):
-                    await waker
-            except TimeoutError:
-                return None
-            finally:
-                if waker in self.wakers:
-                    self.wakers.remove(waker)
+            await self._close(channel)
+
+    async def _next(self, probes: bool) -> Attempt | Turn:
+        """Return the next attempt, or what to do when there is none in time."""
+        idle_since_ms = self.clock.now_ms()
+        while True:
+            now_ms = self.clock.now_ms()
+            if self.retired or self._is_over_limit(probes):
+                return Turn.END
+            attempt = self._take_waiting(probes)
+            if attempt is not None:
+                return attempt
+            end_ms = self.probe_at_ms if probes else idle_since_ms + IDLE_CLOSE_MS
+            if end_ms - now_ms < TIMER_SLACK_MS:
+                return Turn.PROBE if probes else Turn.END
+            await self._sleep_until(end_ms, now_ms)
+
+    def _take_waiting(self, probes: bool) -> Attempt | None:
+        """Return the attempt that has waited longest, if one more may be sent.
+
+        The probing connection leaves long exchanges to the others, so that probes are not kept
+        waiting.
+        """
+        if not self.waiting or not self._may_send():
+            return None
+        is_long = self.waiting[0].progress_limit_ms > LONGEST_FOR_PROBER_MS
+        if probes and is_long and self.connection_limit > 1:
+            return None
+        self.endpoint.sent += 1
         return self.waiting.popleft()
 
+    async def _sleep_until(self, end_ms: float, now_ms: float) -> None:
+        """Wait for `end_ms` or for being woken."""
+        loop = asyncio.get_running_loop()
+        waker = loop.create_future()
+        timer = loop.call_later((end_ms - now_ms) / 1000.0, _wake, waker)
+        self.wakers.append(waker)
+        try:
+            await waker
+        finally:
+            timer.cancel()
+            if waker in self.wakers:
+                self.wakers.remove(waker)
+
     async def _carry(self, channel: Channel, attempt: Attempt) -> None:
+        """Send one attempt that was taken, and deliver its outcome whatever happens."""
+        outcome: Outcome = Err(Failure(Code.CANCELLED, Ran.UNKNOWN))
+        try:
+            outcome = await self._exchange(channel, attempt)
+        finally:
+            self.endpoint.sent -= 1
+            self._finish(attempt, outcome)
+        if isinstance(outcome, Err) and outcome.err_value.code in BROKEN_CODES:
+            await self._mend(channel, outcome.err_value, attempt)
+        self._put_to_work()
+
+    async def _exchange(self, channel: Channel, attempt: Attempt) -> Outcome:
+        refused = await self._reason_not_to_send(channel, attempt)
+        if refused is not None:
+            return Err(refused)
+        now_ms = self.clock.now_ms()
         remaining_ms = self.clock.remaining_ms(attempt.request.deadline_at_ms)
-        if attempt.cancelled:
-            self._finish(attempt, Err(Failure(Code.CANCELLED)))
-            return
         if remaining_ms <= 0.0:
-            self._finish(attempt, Err(Failure(Code.DEADLINE_PASSED)))
-            return
-        outcome: Outcome
+            return Err(Failure(Code.DEADLINE_PASSED))
+        attempt.sent_at_ms = now_ms
+        limit_ms = remaining_ms
+        if self.policy.progress_limits:
+            limit_ms = min(remaining_ms, attempt.progress_limit_ms)
         try:
-            async with asyncio.timeout(remaining_ms / 1000.0) as attempt.timeout:
-                outcome = await channel.exchange(attempt.request, remaining_ms)
+            async with asyncio.timeout(limit_ms / 1000.0) as timeout:
+                attempt.interrupt = lambda: timeout.reschedule(0.0)
+                return await channel.exchange(attempt.request, remaining_ms)
         except TimeoutError:
             code = Code.CANCELLED if attempt.cancelled else Code.TIMED_OUT
-            outcome = Err(Failure(code))
-        self._finish(attempt, outcome)
+            return Err(Failure(code, Ran.UNKNOWN))
+        finally:
+            attempt.interrupt = None
+
+    async def _reason_not_to_send(self, channel: Channel, attempt: Attempt) -> Failure | None:
+        """Return why the attempt is not sent; old evidence is renewed by a probe first."""
+        attempt.interrupt = None
+        if not self.endpoint.is_known(self.clock.now_ms()):
+            await self._probe(channel)
+        now_ms = self.clock.now_ms()
+        if attempt.cancelled:
+            return Failure(Code.CANCELLED)
+        if self.endpoint.is_leaving(now_ms):
+            return Failure(Code.ENDPOINT_LEAVING)
+        if not self.endpoint.is_known(now_ms):
+            return Failure(Code.NOT_CONNECTED, detail="a probe was not answered")
+        return None
 
     def _finish(self, attempt: Attempt, outcome: Outcome) -> None:
         now_ms = self.clock.now_ms()
+        self.endpoint.ended_request()
         match outcome:
+            case Ok(reply):
+                sent_at_ms = attempt.sent_at_ms or now_ms
+                self.endpoint.replied(reply.load, sent_at_ms, now_ms)
+                self.probe_at_ms = max(self.probe_at_ms, sent_at_ms + PROBE_INTERVAL_MS)
+                self.on_evidence()
             case Err(failure):
-                self.endpoint.failed(failure, now_ms)
                 self.counters.add("attempt_failures", failure.code.name)
-            case _:
-                latency_ms = now_ms - attempt.submitted_at_ms
-                self.endpoint.replied(outcome.ok_value.load, now_ms, latency_ms)
-        attempt.deliver(attempt, outcome)
+                self.endpoint.failed(failure, attempt.sent_at_ms, now_ms)
+                if failure.code is Code.WRONG_VERSION:
+                    self.endpoint.denied(attempt.request.index_version, now_ms)
+        attempt.finish(outcome, now_ms)
+
+    async def _mend(self, channel: Channel, failure: Failure, attempt: Attempt) -> None:
+        """Close a connection that cannot be used again; the endpoint is blamed only with proof.
+
+        A connection that was cut, lost or silent says little of its endpoint. So a new one is
+        tried first: only where that fails too is the endpoint blamed.
+        """
+        await self._close(channel)
+        if failure.code is Code.NOT_CONNECTED:
+            if attempt.sent_at_ms is not None:
+                self.endpoint.blame(failure, self.clock.now_ms())
+            return
+        is_suspect = failure.code is Code.CONNECTION_LOST or _was_silent(attempt, failure)
+        if is_suspect:
+            self.counters.add("broken_connections", failure.code.name)
+            self.endpoint.suspect(failure, self.clock.now_ms())
+        if not is_suspect and self._evidence_age_ms() < PROBE_INTERVAL_MS / 2.0:
+            return
+        probes = asyncio.current_task() is self.prober
+        if self.retired or self._is_over_limit(probes):
+            self.probe_now()
+            return
+        await self._probe(channel)
 
     async def _probe(self, channel: Channel) -> None:
+        asked_at_ms = self.clock.now_ms()
+        self.probe_at_ms = asked_at_ms + PROBE_INTERVAL_MS
+        self.counters.add("probes")
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_MS / 1000.0):
                 outcome = await channel.probe()
@@ -146,9 +296,67 @@
             case Err(failure):
                 self.endpoint.blame(failure, now_ms)
                 self.counters.add("probe_failures", failure.code.name)
-                await self.clock.sleep_ms(PROBE_INTERVAL_MS)
-            case _:
-                self.endpoint.reported(outcome.ok_value, now_ms)
+                await self._close(channel)
+            case Ok(report):
+                self.endpoint.reported(report, asked_at_ms, now_ms)
+        self.on_evidence()
+
+    async def _close(self, channel: Channel) -> None:
+        """Close a connection. It counts until the endpoint has closed its side, or for a while."""
+        if await channel.close():
+            return
+        self.counters.add("unconfirmed_closes")
+        self.unconfirmed += 1
+        loop = asyncio.get_running_loop()
+        loop.call_later(UNCONFIRMED_CLOSE_KEPT_MS / 1000.0, self._forget_unconfirmed)
+
+    def _forget_unconfirmed(self) -> None:
+        self.unconfirmed -= 1
+
+    def _put_to_work(self) -> None:
+        """Have one more connection take an attempt, where one is waiting and allowed."""
+        if not self.waiting or not self._may_send():
+            return
+        if self.wakers:
+            _wake(self.wakers.pop())
+        elif len(self.tasks) + self.unconfirmed < self.connection_limit:
+            self._add_connection(probes=False)
+
+    def _may_send(self) -> bool:
+        return not self.policy.adaptive_limits or self.endpoint.sent < int(
+            self.endpoint.limit.value
+        )
+
+    def _is_over_limit(self, probes: bool) -> bool:
+        """Tell whether this connection is one too many; the probing one goes last."""
+        if probes:
+            return self.connection_limit < 1
+        return len(self.tasks) + self.unconfirmed > max(1, self.connection_limit)
+
+    def _evidence_age_ms(self) -> float:
+        reported_at_ms = self.endpoint.reported_at_ms
+        return float("inf") if reported_at_ms is None else self.clock.now_ms() - reported_at_ms
+
+    def _give_up(self, attempt: Attempt) -> None:
+        """Take a cancelled attempt out of the queue."""
+        self.waiting.remove(attempt)
+        self._finish(attempt, Err(Failure(Code.CANCELLED)))
+
+    def _fail_waiting(self, why: str) -> None:
+        while self.waiting:
+            self._finish(self.waiting.popleft(), Err(Failure(Code.NOT_CONNECTED, detail=why)))
+
+    def _wake_all(self) -> None:
+        while self.wakers:
+            _wake(self.wakers.popleft())
+
+
+def _was_silent(attempt: Attempt, failure: Failure) -> bool:
+    """Tell whether the exchange passed its progress limit, rather than the deadline."""
+    if failure.code is not Code.TIMED_OUT or attempt.sent_at_ms is None:
+        return False
+    lasted_ms = (attempt.ended_at_ms or attempt.sent_at_ms) - attempt.sent_at_ms
+    return lasted_ms >= attempt.progress_limit_ms - TIMER_SLACK_MS
 
 
 def _wake(waker: asyncio.Future[None]) -> None:
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -1,15 +1,24 @@
 """All endpoints of the publication in force, and the links to them."""
 
+import asyncio
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from result import Err
+
+from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
+from radishmount.codes import Code
 from radishmount.counters import Counters
+from radishmount.endpoints._attempt import Attempt
+from radishmount.endpoints._ejection import Ejection, ejectable
 from radishmount.endpoints._endpoint import Endpoint
-from radishmount.endpoints._exchange import OpenChannel
-from radishmount.endpoints._holders import connections_of_holder
-from radishmount.endpoints._link import Attempt, Link
-from radishmount.publication import Publication
+from radishmount.endpoints._exchange import Failure, OpenChannel
+from radishmount.endpoints._holders import connections_of_holder, holders_of
+from radishmount.endpoints._limit import InFlightLimit
+from radishmount.endpoints._link import Link
+from radishmount.policy import EVERY_MECHANISM, QueryPolicy
+from radishmount.publication import EMPTY_PUBLICATION, EndpointSpec, Publication
 
 
 __all__ = ["EndpointPool"]
@@ -23,49 +32,156 @@
     open_channel: OpenChannel
     clock: Clock
     counters: Counters
+    audit: AuditTrail
+    policy: QueryPolicy = EVERY_MECHANISM
+    publication: Publication = EMPTY_PUBLICATION
     links_by_name: dict[str, Link] = field(default_factory=dict)
-    links_by_service: dict[str, list[Link]] = field(default_factory=dict)
+    endpoints_by_service: dict[str, list[Endpoint]] = field(default_factory=dict)
+    retiring: list[Link] = field(default_factory=list)
+    leaving_names: frozenset[str] = frozenset()
+    evidence_waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
     def endpoints_of(self, service: str) -> Iterable[Endpoint]:
-        """Yield the endpoints of `service`."""
-        for link in self.links_by_service.get(service, ()):
-            yield link.endpoint
+        """Return the endpoints of `service`."""
+        return self.endpoints_by_service.get(service, ())
 
     def submit(self, attempt: Attempt) -> None:
-        """Send `attempt` over the link of its endpoint."""
-        self.links_by_name[attempt.endpoint.name].submit(attempt)
+        """Send `attempt` over the link of its endpoint, if that is still published."""
+        link = self.links_by_name.get(attempt.endpoint.name)
+        if link is None or link.endpoint is not attempt.endpoint:
+            failure = Failure(Code.NO_ENDPOINT, detail="no longer published")
+            attempt.finish(Err(failure), self.clock.now_ms())
+            return
+        link.submit(attempt)
 
     async def take_publication(self, publication: Publication, instances: Iterable[str]) -> None:
-        """Link to the endpoints that are new, and close the links to those that are gone."""
+        """Link to the endpoints that are new, and retire the links to those that are gone.
+
+        Exchanges over a retired link end on their own, so no request in flight is cut.
+        """
+        self.publication = publication
         names = sorted(instances)
-        gone = set(self.links_by_name) - set(publication.endpoints_by_name)
-        for name in gone:
-            await self.links_by_name.pop(name).stop()
+        for name, link in list(self.links_by_name.items()):
+            spec = publication.endpoints_by_name.get(name)
+            if spec is None or spec.address != link.endpoint.spec.address:
+                self._retire(self.links_by_name.pop(name))
         for name in publication.endpoints_by_name:
             self._link_to(name, publication, names)
-        self.links_by_service = {
-            service.name: [self.links_by_name[spec.name] for spec in service.endpoints]
+        self.endpoints_by_service = {
+            service.name: [self.links_by_name[spec.name].endpoint for spec in service.endpoints]
             for service in publication.services_by_name.values()
         }
+        self._evidence_came()
 
     def take_leaving(self, names: frozenset[str]) -> None:
         """Mark the endpoints that the instance list tells are leaving."""
+        self.leaving_names = names
+        now_ms = self.clock.now_ms()
         for name, link in self.links_by_name.items():
-            link.endpoint.listed_as_leaving = name in names
+            link.endpoint.list_as_leaving(name in names, now_ms)
+
+    def forget_evidence(self) -> None:
+        """Make all evidence stale and probe at once, as after a pause of this process."""
+        self.counters.add("evidence_forgotten")
+        for link in self.links_by_name.values():
+            link.endpoint.forget_evidence()
+            link.probe_now()
+
+    async def next_evidence(self, timeout_ms: float) -> None:
+        """Wait until an endpoint answers or the endpoints change, at most `timeout_ms`."""
+        loop = asyncio.get_running_loop()
+        waiter = loop.create_future()
+        self.evidence_waiters.append(waiter)
+        timer = loop.call_later(timeout_ms / 1000.0, _wake, waiter)
+        try:
+            await waiter
+        finally:
+            timer.cancel()
+            if waiter in self.evidence_waiters:
+                self.evidence_waiters.remove(waiter)
 
     async def stop(self) -> None:
         """Close every link."""
-        for link in self.links_by_name.values():
-            await link.stop()
+        links = [*self.links_by_name.values(), *self.retiring]
+        await asyncio.gather(*(link.stop() for link in links))
 
     def _link_to(self, name: str, publication: Publication, instances: list[str]) -> None:
         service = publication.services_by_endpoint[name]
-        limit = connections_of_holder(name, self.own_name, instances, service.connections)
-        known = self.links_by_name.get(name)
-        if known is not None:
-            known.connection_limit = limit
-            return
-        endpoint = Endpoint(spec=publication.endpoints_by_name[name], slots=service.slots)
-        link = Link(endpoint, self.open_channel, self.clock, self.counters, limit)
+        spec = publication.endpoints_by_name[name]
+        limit = service.connections
+        if self.policy.holders:
+            limit = connections_of_holder(name, self.own_name, instances, service.connections)
+        link = self.links_by_name.get(name) or self._revived(spec)
+        if link is None:
+            link = self._new_link(spec, limit)
+        endpoint = link.endpoint
+        endpoint.spec = spec
+        endpoint.slots = service.slots
+        holders = len(holders_of(name, instances, service.connections))
+        endpoint.limit.least = max(1, -(-service.slots // holders))
         self.links_by_name[name] = link
-        link.start()
+        link.set_limit(limit)
+
+    def _new_link(self, spec: EndpointSpec, limit: int) -> Link:
+        endpoint = Endpoint(
+            spec=spec,
+            slots=0,
+            may_eject=self._may_eject,
+            on_change=self._note_change,
+            ejection=Ejection(steady=self.policy.steady_recovery),
+            limit=InFlightLimit(),
+        )
+        endpoint.list_as_leaving(spec.name in self.leaving_names, self.clock.now_ms())
+        return Link(
+            endpoint=endpoint,
+            open_channel=self.open_channel,
+            clock=self.clock,
+            counters=self.counters,
+            connection_limit=limit,
+            policy=self.policy,
+            on_evidence=self._evidence_came,
+        )
+
+    def _retire(self, link: Link) -> None:
+        link.retire()
+        self.retiring = [known for known in self.retiring if known.tasks]
+        self.retiring.append(link)
+
+    def _revived(self, spec: EndpointSpec) -> Link | None:
+        """Return the retired link to the same endpoint, so that its connections still count."""
+        for link in self.retiring:
+            known = link.endpoint.spec
+            if (known.name, known.address) != (spec.name, spec.address):
+                continue
+            self.retiring.remove(link)
+            link.revive()
+            return link
+        return None
+
+    def _may_eject(self, endpoint: Endpoint) -> bool:
+        """Tell whether the bound on ejected replicas allows one more."""
+        if not self.policy.ejection:
+            return False
+        service = self.publication.services_by_endpoint.get(endpoint.name)
+        if service is None:
+            return False
+        replicas = self.endpoints_by_service.get(service.name, [])
+        ejected = sum(replica.ejection.since_ms is not None for replica in replicas)
+        if ejected < ejectable(len(replicas)):
+            return True
+        self.counters.add("ejections_withheld")
+        return False
+
+    def _note_change(self, endpoint: Endpoint, change: str, cause: str) -> None:
+        self.counters.add("endpoint_changes", change)
+        version = self.publication.version
+        self.audit.record(f"endpoint/{endpoint.name}", change, cause=cause, version=version)
+
+    def _evidence_came(self) -> None:
+        while self.evidence_waiters:
+            _wake(self.evidence_waiters.pop())
+
+
+def _wake(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -1,7 +1,7 @@
 """One entry instance: its aggregates, put together."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Protocol
@@ -23,12 +23,13 @@
     choose_addresses,
     watch_instances,
 )
-from radishmount.policy import QueryPolicy
+from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 from radishmount.publication import (
     ConfigurationSource,
     InForce,
     Publication,
     ReadBundle,
+    Shard,
     watch_configuration,
 )
 from radishmount.queries import Answer, QueryTools, Search, SearchCall, run_search
@@ -55,7 +56,7 @@
     platform: Platform
     open_channel: OpenChannel
     read_bundle: ReadBundle
-    policy: QueryPolicy = QueryPolicy()
+    policy: QueryPolicy = EVERY_MECHANISM
 
 
 @dataclass(slots=True)
@@ -122,9 +123,13 @@
             rule=rule,
             terms=call.terms,
             deadline_at_ms=now_ms + deadline_ms,
+            deadline_ms=deadline_ms,
         )
-        shards = publication.shards_by_collection[collection.name]
-        return await run_search(search, shards, self.tools)
+        return await run_search(search, self._shards_of(collection.name), self.tools)
+
+    def _shards_of(self, collection: str) -> Callable[[], Sequence[Shard]]:
+        """Return a function that reads the shards of a collection from what is in force."""
+        return lambda: self.in_force.current.shards_by_collection.get(collection, ())
 
     def is_ready(self) -> bool:
         """Tell whether the instance takes work."""
@@ -159,7 +164,8 @@
 def make_node(parts: NodeParts, audit: AuditTrail) -> Node:
     """Return an instance that is not started yet."""
     counters = Counters()
-    pool = EndpointPool(parts.name, parts.open_channel, parts.clock, counters)
+    pool = EndpointPool(parts.name, parts.open_channel, parts.clock, counters, audit, parts.policy)
+    choose = make_choice(parts.data_centre, Random(parts.random.random()), parts.policy)
     fleet = Fleet(parts.name, parts.data_centre)
     node = Node(
         parts=parts,
@@ -167,7 +173,7 @@
         in_force=InForce(parts.read_bundle, audit, counters, parts.clock),
         list_watch=ListWatch(fleet, audit, counters, parts.clock),
         pool=pool,
-        tools=QueryTools(pool, parts.clock, make_choice(parts.data_centre), counters, parts.policy),
+        tools=QueryTools(pool, parts.clock, choose, counters, parts.policy),
         audit=audit,
         counters=counters,
     )
--- a/src/radishmount/policy.py
+++ b/src/radishmount/policy.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 
-__all__ = ["QueryPolicy"]
+__all__ = ["EVERY_MECHANISM", "QueryPolicy"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,3 +25,6 @@
     adaptive_limits: bool = True
     progress_limits: bool = True
     snapshot_restarts: bool = True
+
+
+EVERY_MECHANISM = QueryPolicy()
--- a/src/radishmount/queries/_budget.py
+++ b/src/radishmount/queries/_budget.py
@@ -1,26 +1,62 @@
-"""The budget that bounds extra sub-requests to a share of the first ones."""
+"""Budgets that bound extra sub-requests to a share of the first ones, over the last seconds."""
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 
 
 __all__ = ["ExtraBudget"]
 
-KEPT_TOKENS = 50.0
+SLICE_MS = 1_000.0
+KEPT_SLICES = 10
+
+
+@dataclass(slots=True)
+class Slice:
+    """What was earned and spent from `began_ms` on."""
+
+    began_ms: float
+    earned: float = 0.0
+    spent: float = 0.0
 
 
 @dataclass(slots=True)
 class ExtraBudget:
-    """Grants one extra sub-request for each 1/ratio first ones, and keeps a bounded reserve."""
+    """Grants as many extra sub-requests as were earned over the last seconds, plus `reserve`.
+
+    budget = ExtraBudget()
+    budget.earn(100 * 0.05, now_ms)
+    budget.spend(now_ms)
+    """
 
-    tokens: float = 0.0
+    reserve: float = 0.0
+    earned: float = 0.0
+    spent: float = 0.0
+    slices: deque[Slice] = field(default_factory=deque)
 
-    def earn(self, first_requests: int, ratio: float) -> None:
-        """Add what `first_requests` allow at `ratio`."""
-        self.tokens = min(KEPT_TOKENS, self.tokens + first_requests * ratio)
+    def earn(self, amount: float, now_ms: float) -> None:
+        """Allow `amount` more."""
+        self._slice(now_ms).earned += amount
+        self.earned += amount
 
-    def spend(self) -> bool:
+    def spend(self, now_ms: float) -> bool:
         """Take one extra sub-request out of the budget; tell whether there was one."""
-        if self.tokens < 1.0:
+        self._slice(now_ms)
+        if self.spent + 1.0 > self.earned + self.reserve:
             return False
-        self.tokens -= 1.0
+        self.charge(now_ms)
         return True
+
+    def charge(self, now_ms: float) -> None:
+        """Count one extra sub-request that another budget granted."""
+        self._slice(now_ms).spent += 1.0
+        self.spent += 1.0
+
+    def _slice(self, now_ms: float) -> Slice:
+        """Return the slice of now; slices that are too old count no longer."""
+        while self.slices and now_ms - self.slices[0].began_ms >= KEPT_SLICES * SLICE_MS:
+            old = self.slices.popleft()
+            self.earned -= old.earned
+            self.spent -= old.spent
+        if not self.slices or now_ms - self.slices[-1].began_ms >= SLICE_MS:
+            self.slices.append(Slice(now_ms))
+        return self.slices[-1]
--- a/src/radishmount/queries/_explain.py
+++ b/src/radishmount/queries/_explain.py
@@ -1,13 +1,19 @@
 """The record of requests that were slow, partial or refused: what was tried, and why."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from radishmount.codes import Code
+from result import Err, Result
 
+from radishmount.clock import Clock
+from radishmount.codes import Code, Refusal
+from radishmount.endpoints import Attempt
+from radishmount.queries._search import Answer, Search
 
-__all__ = ["AttemptRecord", "ExplainLog", "RequestRecord", "Verdict"]
+
+__all__ = ["AttemptRecord", "ExplainLog", "RequestRecord", "Verdict", "record_of"]
 
 KEPT_RECORDS = 500
 
@@ -72,3 +78,45 @@
     def find(self, request_id: str) -> RequestRecord | None:
         """Return the record of a request, none when it was well or is no longer kept."""
         return self.records_by_request_id.get(request_id)
+
+
+def record_of(
+    search: Search,
+    verdict: Verdict,
+    result: Result[Answer, Refusal],
+    attempts: Iterable[Attempt],
+    clock: Clock,
+) -> RequestRecord:
+    """Return the record of a search that has ended."""
+    began_ms = search.deadline_at_ms - search.deadline_ms
+    records = tuple(_attempt_record(attempt, began_ms) for attempt in attempts)
+    refusal = result.err_value if isinstance(result, Err) else None
+    missing = () if isinstance(result, Err) else result.ok_value.coverage.missing
+    return RequestRecord(
+        request_id=search.request_id,
+        caller=search.caller,
+        target=search.collection.name,
+        verdict=verdict,
+        at_ms=clock.wall_ms(),
+        took_ms=clock.now_ms() - began_ms,
+        deadline_ms=search.deadline_ms,
+        index_versions=tuple(dict.fromkeys(record.index_version for record in records)),
+        missing=missing,
+        attempts=records,
+        code=refusal.code if refusal else None,
+        detail=refusal.detail if refusal else "",
+    )
+
+
+def _attempt_record(attempt: Attempt, began_ms: float) -> AttemptRecord:
+    ended_at_ms = attempt.ended_at_ms
+    return AttemptRecord(
+        attempt=attempt.request.attempt,
+        purpose=attempt.purpose.value,
+        shard=attempt.request.shard,
+        endpoint=attempt.endpoint.name,
+        index_version=attempt.request.index_version,
+        submitted_after_ms=attempt.submitted_at_ms - began_ms,
+        ended_after_ms=None if ended_at_ms is None else ended_at_ms - began_ms,
+        result=attempt.result or ("GIVEN_UP" if attempt.cancelled else "OPEN"),
+    )
--- a/src/radishmount/queries/_fan_out.py
+++ b/src/radishmount/queries/_fan_out.py
@@ -1,66 +1,79 @@
 """One fan-out: the sub-requests of one search at one snapshot."""
 
 import asyncio
+import heapq
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from result import Err, Ok
 
 from radishmount.codes import Code, Ran
-from radishmount.endpoints import Attempt, Endpoint, Outcome, SubReply, SubRequest
-from radishmount.publication import Shard
-from radishmount.queries._hedge import hedge_delay_ms
+from radishmount.endpoints import (
+    Attempt,
+    Endpoint,
+    Failure,
+    Outcome,
+    Purpose,
+    SubReply,
+    SubRequest,
+)
+from radishmount.publication import Preference
+from radishmount.queries._hedge import hedge_delay_ms, progress_limit_ms
+from radishmount.queries._progress import ShardProgress
 from radishmount.queries._search import Search
 from radishmount.queries._tools import QueryTools
 from radishmount.snapshots import Snapshot
 
 
-__all__ = ["FanOut", "ShardProgress"]
+__all__ = ["FanOut"]
 
-RETRY_PAUSE_MS = 20.0
-
-
-@dataclass(slots=True)
-class ShardProgress:
-    """What one shard of the fan-out waits for. `act_at_ms` is when to hedge or to try again."""
-
-    shard: Shard
-    open_attempts: list[Attempt] = field(default_factory=list)
-    tried: set[str] = field(default_factory=set)
-    act_at_ms: float = 0.0
-    reply: SubReply | None = None
+ANSWER_MARGIN_RATIO = 0.02
+TIMER_SLACK_MS = 0.01
+MIN_RESTART_MS = 10.0
+RESTART_CHECK_INTERVAL_MS = 10.0
 
 
 @dataclass(slots=True)
 class FanOut:
-    """The state of one fan-out. `run` ends with every shard answered, or at the deadline."""
+    """The state of one fan-out. `run` ends with every shard answered, or when time is up.
+
+    `other_snapshot` finds another version that every shard can answer. If a shard cannot answer
+    this one, and there is such a version and time for it, the fan-out ends with `must_restart`.
+    """
 
     search: Search
     snapshot: Snapshot
     tools: QueryTools
+    other_snapshot: Callable[[], Snapshot | None]
     progress_by_shard: dict[str, ShardProgress] = field(default_factory=dict)
-    inbox: asyncio.Queue[tuple[Attempt, Outcome]] = field(default_factory=asyncio.Queue)
-    attempts: int = 0
+    inbox: deque[tuple[Attempt, Outcome]] = field(default_factory=deque)
+    due: list[tuple[float, int, ShardProgress]] = field(default_factory=list)
+    planned: int = 0
+    waker: asyncio.Future[None] | None = None
+    attempts: list[Attempt] = field(default_factory=list)
     unanswered: int = 0
-    version_is_gone: bool = False
+    collect_until_ms: float = 0.0
+    restart_checked_at_ms: float = float("-inf")
+    must_restart: bool = False
 
     async def run(self) -> None:
         """Send every sub-request, then take replies until all are there or time is up."""
-        shards = self.snapshot.shards_for(self.search.terms.keys)
-        self.unanswered = len(shards)
-        self.tools.budget.earn(len(shards), self.search.rule.hedge_ratio)
-        for shard in shards:
-            progress = ShardProgress(shard)
-            self.progress_by_shard[shard.name] = progress
-            self._send(progress)
-        while self.unanswered and not self.version_is_gone:
+        now_ms = self.tools.clock.now_ms()
+        remaining_ms = self.search.deadline_at_ms - now_ms
+        self.collect_until_ms = now_ms + remaining_ms * (1.0 - ANSWER_MARGIN_RATIO)
+        self._send_first(now_ms)
+        while True:
+            while self.inbox:
+                self._take(*self.inbox.popleft())
+            if not self.unanswered or self.must_restart:
+                break
             now_ms = self.tools.clock.now_ms()
-            if now_ms >= self.search.deadline_at_ms:
+            if now_ms >= self.collect_until_ms - TIMER_SLACK_MS or self._has_no_hope(now_ms):
                 break
-            arrived = await self._next_arrival(now_ms)
-            if arrived is None:
-                self._act_on_time()
+            if self._act_when_due(now_ms):
                 continue
-            self._take(*arrived)
+            await self._sleep_until(min(self.collect_until_ms, self._next_due_ms()), now_ms)
         self._cancel_open()
 
     @property
@@ -68,81 +81,127 @@
         """Return the replies that have come, in the order of the shard map."""
         return [p.reply for p in self.progress_by_shard.values() if p.reply is not None]
 
-    async def _next_arrival(self, now_ms: float) -> tuple[Attempt, Outcome] | None:
-        """Return the next outcome, or none when it is time to act first."""
-        if not self.inbox.empty():
-            return self.inbox.get_nowait()
-        waiting = (p.act_at_ms for p in self.progress_by_shard.values() if p.reply is None)
-        wake_at_ms = min(self.search.deadline_at_ms, *waiting)
-        if wake_at_ms <= now_ms:
-            return None
+    def _send_first(self, now_ms: float) -> None:
+        shards = self.snapshot.shards_for(self.search.terms.keys)
+        self.unanswered = len(shards)
+        self.tools.hedges.earn(len(shards) * self.search.rule.hedge_ratio, now_ms)
+        for shard in shards:
+            progress = ShardProgress(shard, self.tools.service(shard.service))
+            self.progress_by_shard[shard.name] = progress
+            progress.service.earn_retry(now_ms)
+            self._send(progress)
+
+    async def _sleep_until(self, wake_at_ms: float, now_ms: float) -> None:
+        """Wait for an outcome, at most until `wake_at_ms`."""
+        loop = asyncio.get_running_loop()
+        self.waker = loop.create_future()
+        timer = loop.call_later((wake_at_ms - now_ms) / 1000.0, self._wake)
         try:
-            async with asyncio.timeout((wake_at_ms - now_ms) / 1000.0):
-                return await self.inbox.get()
-        except TimeoutError:
-            return None
+            await self.waker
+        finally:
+            timer.cancel()
+            self.waker = None
 
-    def _act_on_time(self) -> None:
-        now_ms = self.tools.clock.now_ms()
-        for progress in self.progress_by_shard.values():
-            if progress.reply is not None or progress.act_at_ms > now_ms:
-                continue
-            if not progress.open_attempts:
-                self._send(progress)
-                continue
-            self._hedge(progress)
+    def _wake(self) -> None:
+        if self.waker is not None and not self.waker.done():
+            self.waker.set_result(None)
+
+    def _plan(self, progress: ShardProgress, act_at_ms: float) -> None:
+        progress.act_at_ms = act_at_ms
+        self.planned += 1
+        heapq.heappush(self.due, (act_at_ms, self.planned, progress))
+
+    def _next_due_ms(self) -> float:
+        """Return when the next shard is due; plans that no longer hold are dropped."""
+        while self.due:
+            act_at_ms, _, progress = self.due[0]
+            if progress.reply is None and act_at_ms == progress.act_at_ms:
+                return act_at_ms
+            heapq.heappop(self.due)
+        return float("inf")
+
+    def _act_when_due(self, now_ms: float) -> bool:
+        """Act for the shard that is due; tell whether there was one."""
+        if self._next_due_ms() > now_ms + TIMER_SLACK_MS:
+            return False
+        progress = heapq.heappop(self.due)[2]
+        progress.act_at_ms = float("inf")
+        if not progress.open_attempts:
+            self._send(progress)
+        elif not progress.hedged:
+            self._hedge(progress, now_ms)
+        else:
+            self._move_on(progress, now_ms)
+        return True
 
     def _send(self, progress: ShardProgress) -> None:
-        """Send to the best replica; with none, look again after a pause."""
+        """Send to the best replica; with none, or no budget for it, try again after a pause."""
         now_ms = self.tools.clock.now_ms()
         endpoint = self._choose(progress, now_ms)
         if endpoint is None:
             progress.tried.clear()
-            progress.act_at_ms = now_ms + RETRY_PAUSE_MS
-            self._check_version(progress)
+            progress.is_lost = not self._is_held(progress, now_ms)
+            self.must_restart = progress.is_lost and self._may_restart(progress, now_ms)
+            self._plan(progress, now_ms + progress.next_pause_ms())
             return
-        self._submit(progress, endpoint, now_ms)
-        window = self.tools.window_of(progress.shard.service)
-        progress.act_at_ms = now_ms + hedge_delay_ms(window, self.search.rule.prefer)
-
-    def _hedge(self, progress: ShardProgress) -> None:
-        """Ask a second replica once, if there is one and the budget allows it."""
-        progress.act_at_ms = self.search.deadline_at_ms
-        if not self.search.rule.idempotent or len(progress.open_attempts) > 1:
+        purpose = progress.next_purpose
+        if purpose is Purpose.RETRY and not self.tools.may_retry(progress.service, now_ms):
+            self._plan(progress, now_ms + progress.next_pause_ms())
+            return
+        delay_ms = hedge_delay_ms(progress.service.window, self.search.rule.prefer)
+        self._plan(progress, now_ms + delay_ms)
+        self._submit(progress, endpoint, purpose, now_ms)
+
+    def _hedge(self, progress: ShardProgress, now_ms: float) -> None:
+        """Ask a second replica, if there is one at ease and the budget allows it."""
+        progress.hedged = True
+        self._plan(progress, now_ms + progress_limit_ms(progress.service.window))
+        if not self.search.rule.idempotent:
             return
-        now_ms = self.tools.clock.now_ms()
         endpoint = self._choose(progress, now_ms)
-        if endpoint is None or not self.tools.budget.spend():
+        if endpoint is None or not self.tools.may_hedge(progress.service, now_ms):
             return
-        self.tools.counters.add("sub_requests", "hedge")
-        self._submit(progress, endpoint, now_ms)
+        self._submit(progress, endpoint, Purpose.HEDGE, now_ms)
+
+    def _move_on(self, progress: ShardProgress, now_ms: float) -> None:
+        """Take back attempts that still wait for a connection, and try elsewhere."""
+        for attempt in list(progress.open_attempts):
+            if attempt.sent_at_ms is None:
+                attempt.cancel()
 
     def _choose(self, progress: ShardProgress, now_ms: float) -> Endpoint | None:
-        holding = [
-            endpoint
-            for endpoint in self.tools.pool.endpoints_of(progress.shard.service)
-            if self.snapshot.index_version in endpoint.versions
-        ]
+        wanted = self.snapshot.index_version
+        endpoints = self.tools.pool.endpoints_of(progress.shard.service)
+        holding = [endpoint for endpoint in endpoints if endpoint.holds(wanted, now_ms)]
         return self.tools.choose(holding, progress.tried, now_ms)
 
-    def _submit(self, progress: ShardProgress, endpoint: Endpoint, now_ms: float) -> None:
-        self.attempts += 1
+    def _submit(
+        self, progress: ShardProgress, endpoint: Endpoint, purpose: Purpose, now_ms: float
+    ) -> None:
         request = SubRequest(
             request_id=self.search.request_id,
-            attempt=self.attempts,
+            attempt=len(self.attempts) + 1,
             shard=progress.shard.name,
             index_version=self.snapshot.index_version,
-            deadline_at_ms=self.search.deadline_at_ms,
+            deadline_at_ms=self.collect_until_ms,
             terms=self.search.terms,
         )
-        attempt = Attempt(request, endpoint, self._deliver, submitted_at_ms=now_ms)
-        progress.tried.add(endpoint.name)
-        progress.open_attempts.append(attempt)
-        self.tools.counters.add("sub_requests", "all")
+        attempt = Attempt(
+            request,
+            endpoint,
+            self._deliver,
+            submitted_at_ms=now_ms,
+            purpose=purpose,
+            progress_limit_ms=progress_limit_ms(progress.service.window),
+        )
+        self.attempts.append(attempt)
+        progress.opened(attempt)
+        self.tools.counters.add("sub_requests", purpose.value)
         self.tools.pool.submit(attempt)
 
     def _deliver(self, attempt: Attempt, outcome: Outcome) -> None:
-        self.inbox.put_nowait((attempt, outcome))
+        self.inbox.append((attempt, outcome))
+        self._wake()
 
     def _take(self, attempt: Attempt, outcome: Outcome) -> None:
         progress = self.progress_by_shard[attempt.request.shard]
@@ -150,32 +209,66 @@
         if progress.reply is not None:
             return
         match outcome:
-            case Ok(reply):
-                self._answered(progress, attempt, reply)
+            case Ok(reply) if reply.answers(attempt.request):
+                self._answered(progress, reply)
+            case Ok(_):
+                self.tools.counters.add("foreign_replies")
+                self._failed(progress, Failure(Code.BAD_REPLY, Ran.RAN))
             case Err(failure):
-                if failure.ran is Ran.UNKNOWN and not self.search.rule.idempotent:
-                    progress.act_at_ms = self.search.deadline_at_ms
-                    return
-                if failure.code is Code.WRONG_VERSION:
-                    self._check_version(progress)
-                if not progress.open_attempts:
-                    self._send(progress)
-
-    def _answered(self, progress: ShardProgress, attempt: Attempt, reply: SubReply) -> None:
+                self._failed(progress, failure)
+
+    def _failed(self, progress: ShardProgress, failure: Failure) -> None:
+        if progress.open_attempts:
+            return
+        if failure.ran is not Ran.NOT_RUN and not self.search.rule.idempotent:
+            progress.act_at_ms = float("inf")
+            return
+        self._send(progress)
+
+    def _answered(self, progress: ShardProgress, reply: SubReply) -> None:
         progress.reply = reply
         self.unanswered -= 1
-        latency_ms = self.tools.clock.now_ms() - attempt.submitted_at_ms
-        self.tools.window_of(progress.shard.service).add(latency_ms)
-        for loser in progress.open_attempts:
+        first_sent_at_ms = progress.first_sent_at_ms
+        if first_sent_at_ms is not None:
+            progress.service.window.add(self.tools.clock.now_ms() - first_sent_at_ms)
+        for loser in list(progress.open_attempts):
+            self.tools.counters.add("cancelled", loser.purpose.value)
             loser.cancel()
 
-    def _check_version(self, progress: ShardProgress) -> None:
-        """Give the snapshot up when no endpoint of a shard holds its version any more."""
-        endpoints = self.tools.pool.endpoints_of(progress.shard.service)
+    def _is_held(self, progress: ShardProgress, now_ms: float) -> bool:
+        """Tell whether a live replica holds the version, or one that is being asked again."""
         wanted = self.snapshot.index_version
-        self.version_is_gone = not any(wanted in endpoint.versions for endpoint in endpoints)
+        for endpoint in self.tools.pool.endpoints_of(progress.shard.service):
+            if endpoint.holds(wanted, now_ms) and (
+                endpoint.is_live(now_ms) or endpoint.awaits_evidence(now_ms)
+            ):
+                return True
+        return False
+
+    def _may_restart(self, progress: ShardProgress, now_ms: float) -> bool:
+        """Tell whether another version can answer whole, and there is time for it."""
+        if not self.tools.policy.snapshot_restarts:
+            return False
+        if now_ms - self.restart_checked_at_ms < RESTART_CHECK_INTERVAL_MS:
+            return self.must_restart
+        self.restart_checked_at_ms = now_ms
+        typical_ms = progress.service.window.quantile_ms(0.5) or 0.0
+        if self.collect_until_ms - now_ms < max(MIN_RESTART_MS, 2.0 * typical_ms):
+            return False
+        return self.other_snapshot() is not None
+
+    def _has_no_hope(self, now_ms: float) -> bool:
+        """Tell whether a rule that prefers the tail answers now: what is missing has no replica.
+
+        A rule that prefers coverage waits for a replica to come back until time is up.
+        """
+        if self.search.rule.prefer is Preference.COVERAGE:
+            return False
+        if now_ms < self.search.deadline_at_ms - self.search.deadline_ms / 2.0:
+            return False
+        return all(p.is_lost for p in self.progress_by_shard.values() if p.reply is None)
 
     def _cancel_open(self) -> None:
         for progress in self.progress_by_shard.values():
-            for attempt in progress.open_attempts:
+            for attempt in list(progress.open_attempts):
                 attempt.cancel()
--- a/src/radishmount/queries/_hedge.py
+++ b/src/radishmount/queries/_hedge.py
@@ -1,4 +1,4 @@
-"""The delay after which a second endpoint is asked."""
+"""How long to wait for an endpoint: before a second one is asked, and before it is given up."""
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -6,13 +6,18 @@
 from radishmount.publication import Preference
 
 
-__all__ = ["LatencyWindow", "hedge_delay_ms"]
+__all__ = ["LatencyWindow", "hedge_delay_ms", "progress_limit_ms"]
 
 KEPT_LATENCIES = 256
 REFRESH_EVERY = 32
-HEDGE_QUANTILE_BY_PREFERENCE = {Preference.COVERAGE: 0.97, Preference.TAIL: 0.93}
+HEDGE_QUANTILE_BY_PREFERENCE = {Preference.COVERAGE: 0.98, Preference.TAIL: 0.95}
 UNKNOWN_HEDGE_DELAY_MS = 30.0
 MIN_HEDGE_DELAY_MS = 1.0
+HEDGE_MARGIN_FACTOR = 1.2
+PROGRESS_QUANTILE = 0.95
+PROGRESS_FACTOR = 6.0
+MIN_PROGRESS_LIMIT_MS = 80.0
+UNKNOWN_PROGRESS_LIMIT_MS = 500.0
 
 
 @dataclass(slots=True)
@@ -44,4 +49,12 @@
     quantile_ms = window.quantile_ms(HEDGE_QUANTILE_BY_PREFERENCE[preference])
     if quantile_ms is None:
         return UNKNOWN_HEDGE_DELAY_MS
-    return max(MIN_HEDGE_DELAY_MS, quantile_ms)
+    return max(MIN_HEDGE_DELAY_MS, HEDGE_MARGIN_FACTOR * quantile_ms)
+
+
+def progress_limit_ms(window: LatencyWindow) -> float:
+    """Return how long an exchange may go on before its connection is taken to be silent."""
+    quantile_ms = window.quantile_ms(PROGRESS_QUANTILE)
+    if quantile_ms is None:
+        return UNKNOWN_PROGRESS_LIMIT_MS
+    return max(MIN_PROGRESS_LIMIT_MS, PROGRESS_FACTOR * quantile_ms)
--- a/src/radishmount/queries/_run.py
+++ b/src/radishmount/queries/_run.py
@@ -1,43 +1,107 @@
 """A search from end to end: snapshot, fan-out, merge, and another snapshot if one is gone."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from functools import partial
 
 from result import Err, Ok, Result
 
-from radishmount.codes import Code, Refusal
+from radishmount.codes import Code, Ran, Refusal
+from radishmount.endpoints import Attempt
 from radishmount.publication import Shard
+from radishmount.queries._explain import Verdict, record_of
 from radishmount.queries._fan_out import FanOut
 from radishmount.queries._merge import merge_rows
 from radishmount.queries._search import Answer, Search
 from radishmount.queries._tools import QueryTools
-from radishmount.snapshots import choose_snapshot, coverage_of
+from radishmount.snapshots import Snapshot, choose_snapshot, coverage_of, may_become_whole
 
 
 __all__ = ["run_search"]
 
+MAX_EVIDENCE_WAIT_MS = 100.0
+SLOW_RATIO = 0.5
+
+ShardsOf = Callable[[], Sequence[Shard]]
+
 
 async def run_search(
-    search: Search, shards: Sequence[Shard], tools: QueryTools
+    search: Search, shards_of: ShardsOf, tools: QueryTools
 ) -> Result[Answer, Refusal]:
-    """Answer `search` from one snapshot, complete or with the coverage that it has."""
-    below: int | None = None
-    sub_requests = 0
+    """Answer `search` from one snapshot, complete or with the coverage that it has.
+
+    `shards_of` returns the shards of the publication in force, which may change meanwhile.
+    """
+    attempts: list[Attempt] = []
+    result = await _search(search, shards_of, tools, attempts)
+    took_ms = tools.clock.now_ms() - (search.deadline_at_ms - search.deadline_ms)
+    verdict = _verdict(search, result, took_ms)
+    if verdict is not None:
+        tools.counters.add("explained", verdict.value)
+        tools.explain.add(record_of(search, verdict, result, attempts, tools.clock))
+    return result
+
+
+async def _search(
+    search: Search, shards_of: ShardsOf, tools: QueryTools, attempts: list[Attempt]
+) -> Result[Answer, Refusal]:
+    given_up: set[int] = set()
     while True:
-        now_ms = tools.clock.now_ms()
-        if now_ms >= search.deadline_at_ms:
-            return Err(Refusal(Code.DEADLINE_PASSED))
-        name = search.collection.name
-        snapshot = choose_snapshot(name, shards, tools.pool.endpoints_of, now_ms, below)
+        if tools.clock.now_ms() >= search.deadline_at_ms:
+            return Err(Refusal(Code.DEADLINE_PASSED, ran=_ran(attempts)))
+        snapshot = await _snapshot(search, shards_of, tools, given_up)
         if snapshot is None:
-            return Err(Refusal(Code.NO_SNAPSHOT, detail=name))
-        fan_out = FanOut(search, snapshot, tools)
+            return Err(Refusal(Code.NO_SNAPSHOT, search.collection.name, _ran(attempts)))
+        tried = {*given_up, snapshot.index_version}
+        other_snapshot = partial(_whole, search, shards_of, tools, tried)
+        fan_out = FanOut(search, snapshot, tools, other_snapshot)
         await fan_out.run()
-        sub_requests += fan_out.attempts
-        if fan_out.version_is_gone:
+        attempts.extend(fan_out.attempts)
+        if fan_out.must_restart:
             tools.counters.add("snapshot_restarts")
-            below = snapshot.index_version
+            given_up = tried
             continue
-        return Ok(_answer(search, fan_out, sub_requests))
+        return Ok(_answer(search, fan_out, len(attempts)))
+
+
+async def _snapshot(
+    search: Search, shards_of: ShardsOf, tools: QueryTools, given_up: set[int]
+) -> Snapshot | None:
+    """Return a whole snapshot; wait shortly for old evidence before one with holes is taken."""
+    now_ms = tools.clock.now_ms()
+    wait_until_ms = now_ms + min(MAX_EVIDENCE_WAIT_MS, (search.deadline_at_ms - now_ms) / 2.0)
+    endpoints_of = tools.pool.endpoints_of
+    while True:
+        snapshot = _whole(search, shards_of, tools, given_up)
+        if snapshot is not None:
+            return snapshot
+        now_ms = tools.clock.now_ms()
+        shards = shards_of()
+        if now_ms >= wait_until_ms or not may_become_whole(shards, endpoints_of, now_ms):
+            name = search.collection.name
+            return choose_snapshot(name, shards, endpoints_of, now_ms, given_up, partial=True)
+        tools.counters.add("evidence_waits")
+        await tools.pool.next_evidence(wait_until_ms - now_ms)
+
+
+def _whole(
+    search: Search, shards_of: ShardsOf, tools: QueryTools, given_up: set[int]
+) -> Snapshot | None:
+    now_ms = tools.clock.now_ms()
+    name = search.collection.name
+    return choose_snapshot(name, shards_of(), tools.pool.endpoints_of, now_ms, given_up)
+
+
+def _ran(attempts: list[Attempt]) -> Ran:
+    """Tell whether any attempt left for an endpoint."""
+    return Ran.UNKNOWN if any(a.sent_at_ms is not None for a in attempts) else Ran.NOT_RUN
+
+
+def _verdict(search: Search, result: Result[Answer, Refusal], took_ms: float) -> Verdict | None:
+    if isinstance(result, Err):
+        return Verdict.REFUSED
+    if not result.ok_value.coverage.complete:
+        return Verdict.PARTIAL
+    return Verdict.SLOW if took_ms > SLOW_RATIO * search.deadline_ms else None
 
 
 def _answer(search: Search, fan_out: FanOut, sub_requests: int) -> Answer:
--- a/src/radishmount/queries/_search.py
+++ b/src/radishmount/queries/_search.py
@@ -22,7 +22,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Search:
-    """One search of a caller, bound by `rule`. The deadline is a time of the clock."""
+    """One search of a caller, bound by `rule`.
+
+    `deadline_at_ms` is a time of the clock, `deadline_ms` after the search came.
+    """
 
     request_id: str
     caller: str
@@ -30,6 +33,7 @@
     rule: Rule
     terms: SearchTerms
     deadline_at_ms: float
+    deadline_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/queries/_tools.py
+++ b/src/radishmount/queries/_tools.py
@@ -1,14 +1,14 @@
-"""What a query needs from outside: endpoints, clock, budget and counters."""
+"""What a query needs from outside: endpoints, clock, budgets and counters."""
 
 from dataclasses import dataclass, field
 
 from radishmount.clock import Clock
 from radishmount.counters import Counters
 from radishmount.endpoints import Choose, EndpointPool
-from radishmount.policy import QueryPolicy
+from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 from radishmount.queries._budget import ExtraBudget
 from radishmount.queries._explain import ExplainLog
-from radishmount.queries._hedge import LatencyWindow
+from radishmount.queries._service import ServiceRecord
 
 
 __all__ = ["QueryTools"]
@@ -22,14 +22,35 @@
     clock: Clock
     choose: Choose
     counters: Counters
-    policy: QueryPolicy = QueryPolicy()
-    budget: ExtraBudget = field(default_factory=ExtraBudget)
+    policy: QueryPolicy = EVERY_MECHANISM
     explain: ExplainLog = field(default_factory=ExplainLog)
-    windows_by_service: dict[str, LatencyWindow] = field(default_factory=dict)
-
-    def window_of(self, service: str) -> LatencyWindow:
-        """Return the latencies of `service`."""
-        window = self.windows_by_service.get(service)
-        if window is None:
-            window = self.windows_by_service[service] = LatencyWindow()
-        return window
+    hedges: ExtraBudget = field(default_factory=ExtraBudget)
+    services_by_name: dict[str, ServiceRecord] = field(default_factory=dict)
+
+    def service(self, name: str) -> ServiceRecord:
+        """Return what is remembered of a service."""
+        record = self.services_by_name.get(name)
+        if record is None:
+            record = self.services_by_name[name] = ServiceRecord(name)
+        return record
+
+    def may_retry(self, service: ServiceRecord, now_ms: float) -> bool:
+        """Take a retry out of the service's budget; it also leaves one hedge less."""
+        if not self.policy.retries or not service.retries.spend(now_ms):
+            self.counters.add("retries_withheld", service.name)
+            return False
+        self.hedges.charge(now_ms)
+        return True
+
+    def may_hedge(self, service: ServiceRecord, now_ms: float) -> bool:
+        """Take a hedge out of the budget, unless the service is pressed."""
+        if not self.policy.hedging:
+            return False
+        endpoints = self.pool.endpoints_of(service.name)
+        if self.policy.hedge_backoff and not service.may_hedge(endpoints, now_ms):
+            self.counters.add("hedges_withheld", "pressed")
+            return False
+        if not self.hedges.spend(now_ms):
+            self.counters.add("hedges_withheld", "budget")
+            return False
+        return True
--- a/src/radishmount/snapshots/_snapshot.py
+++ b/src/radishmount/snapshots/_snapshot.py
@@ -1,13 +1,15 @@
 """The root of the aggregate: one index version and the shards that answer at it."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from radishmount.endpoints import Endpoint
 from radishmount.publication import KeyRange, Shard
 
 
-__all__ = ["Snapshot", "choose_snapshot"]
+__all__ = ["Snapshot", "choose_snapshot", "may_become_whole"]
+
+EndpointsOf = Callable[[str], Iterable[Endpoint]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,31 +28,49 @@
 def choose_snapshot(
     collection: str,
     shards: Sequence[Shard],
-    endpoints_of: Callable[[str], Iterable[Endpoint]],
+    endpoints_of: EndpointsOf,
     now_ms: float,
-    below: int | None = None,
+    given_up: Collection[int] = (),
+    *,
+    partial: bool = False,
 ) -> Snapshot | None:
     """Return the highest version that a live replica of every shard of its map holds.
 
-    `below` leaves out that version and those above it, for a search that starts again.
+    With `partial` it may leave shards without one, as few as possible. `given_up` are versions
+    that a search has found it cannot be answered from.
     """
     versions_by_service = {
         service: _live_versions(endpoints_of(service), now_ms)
         for service in {shard.service for shard in shards}
     }
-    known = frozenset().union(*versions_by_service.values())
+    known = set().union(*versions_by_service.values()).difference(given_up)
+    best: Snapshot | None = None
+    fewest_lost = len(shards)
     for index_version in sorted(known, reverse=True):
-        if below is not None and index_version >= below:
-            continue
         in_map = tuple(shard for shard in shards if shard.is_in(index_version))
-        if in_map and all(index_version in versions_by_service[s.service] for s in in_map):
+        lost = sum(index_version not in versions_by_service[s.service] for s in in_map)
+        if in_map and not lost:
             return Snapshot(collection, index_version, in_map)
-    return None
+        if partial and in_map and lost < min(fewest_lost, len(in_map)):
+            best = Snapshot(collection, index_version, in_map)
+            fewest_lost = lost
+    return best
+
+
+def may_become_whole(shards: Sequence[Shard], endpoints_of: EndpointsOf, now_ms: float) -> bool:
+    """Tell whether a service without a live replica has one whose evidence is merely old."""
+    for service in {shard.service for shard in shards}:
+        endpoints = list(endpoints_of(service))
+        if any(endpoint.is_live(now_ms) for endpoint in endpoints):
+            continue
+        if any(endpoint.awaits_evidence(now_ms) for endpoint in endpoints):
+            return True
+    return False
 
 
-def _live_versions(endpoints: Iterable[Endpoint], now_ms: float) -> frozenset[int]:
-    versions: frozenset[int] = frozenset()
+def _live_versions(endpoints: Iterable[Endpoint], now_ms: float) -> set[int]:
+    versions: set[int] = set()
     for endpoint in endpoints:
-        if endpoint.may_take_work(now_ms):
-            versions |= endpoint.versions
+        if endpoint.is_live(now_ms):
+            versions.update(v for v in endpoint.versions if endpoint.holds(v, now_ms))
     return versions
