--- a/src/radishmount/standins/_network.py
+++ b/src/radishmount/standins/_network.py
@@ -61,9 +61,9 @@
         await asyncio.sleep(self._delay() / 1000.0)
         return outcome
 
-    async def close(self) -> None:
-        """Close the connection."""
-        await self._channel.close()
+    async def close(self) -> bool:
+        """Close the connection; tell whether the endpoint was seen to close its side."""
+        return await self._channel.close()
 
     def __getattr__(self, name: str) -> Any:
         """Hand everything else to the channel itself, without delay."""
