Test links: one delivery for each attempt, connections within the share

Cause: the failures that the rework mends have tests now; two faults came out of them. A woken probing connection was woken twice in place of opening a second one, and one that leaves long exchanges to others was the only one woken for them.

--- a/src/radishmount/endpoints/_link.py
+++ b/src/radishmount/endpoints/_link.py
@@ -59,6 +59,7 @@
     wakers: deque[asyncio.Future[None]] = field(default_factory=deque)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     prober: asyncio.Task[None] | None = None
+    prober_waker: asyncio.Future[None] | None = None
     probe_at_ms: float = 0.0
     unconfirmed: int = 0
     retired: bool = False
@@ -166,7 +167,7 @@
             end_ms = self.probe_at_ms if probes else idle_since_ms + IDLE_CLOSE_MS
             if end_ms - now_ms < TIMER_SLACK_MS:
                 return Turn.PROBE if probes else Turn.END
-            await self._sleep_until(end_ms, now_ms)
+            await self._sleep_until(end_ms, now_ms, probes)
 
     def _take_waiting(self, probes: bool) -> Attempt | None:
         """Return the attempt that has waited longest, if one more may be sent.
@@ -176,23 +177,30 @@
         """
         if not self.waiting or not self._may_send():
             return None
-        is_long = self.waiting[0].progress_limit_ms > LONGEST_FOR_PROBER_MS
-        if probes and is_long and self.connection_limit > 1:
+        if probes and not self._suits_prober(self.waiting[0]):
             return None
         self.endpoint.sent += 1
         return self.waiting.popleft()
 
-    async def _sleep_until(self, end_ms: float, now_ms: float) -> None:
+    def _suits_prober(self, attempt: Attempt) -> bool:
+        return attempt.progress_limit_ms <= LONGEST_FOR_PROBER_MS or self.connection_limit == 1
+
+    async def _sleep_until(self, end_ms: float, now_ms: float, probes: bool) -> None:
         """Wait for `end_ms` or for being woken."""
         loop = asyncio.get_running_loop()
         waker = loop.create_future()
         timer = loop.call_later((end_ms - now_ms) / 1000.0, _wake, waker)
-        self.wakers.append(waker)
+        if probes:
+            self.prober_waker = waker
+        else:
+            self.wakers.append(waker)
         try:
             await waker
         finally:
             timer.cancel()
-            if waker in self.wakers:
+            if self.prober_waker is waker:
+                self.prober_waker = None
+            elif waker in self.wakers:
                 self.wakers.remove(waker)
 
     async def _carry(self, channel: Channel, attempt: Attempt) -> None:
@@ -319,6 +327,9 @@
             return
         if self.wakers:
             _wake(self.wakers.pop())
+        elif self.prober_waker is not None and self._suits_prober(self.waiting[0]):
+            _wake(self.prober_waker)
+            self.prober_waker = None
         elif len(self.tasks) + self.unconfirmed < self.connection_limit:
             self._add_connection(probes=False)
 
@@ -347,6 +358,9 @@
             self._finish(self.waiting.popleft(), Err(Failure(Code.NOT_CONNECTED, detail=why)))
 
     def _wake_all(self) -> None:
+        if self.prober_waker is not None:
+            _wake(self.prober_waker)
+            self.prober_waker = None
         while self.wakers:
             _wake(self.wakers.popleft())
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -22,6 +23,7 @@
 )
 from radishmount.fleet import Instance, InstanceList
 from radishmount.node import Node, NodeParts, make_node
+from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 from radishmount.publication import Fault, Publication
 from radishmount.queries import SearchCall
 from support import objects_for
@@ -58,10 +60,24 @@
     draining: bool = False
     in_flight: int = 0
     connections: int = 0
+    most_connections: int = 0
+    opened: int = 0
+    silent_up_to_opened: int = 0
+    close_ms: float = 0.0
+    told_in_flight: int | None = None
+    told_versions: set[int] | None = None
+    replies_with_version: int | None = None
+    probes: int = 0
 
     def load(self) -> LoadReport:
-        """Return what the endpoint says of itself."""
-        return LoadReport(self.slots, self.in_flight, 0, self.draining, frozenset(self.versions))
+        """Return what the endpoint says of itself, which may be a lie."""
+        in_flight = self.in_flight if self.told_in_flight is None else self.told_in_flight
+        versions = self.versions if self.told_versions is None else self.told_versions
+        return LoadReport(self.slots, in_flight, 0, self.draining, frozenset(versions))
+
+    def silence_open_connections(self) -> None:
+        """Let the connections that are open go silent, while new ones work."""
+        self.silent_up_to_opened = self.opened
 
 
 class FakeChannel:
@@ -69,6 +85,7 @@
 
     def __init__(self, endpoint: FakeEndpoint) -> None:
         self._endpoint = endpoint
+        self._number: int | None = None
 
     async def exchange(self, request: SubRequest, remaining_ms: float) -> Outcome:
         """Answer as the endpoint is set to."""
@@ -77,6 +94,7 @@
         endpoint.log.add(f"{endpoint.name} <- {request.request_id} {what}")
         if endpoint.lost:
             return Err(Failure(Code.NOT_CONNECTED))
+        self._connect()
         await self._be_silent()
         refused = self._refusal(request)
         if refused is not None:
@@ -97,7 +115,7 @@
                 request.request_id,
                 request.attempt,
                 request.shard,
-                request.index_version,
+                endpoint.replies_with_version or request.index_version,
                 (row,),
                 endpoint.load(),
             )
@@ -107,13 +125,32 @@
         """Answer a probe as the endpoint is set to."""
         if self._endpoint.lost:
             return Err(Failure(Code.NOT_CONNECTED))
+        self._endpoint.probes += 1
+        self._connect()
         await self._be_silent()
         return Ok(self._endpoint.load())
 
     async def close(self) -> bool:
-        """Close the connection."""
+        """Close the connection; the endpoint counts it until it has noticed."""
+        if self._number is None:
+            return True
+        self._number = None
+        try:
+            await asyncio.sleep(self._endpoint.close_ms / 1000.0)
+        finally:
+            self._endpoint.connections -= 1
         return True
 
+    def _connect(self) -> None:
+        """Open the connection if it is not open."""
+        endpoint = self._endpoint
+        if self._number is not None:
+            return
+        endpoint.opened += 1
+        self._number = endpoint.opened
+        endpoint.connections += 1
+        endpoint.most_connections = max(endpoint.most_connections, endpoint.connections)
+
     def _refusal(self, request: SubRequest) -> Failure | None:
         load = self._endpoint.load()
         if self._endpoint.draining:
@@ -125,7 +162,8 @@
         return None
 
     async def _be_silent(self) -> None:
-        while self._endpoint.silent:
+        number = self._number or 0
+        while self._endpoint.silent or number <= self._endpoint.silent_up_to_opened:
             await asyncio.sleep(0.1)
 
 
@@ -189,6 +227,8 @@
     platform: FakePlatform
     endpoints_by_address: dict[str, FakeEndpoint]
     nodes_by_name: dict[str, Node] = field(default_factory=dict)
+    objects_by_version: dict[int, list[dict[str, Any]]] = field(default_factory=dict)
+    addresses: dict[str, list[str]] = field(default_factory=dict)
 
     @property
     def endpoints_by_name(self) -> dict[str, FakeEndpoint]:
@@ -196,7 +236,10 @@
         return {endpoint.name: endpoint for endpoint in self.endpoints_by_address.values()}
 
     async def search(self, node: str = "entry-a", **fields) -> None:  # type: ignore[no-untyped-def]
-        """Send one search and log the answer."""
+        """Send one search and log the answer.
+
+        `caller` and `deadline_ms` are those of the call, `request_id` that of the log.
+        """
         call = SearchCall(
             caller=fields.pop("caller", "workshop"),
             collection="catalogue",
@@ -225,15 +268,20 @@
     return Clock(now_ms=lambda: loop.time() * 1000.0, wall_ms=lambda: loop.time() * 1000.0)
 
 
-def publication_of(version: int, addresses: dict[str, list[str]]) -> Publication:
-    """Return the small set of `support.objects_for` as a publication."""
-    raw = objects_for(addresses)
+def publication_of(
+    version: int, addresses: dict[str, list[str]], raw: list[dict[str, Any]] | None = None
+) -> Publication:
+    """Return the small set of `support.objects_for`, or the objects of `raw`, as a publication."""
+    raw = raw or objects_for(addresses)
     objects = [object_from(item).unwrap() for item in raw]
     return publication_from(version, digest_of(raw), objects).unwrap()
 
 
 async def start_world(
-    services: int = 2, replicas: int = 2, nodes: tuple[str, ...] = ("entry-a",)
+    services: int = 2,
+    replicas: int = 2,
+    nodes: tuple[str, ...] = ("entry-a",),
+    policy: QueryPolicy = EVERY_MECHANISM,
 ) -> World:
     """Start instances over fake endpoints, and wait until every endpoint was probed."""
     clock = virtual_clock()
@@ -246,18 +294,19 @@
             endpoints_by_address[address] = FakeEndpoint(f"catalogue-{index}-{n}", log)
             addresses.setdefault(f"catalogue-{index}", []).append(address)
     platform = FakePlatform()
-    world = World(log, platform, endpoints_by_address)
+    world = World(log, platform, endpoints_by_address, addresses=addresses)
 
     def open_channel(address: str) -> Channel:
         return FakeChannel(endpoints_by_address[address])
 
     def read_bundle(body: bytes) -> Result[Publication, list[Fault]]:
-        return Ok(publication_of(int(body), addresses))
+        version = int(body)
+        return Ok(publication_of(version, addresses, world.objects_by_version.get(version)))
 
     for number, name in enumerate(nodes):
         audit = AuditTrail(clock, emit=lambda line: log.add(f"audit {line.subject} {line.change}"))
         parts = NodeParts(
-            name, "milano", clock, Random(number), platform, open_channel, read_bundle
+            name, "milano", clock, Random(number), platform, open_channel, read_bundle, policy
         )
         world.nodes_by_name[name] = make_node(parts, audit)
         world.nodes_by_name[name].start()
