--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -94,6 +94,10 @@
         """Tell whether it is live and not ejected."""
         return self.ejection.since_ms is None and self.is_live(now_ms)
 
+    def is_well(self, now_ms: float) -> bool:
+        """Tell whether it may take work and its last new connection did not fail."""
+        return self.ejection.failures_in_row == 0 and self.may_take_work(now_ms)
+
     def awaits_evidence(self, now_ms: float) -> bool:
         """Tell whether its evidence is merely old: no probe has failed since."""
         return not self.is_known(now_ms) and self.ejection.failures_in_row == 0
--- a/src/radishmount/endpoints/_link.py
+++ b/src/radishmount/endpoints/_link.py
@@ -30,6 +30,7 @@
 BROKEN_CODES = frozenset(
     {Code.TIMED_OUT, Code.CANCELLED, Code.CONNECTION_LOST, Code.NOT_CONNECTED, Code.BAD_REPLY}
 )
+DENYING_CODES = frozenset({Code.WRONG_VERSION, Code.BAD_REPLY})
 
 
 class Turn(Enum):
@@ -230,12 +231,15 @@
         try:
             async with asyncio.timeout(limit_ms / 1000.0) as timeout:
                 attempt.interrupt = lambda: timeout.reschedule(0.0)
-                return await channel.exchange(attempt.request, remaining_ms)
+                outcome = await channel.exchange(attempt.request, remaining_ms)
         except TimeoutError:
             code = Code.CANCELLED if attempt.cancelled else Code.TIMED_OUT
             return Err(Failure(code, Ran.UNKNOWN))
         finally:
             attempt.interrupt = None
+        if isinstance(outcome, Ok) and not outcome.ok_value.answers(attempt.request):
+            return Err(Failure(Code.BAD_REPLY, Ran.RAN, detail="to another request"))
+        return outcome
 
     async def _reason_not_to_send(self, channel: Channel, attempt: Attempt) -> Failure | None:
         """Return why the attempt is not sent; old evidence is renewed by a probe first."""
@@ -263,7 +267,7 @@
             case Err(failure):
                 self.counters.add("attempt_failures", failure.code.name)
                 self.endpoint.failed(failure, attempt.sent_at_ms, now_ms)
-                if failure.code is Code.WRONG_VERSION:
+                if failure.code in DENYING_CODES:
                     self.endpoint.denied(attempt.request.index_version, now_ms)
         attempt.finish(outcome, now_ms)
 
--- a/src/radishmount/queries/_fan_out.py
+++ b/src/radishmount/queries/_fan_out.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok
 
-from radishmount.codes import Code, Ran
+from radishmount.codes import Ran
 from radishmount.endpoints import (
     Attempt,
     Endpoint,
@@ -46,6 +46,7 @@
     snapshot: Snapshot
     tools: QueryTools
     other_snapshot: Callable[[], Snapshot | None]
+    attempts_before: int = 0
     progress_by_shard: dict[str, ShardProgress] = field(default_factory=dict)
     inbox: deque[tuple[Attempt, Outcome]] = field(default_factory=deque)
     due: list[tuple[float, int, ShardProgress]] = field(default_factory=list)
@@ -180,7 +181,7 @@
     ) -> None:
         request = SubRequest(
             request_id=self.search.request_id,
-            attempt=len(self.attempts) + 1,
+            attempt=self.attempts_before + len(self.attempts) + 1,
             shard=progress.shard.name,
             index_version=self.snapshot.index_version,
             deadline_at_ms=self.collect_until_ms,
@@ -209,11 +210,8 @@
         if progress.reply is not None:
             return
         match outcome:
-            case Ok(reply) if reply.answers(attempt.request):
+            case Ok(reply):
                 self._answered(progress, reply)
-            case Ok(_):
-                self.tools.counters.add("foreign_replies")
-                self._failed(progress, Failure(Code.BAD_REPLY, Ran.RAN))
             case Err(failure):
                 self._failed(progress, failure)
 
@@ -236,11 +234,11 @@
             loser.cancel()
 
     def _is_held(self, progress: ShardProgress, now_ms: float) -> bool:
-        """Tell whether a live replica holds the version, or one that is being asked again."""
+        """Tell whether a well replica holds the version, or one that is being asked again."""
         wanted = self.snapshot.index_version
         for endpoint in self.tools.pool.endpoints_of(progress.shard.service):
             if endpoint.holds(wanted, now_ms) and (
-                endpoint.is_live(now_ms) or endpoint.awaits_evidence(now_ms)
+                endpoint.is_well(now_ms) or endpoint.awaits_evidence(now_ms)
             ):
                 return True
         return False
--- a/src/radishmount/queries/_run.py
+++ b/src/radishmount/queries/_run.py
@@ -13,7 +13,13 @@
 from radishmount.queries._merge import merge_rows
 from radishmount.queries._search import Answer, Search
 from radishmount.queries._tools import QueryTools
-from radishmount.snapshots import Snapshot, choose_snapshot, coverage_of, may_become_whole
+from radishmount.snapshots import (
+    Snapshot,
+    choose_best_snapshot,
+    choose_snapshot,
+    coverage_of,
+    may_become_whole,
+)
 
 
 __all__ = ["run_search"]
@@ -53,7 +59,7 @@
             return Err(Refusal(Code.NO_SNAPSHOT, search.collection.name, _ran(attempts)))
         tried = {*given_up, snapshot.index_version}
         other_snapshot = partial(_whole, search, shards_of, tools, tried)
-        fan_out = FanOut(search, snapshot, tools, other_snapshot)
+        fan_out = FanOut(search, snapshot, tools, other_snapshot, len(attempts))
         await fan_out.run()
         attempts.extend(fan_out.attempts)
         if fan_out.must_restart:
@@ -78,7 +84,7 @@
         shards = shards_of()
         if now_ms >= wait_until_ms or not may_become_whole(shards, endpoints_of, now_ms):
             name = search.collection.name
-            return choose_snapshot(name, shards, endpoints_of, now_ms, given_up, partial=True)
+            return choose_best_snapshot(name, shards, endpoints_of, now_ms, given_up)
         tools.counters.add("evidence_waits")
         await tools.pool.next_evidence(wait_until_ms - now_ms)
 
--- a/src/radishmount/snapshots/_snapshot.py
+++ b/src/radishmount/snapshots/_snapshot.py
@@ -1,13 +1,13 @@
 """The root of the aggregate: one index version and the shards that answer at it."""
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from radishmount.endpoints import Endpoint
 from radishmount.publication import KeyRange, Shard
 
 
-__all__ = ["Snapshot", "choose_snapshot", "may_become_whole"]
+__all__ = ["Snapshot", "choose_best_snapshot", "choose_snapshot", "may_become_whole"]
 
 EndpointsOf = Callable[[str], Iterable[Endpoint]]
 
@@ -31,27 +31,37 @@
     endpoints_of: EndpointsOf,
     now_ms: float,
     given_up: Collection[int] = (),
-    *,
-    partial: bool = False,
 ) -> Snapshot | None:
-    """Return the highest version that a live replica of every shard of its map holds.
+    """Return the highest version that a well replica of every shard of its map holds.
 
-    With `partial` it may leave shards without one, as few as possible. `given_up` are versions
-    that a search has found it cannot be answered from.
+    `given_up` are versions that a search has found it cannot be answered from.
     """
-    versions_by_service = {
-        service: _live_versions(endpoints_of(service), now_ms)
-        for service in {shard.service for shard in shards}
-    }
-    known = set().union(*versions_by_service.values()).difference(given_up)
+    versions_by_service = _versions_by_service(shards, endpoints_of, now_ms, Endpoint.is_well)
+    for index_version in _known(versions_by_service, given_up):
+        in_map = _map_of(shards, index_version)
+        if in_map and not _lost(in_map, index_version, versions_by_service):
+            return Snapshot(collection, index_version, in_map)
+    return None
+
+
+def choose_best_snapshot(
+    collection: str,
+    shards: Sequence[Shard],
+    endpoints_of: EndpointsOf,
+    now_ms: float,
+    given_up: Collection[int] = (),
+) -> Snapshot | None:
+    """Return the version that leaves the fewest shards without a live replica, the highest first.
+
+    It serves where no version is whole. Some shard is answered, or there is no snapshot at all.
+    """
+    versions_by_service = _versions_by_service(shards, endpoints_of, now_ms, Endpoint.is_live)
     best: Snapshot | None = None
     fewest_lost = len(shards)
-    for index_version in sorted(known, reverse=True):
-        in_map = tuple(shard for shard in shards if shard.is_in(index_version))
-        lost = sum(index_version not in versions_by_service[s.service] for s in in_map)
-        if in_map and not lost:
-            return Snapshot(collection, index_version, in_map)
-        if partial and in_map and lost < min(fewest_lost, len(in_map)):
+    for index_version in _known(versions_by_service, given_up):
+        in_map = _map_of(shards, index_version)
+        lost = _lost(in_map, index_version, versions_by_service)
+        if lost < min(fewest_lost, len(in_map)):
             best = Snapshot(collection, index_version, in_map)
             fewest_lost = lost
     return best
@@ -68,9 +78,38 @@
     return False
 
 
-def _live_versions(endpoints: Iterable[Endpoint], now_ms: float) -> set[int]:
-    versions: set[int] = set()
-    for endpoint in endpoints:
-        if endpoint.is_live(now_ms):
+def _versions_by_service(
+    shards: Sequence[Shard],
+    endpoints_of: EndpointsOf,
+    now_ms: float,
+    is_fit: Callable[[Endpoint, float], bool],
+) -> dict[str, set[int]]:
+    by_service: dict[str, set[int]] = {}
+    for shard in shards:
+        if shard.service in by_service:
+            continue
+        versions = by_service[shard.service] = set()
+        for endpoint in endpoints_of(shard.service):
+            if not is_fit(endpoint, now_ms):
+                continue
             versions.update(v for v in endpoint.versions if endpoint.holds(v, now_ms))
-    return versions
+    return by_service
+
+
+def _known(versions_by_service: Mapping[str, set[int]], given_up: Collection[int]) -> Iterable[int]:
+    """Return the versions that any service holds, the highest first."""
+    known: set[int] = set()
+    for versions in versions_by_service.values():
+        known |= versions
+    return sorted(known.difference(given_up), reverse=True)
+
+
+def _map_of(shards: Sequence[Shard], index_version: int) -> tuple[Shard, ...]:
+    return tuple(shard for shard in shards if shard.is_in(index_version))
+
+
+def _lost(
+    in_map: Sequence[Shard], index_version: int, versions_by_service: Mapping[str, set[int]]
+) -> int:
+    """Return how many shards of a map no service holds at a version."""
+    return sum(index_version not in versions_by_service[shard.service] for shard in in_map)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -68,6 +68,7 @@
     told_versions: set[int] | None = None
     replies_with_version: int | None = None
     probes: int = 0
+    probe_ms: float = 0.0
 
     def load(self) -> LoadReport:
         """Return what the endpoint says of itself, which may be a lie."""
@@ -127,6 +128,7 @@
             return Err(Failure(Code.NOT_CONNECTED))
         self._endpoint.probes += 1
         self._connect()
+        await asyncio.sleep(self._endpoint.probe_ms / 1000.0)
         await self._be_silent()
         return Ok(self._endpoint.load())
 
