--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -31,6 +31,7 @@
     NO_RULE = 1011
     BAD_REQUEST_ID = 1012
     BAD_HTTP = 1013
+    UNKNOWN_REQUEST = 1014
 
     OVER_QUOTA = 2001
     OVERLOADED = 2002
@@ -80,6 +81,12 @@
     FRAME_TOO_LARGE = 7002
     STRANGER = 7003
     PEER_SILENT = 7004
+    PEER_UNREACHABLE = 7005
+    PEER_LOST = 7006
+    PEER_TIMED_OUT = 7007
+    PEER_BUSY = 7008
+    UNKNOWN_MESSAGE = 7009
+    OLD_INCARNATION = 7010
 
     BAD_SETTING = 8001
     UNREADABLE_FILE = 8002
@@ -102,6 +109,7 @@
     Code.NO_RULE: "no rule binds the caller to the target",
     Code.BAD_REQUEST_ID: "the request id is too long or holds characters that are not allowed",
     Code.BAD_HTTP: "the request is not valid HTTP",
+    Code.UNKNOWN_REQUEST: "no record of the request is kept",
     Code.OVER_QUOTA: "the caller has used up its quota",
     Code.OVERLOADED: "the queue is full",
     Code.CANNOT_MEET_DEADLINE: "the deadline cannot be met",
@@ -145,6 +153,12 @@
     Code.FRAME_TOO_LARGE: "the frame is larger than allowed",
     Code.STRANGER: "the peer is not known or not authenticated",
     Code.PEER_SILENT: "the peer sent no heartbeat in time",
+    Code.PEER_UNREACHABLE: "no stream to the peer could be opened",
+    Code.PEER_LOST: "the stream ended after the request was sent",
+    Code.PEER_TIMED_OUT: "the peer did not answer in time",
+    Code.PEER_BUSY: "the peer answers too many requests at once",
+    Code.UNKNOWN_MESSAGE: "the peer does not know the message",
+    Code.OLD_INCARNATION: "the peer knows a later start of the instance",
     Code.BAD_SETTING: "a setting is missing, unknown or of the wrong type",
     Code.UNREADABLE_FILE: "the file cannot be read",
     Code.ADDRESS_IN_USE: "the address cannot be bound",
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -6,48 +6,65 @@
 from pathlib import Path
 from random import Random
 
-from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
 from result import Err, Ok, Result
 
-from radishmount import __version__
 from radishmount.audit import AuditTrail
 from radishmount.border import (
     EntrySettings,
     HttpPlatform,
+    PeerKey,
+    PeerServer,
+    RequestMetrics,
     Server,
     make_caller_app,
+    make_open_peer,
     make_operator_app,
     open_endpoint_channel,
     read_bundle,
     read_entry_settings,
     serve,
+    serve_peers,
 )
 from radishmount.clock import Clock, loop_clock
 from radishmount.codes import Refusal
+from radishmount.control import LEAVING_GRACE_MS
 from radishmount.endpoints import OpenChannel
 from radishmount.node import Node, NodeParts, make_node
+from radishmount.programs._application import Exit, run_program, tell_error
 from radishmount.programs._logging import audit_log, log_state_change, set_up_logging
 
 
 __all__ = ["RunningEntry", "main", "start_entry"]
 
-EXIT_BAD_SETTINGS = 2
-EXIT_CANNOT_START = 3
+PROGRAM = "radishmount-entry"
+REFUSING_MS = 2_000.0
 
 
 class RunningEntry:
     """An entry that is being served, in this process."""
 
-    def __init__(self, node: Node, callers: Server, operators: Server) -> None:
+    def __init__(self, node: Node, callers: Server, operators: Server, peers: PeerServer) -> None:
         self.node = node
         self.callers = callers
         self.operators = operators
+        self.peers = peers
+
+    async def leave(self) -> None:
+        """Stop gracefully: have callers moved elsewhere first, and finish what is in flight.
+
+        Requests are answered for as long as callers may hold this address, then refused as not
+        run for a short while, and then no connection is taken any more.
+        """
+        self.node.leave()
+        await self.node.parts.clock.sleep_ms(LEAVING_GRACE_MS + REFUSING_MS)
+        await self.stop()
 
     async def stop(self) -> None:
         """Finish the requests in flight and stop."""
         await self.callers.stop()
+        await self.peers.stop()
         await self.node.stop()
         await self.operators.stop()
 
@@ -60,6 +77,7 @@
     open_channel: OpenChannel = open_endpoint_channel,
 ) -> Result[RunningEntry, Refusal]:
     """Start an entry from its settings."""
+    key = settings.peer_key.encode()
     node = make_node(
         NodeParts(
             name=settings.name,
@@ -69,24 +87,33 @@
             platform=HttpPlatform(settings.platform),
             open_channel=open_channel,
             read_bundle=read_bundle,
+            open_peer_for=lambda members, counters: make_open_peer(PeerKey(key, members), counters),
+            seeds=settings.seeds,
         ),
         audit,
     )
-    callers = await serve(make_caller_app(node), settings.caller_listen)
+    metrics = RequestMetrics()
+    callers = await serve(make_caller_app(node, metrics), settings.caller_listen)
     if isinstance(callers, Err):
         return callers
-    operators = await serve(make_operator_app(node), settings.operator_listen)
+    operators = await serve(make_operator_app(node, metrics), settings.operator_listen)
     if isinstance(operators, Err):
         await callers.ok_value.stop()
         return operators
+    own = PeerKey(key, node.fleet.members)
+    peers = await serve_peers(settings.peer_listen, own, node.counters, node.peers.accept)
+    if isinstance(peers, Err):
+        await callers.ok_value.stop()
+        await operators.ok_value.stop()
+        return peers
     node.start()
-    return Ok(RunningEntry(node, callers.ok_value, operators.ok_value))
+    return Ok(RunningEntry(node, callers.ok_value, operators.ok_value, peers.ok_value))
 
 
 class RunCommand(Command):
     """The only command of the program."""
 
-    name = "run"
+    name = PROGRAM
     description = "Runs one entry instance from its settings."
     options = [option("settings", "s", "The settings, JSON with comments.", flag=False)]
 
@@ -94,12 +121,12 @@
         """Run until a signal asks for a graceful stop."""
         path = self.option("settings")
         if not path:
-            self.line_error("radishmount-entry needs --settings FILE")
-            return EXIT_BAD_SETTINGS
+            tell_error(self, f"{PROGRAM} needs --settings FILE")
+            return Exit.BAD_USAGE
         match read_entry_settings(Path(path)):
             case Err(refusal):
-                self.line_error(str(refusal))
-                return EXIT_BAD_SETTINGS
+                tell_error(self, f"{PROGRAM}: {refusal}")
+                return Exit.BAD_USAGE
             case Ok(settings):
                 return asyncio.run(_run(settings))
 
@@ -113,22 +140,17 @@
         loop.add_signal_handler(number, stop.set)
     started = await start_entry(settings, clock, Random(), AuditTrail(clock, emit=audit_log))
     if isinstance(started, Err):
-        sys.stderr.write(f"{started.err_value}\n")
-        return EXIT_CANNOT_START
+        sys.stderr.write(f"{PROGRAM}: {started.err_value}\n")
+        return Exit.UNREACHABLE
     entry = started.ok_value
     log_state_change("serving", callers=str(entry.callers.address))
     await stop.wait()
     log_state_change("leaving")
-    await entry.stop()
+    await entry.leave()
     log_state_change("stopped")
     return 0
 
 
 def main() -> None:
     """Run the program."""
-    application = Application("radishmount-entry", __version__)
-    command = RunCommand()
-    application.add(command)
-    application._default_command = command.name or ""  # cleo has no public setter
-    application._single_command = True
-    application.run()
+    raise SystemExit(run_program(PROGRAM, [RunCommand()]))
--- a/src/radishmount/publication/__init__.py
+++ b/src/radishmount/publication/__init__.py
@@ -2,13 +2,9 @@
 
 from radishmount.publication._check import check_objects, check_publication
 from radishmount.publication._difference import Change, ChangeKind, changes_between
+from radishmount.publication._distribution import ConfigurationSource, Distribution
 from radishmount.publication._fault import Fault, PublishedObject, subject_of
-from radishmount.publication._in_force import (
-    ConfigurationSource,
-    InForce,
-    ReadBundle,
-    watch_configuration,
-)
+from radishmount.publication._in_force import InForce, ReadBundle
 from radishmount.publication._keys import ALL_KEYS, KeyRange, covers
 from radishmount.publication._objects import (
     Caller,
@@ -33,6 +29,7 @@
     "Collection",
     "ConfigurationSource",
     "DataCentre",
+    "Distribution",
     "EndpointSpec",
     "Fault",
     "InForce",
@@ -50,5 +47,4 @@
     "check_publication",
     "covers",
     "subject_of",
-    "watch_configuration",
 ]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from peer_fakes import FakeNetwork
 from radishmount.audit import AuditTrail
 from radishmount.border import digest_of, object_from, publication_from
 from radishmount.clock import Clock
@@ -29,6 +30,9 @@
 from support import objects_for
 
 
+ORDER_MS = 0.004
+
+
 @dataclass
 class SessionLog:
     """Every event of a session, a line each, for golden files."""
@@ -103,7 +107,7 @@
             return Err(refused)
         endpoint.in_flight += 1
         try:
-            await asyncio.sleep(endpoint.service_ms / 1000.0)
+            await asyncio.sleep((endpoint.service_ms + ORDER_MS * request.attempt) / 1000.0)
         except asyncio.CancelledError:
             endpoint.log.add(f"{endpoint.name} -- {request.request_id} {what} cancelled")
             raise
@@ -182,8 +186,12 @@
 
     def publish(self, version: int) -> None:
         """Publish version `version`; the body is its number."""
+        self.publish_bundle(version, str(version).encode())
+
+    def publish_bundle(self, version: int, body: bytes) -> None:
+        """Publish `body`, whatever it holds, as version `version`."""
         self.version = version
-        self.body = str(version).encode()
+        self.body = body
         self._wake()
 
     def list_instances(self, instances: InstanceList) -> None:
@@ -231,6 +239,7 @@
     nodes_by_name: dict[str, Node] = field(default_factory=dict)
     objects_by_version: dict[int, list[dict[str, Any]]] = field(default_factory=dict)
     addresses: dict[str, list[str]] = field(default_factory=dict)
+    network: FakeNetwork = field(default_factory=FakeNetwork)
 
     @property
     def endpoints_by_name(self) -> dict[str, FakeEndpoint]:
@@ -308,10 +317,20 @@
     for number, name in enumerate(nodes):
         audit = AuditTrail(clock, emit=lambda line: log.add(f"audit {line.subject} {line.change}"))
         parts = NodeParts(
-            name, "milano", clock, Random(number), platform, open_channel, read_bundle, policy
+            name,
+            "milano",
+            clock,
+            Random(number),
+            platform,
+            open_channel,
+            read_bundle,
+            world.network.open_peer_for,
+            policy,
         )
-        world.nodes_by_name[name] = make_node(parts, audit)
-        world.nodes_by_name[name].start()
+        node = make_node(parts, audit)
+        world.nodes_by_name[name] = node
+        world.network.add(name, node.fleet.members, node.peers)
+        node.start()
     platform.publish(1)
     listed = tuple(Instance(name, "milano", f"{name}:1", f"{name}:2") for name in nodes)
     platform.list_instances(InstanceList(1, listed))
--- a/tests/queries/test_fault_sessions.py
+++ b/tests/queries/test_fault_sessions.py
@@ -16,10 +16,10 @@
 
 
 async def warm(world: World, count: int = 30) -> None:
-    """Send searches until latencies are known, and forget the log of them."""
+    """Send searches until latencies are known, and forget the log of them; ends at 1 s."""
     for number in range(count):
         await world.search(request_id=f"warm-{number}")
-    await asyncio.sleep(0.1)
+    await asyncio.sleep(1.0 - asyncio.get_running_loop().time())
     world.log.lines.clear()
 
 
