Fuzz every border, and tell whole numbers above 64 bits as they came

A reply of one endpoint with such a number made the whole answer an internal error, because the encoder takes 64 bits; it now falls back to the standard library's. tests/border/test_fuzz.py sends damaged requests, replies, platform answers, bundles, settings and peer frames (hypothesis, derandomized).

--- a/src/radishmount/border/_answers.py
+++ b/src/radishmount/border/_answers.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterator
 from typing import Any
 
-import orjson
 from aiohttp import HttpVersion11, web
 
 from radishmount.border._http import request_id_of
@@ -11,6 +10,7 @@
     RESULT_NAME,
     chunked_response,
     code_content,
+    encode_json,
     json_response,
     refusal_response,
 )
@@ -52,11 +52,11 @@
 
 def _chunks_of(answer: Answer) -> Iterator[bytes]:
     """Yield the answer piece by piece. What is said of coverage and version comes first."""
-    yield orjson.dumps(_head_of(answer)).removesuffix(b"}") + b',"rows":['
+    yield encode_json(_head_of(answer)).removesuffix(b"}") + b',"rows":['
     separator = b""
     for start in range(0, len(answer.rows), ROWS_PER_CHUNK):
         rows = [_row_content(row) for row in answer.rows[start : start + ROWS_PER_CHUNK]]
-        yield separator + orjson.dumps(rows).removeprefix(b"[").removesuffix(b"]")
+        yield separator + encode_json(rows).removeprefix(b"[").removesuffix(b"]")
         separator = b","
     yield b"]}"
 
--- a/src/radishmount/border/_refusals.py
+++ b/src/radishmount/border/_refusals.py
@@ -1,5 +1,6 @@
 """Refusals as callers see them: number, name, text, and whether the request ran."""
 
+import json
 from collections.abc import Iterator
 from http import HTTPStatus
 from typing import Any
@@ -15,6 +16,7 @@
     "RESULT_NAME",
     "chunked_response",
     "code_content",
+    "encode_json",
     "json_response",
     "refusal_response",
     "status_of",
@@ -70,12 +72,20 @@
     return response
 
 
+def encode_json(content: Any) -> bytes:
+    """Return `content` as JSON, whole numbers above 64 bits of an endpoint's reply included."""
+    try:
+        return orjson.dumps(content)
+    except TypeError:
+        return json.dumps(content).encode()
+
+
 def json_response(
     content: dict[str, Any], request_id: str = "", status: HTTPStatus = HTTPStatus.OK
 ) -> web.Response:
     """Return `content` as JSON under `request_id`."""
     return web.Response(
-        body=orjson.dumps(content),
+        body=encode_json(content),
         status=status,
         content_type="application/json",
         headers={"X-Request-Id": request_id} if request_id else {},
--- a/tests/border/test_callers.py
+++ b/tests/border/test_callers.py
@@ -241,3 +241,10 @@
             answer = await send_raw(address, head, body, pause_s=0.01)
 
         assert answer.startswith(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n")
+
+    async def test_a_number_above_64_bits_is_told_as_it_came(self) -> None:
+        async with serving(FakeService(fields={"lot": 2**70})) as address:
+            status, content = await post(address, SEARCH)
+
+        assert status == 200
+        assert content["rows"][0]["fields"]["lot"] == 2**70
--- /dev/null
+++ b/tests/border/test_fuzz.py
@@ -0,0 +1,378 @@
+"""Malformed input at every border: a code each time, no exception and no task that hangs."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+from unittest.mock import patch
+
+import msgpack
+from hypothesis import HealthCheck, example, given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from fake_service import FakeService, MakeApp, operators, send_raw, serving
+from radishmount.border import (
+    HttpPlatform,
+    _http,
+    make_caller_app,
+    object_from,
+    open_endpoint_channel,
+    read_bundle,
+    read_entry_settings,
+    unpack_frame,
+    write_bundle,
+)
+from radishmount.border._jsonc import parse_jsonc
+from radishmount.border._peer_codec import MODELS_BY_KIND
+from radishmount.border._refusals import encode_json
+from radishmount.codes import Code, Refusal
+from radishmount.endpoints import SearchTerms, SubRequest
+
+
+ROOT = Path(__file__).parents[2]
+HANG_LIMIT_S = 20.0
+FUZZ = settings(
+    derandomize=True,
+    max_examples=60,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture, HealthCheck.too_slow],
+)
+MANY = settings(FUZZ, max_examples=400)
+
+values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats()
+    | st.text(max_size=20)
+    | st.sampled_from(["", "0ms", "1h", "127.0.0.1:1", "shard", "\x00", "𐏿"]),
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(st.text(max_size=8), inner, max_size=4),
+    max_leaves=12,
+)
+
+SEARCH = {
+    "caller": "workshop",
+    "collection": "catalogue",
+    "text": "washi",
+    "limit": 5,
+    "keys": {"from": "a", "to": "b"},
+    "deadline_ms": 100.0,
+}
+REPLY = {
+    "outcome": "ok",
+    "ran": True,
+    "request_id": "r",
+    "attempt": 1,
+    "shard": "s",
+    "index_version": 1,
+    "rows": [["k", 1.0, {"v": 1}]],
+    "load": {"slots": 2, "in_flight": 0, "queued": 0, "draining": False, "versions": [1]},
+}
+OBJECTS = [
+    item
+    for name in ("catalogue", "callers", "data-centres")
+    for item in parse_jsonc((ROOT / f"examples/padana/{name}.jsonc").read_text()).unwrap()
+]
+LIST = {
+    "version": 1,
+    "instances": [
+        {"name": "e", "role": "entry", "data_centre": "m", "state": "live", "caller_address": "x"}
+    ],
+}
+SETTINGS = {
+    "name": "entry-a",
+    "data_centre": "milano",
+    "caller_address": "127.0.0.1:0",
+    "operator_address": "127.0.0.1:0",
+    "peer_address": "127.0.0.1:0",
+    "platform": "127.0.0.1:9",
+    "peer_key": "a key of some length",
+}
+
+
+def paths_of(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """Return the way to each value within `value`."""
+    steps: list[Any] = []
+    if isinstance(value, dict):
+        steps = list(value)
+    if isinstance(value, list):
+        steps = list(range(len(value)))
+    return [path, *(p for step in steps for p in paths_of(value[step], (*path, step)))]
+
+
+@st.composite
+def damaged(draw: st.DrawFn, sound: Any) -> Any:
+    """Return `sound` with a value replaced, taken away or added somewhere."""
+    value = json.loads(json.dumps(sound))
+    path = draw(st.sampled_from(paths_of(value)))
+    if not path:
+        return draw(values)
+    holder = value
+    for step in path[:-1]:
+        holder = holder[step]
+    kind = draw(st.sampled_from(["replace", "remove", "add"]))
+    if kind == "remove":
+        del holder[path[-1]]
+    elif kind == "add" and isinstance(holder, dict):
+        holder[draw(st.text(max_size=8))] = draw(values)
+    else:
+        holder[path[-1]] = draw(values)
+    return value
+
+
+@st.composite
+def damaged_bytes(draw: st.DrawFn, sound: bytes) -> bytes:
+    """Return `sound` with some bytes cut out and others put in."""
+    content = bytearray(sound)
+    for _ in range(draw(st.integers(1, 3))):
+        start = draw(st.integers(0, len(content)))
+        length = draw(st.integers(0, 12))
+        content[start : start + length] = draw(st.binary(max_size=8))
+    return bytes(content)
+
+
+def as_json(value: Any) -> bytes:
+    return json.dumps(value).encode("utf-8", "surrogatepass")
+
+
+def bodies(sound: Any) -> st.SearchStrategy[bytes]:
+    return damaged(sound).map(as_json) | damaged_bytes(as_json(sound)) | st.binary(max_size=60)
+
+
+def run(work: Callable[[], Awaitable[None]]) -> None:
+    """Run one example; afterwards no task may be left."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(HANG_LIMIT_S):
+            await work()
+        left = asyncio.all_tasks() - {asyncio.current_task()}
+        assert left == set()
+
+    asyncio.run(bounded())
+
+
+async def raw_answer(service: FakeService, make_app: MakeApp, sent: bytes) -> bytes:
+    """Send bytes to a border whose limits of time are short, and return what comes back."""
+    with patch.object(_http, "BODY_TIMEOUT_S", 0.05):
+        async with serving(service, make_app, idle_timeout_s=0.05) as address:
+            return await send_raw(address, sent)
+
+
+def check_answers(answer: bytes, service: FakeService) -> None:
+    """Check that each answer is a result, or a refusal with a number."""
+    assert not [name for name, _ in service.counters.by_name if name == "internal_errors"]
+    while answer:
+        head, _, rest = answer.partition(b"\r\n\r\n")
+        status = int(head.split(b" ")[1])
+        length = 0
+        for line in head.split(b"\r\n"):
+            if line.lower().startswith(b"content-length:"):
+                length = int(line.partition(b":")[2])
+        content, answer = rest[:length], rest[length:]
+        if status < 400 or not content:
+            continue
+        parsed = json.loads(content)
+        if "error" in parsed:
+            assert Code(parsed["error"]["number"]).name == parsed["error"]["name"]
+
+
+def request_bytes(path: str, body: bytes) -> bytes:
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\nX-Request-Id: r1\r\nContent-Length: {len(body)}"
+    return head.encode() + b"\r\n\r\n" + body
+
+
+class TestHttpBorders:
+    """Callers' and operators' HTTP, by bytes on a connection."""
+
+    @FUZZ
+    @given(body=bodies(SEARCH))
+    def test_search_bodies(self, body: bytes) -> None:
+        service = FakeService(leaving=True)
+
+        async def work() -> None:
+            answer = await raw_answer(service, make_caller_app, request_bytes("/v1/search", body))
+            assert answer.startswith(b"HTTP/1.1 ")
+            check_answers(answer, service)
+
+        run(work)
+
+    @FUZZ
+    @given(sent=damaged_bytes(request_bytes("/v1/search", as_json(SEARCH))))
+    def test_caller_requests(self, sent: bytes) -> None:
+        service = FakeService()
+
+        async def work() -> None:
+            check_answers(await raw_answer(service, make_caller_app, sent), service)
+
+        run(work)
+
+    @FUZZ
+    @given(
+        sent=damaged_bytes(b"GET /v1/addresses?caller=workshop&data_centre=x HTTP/1.1\r\n\r\n")
+        | damaged_bytes(b"GET /audit?subject=a&since=3 HTTP/1.1\r\nHost: x\r\n\r\n")
+        | damaged_bytes(b"GET /explain/r1 HTTP/1.1\r\nExpect: 100-continue\r\n\r\n")
+        | st.binary(max_size=80)
+    )
+    def test_operator_requests(self, sent: bytes) -> None:
+        service = FakeService()
+
+        async def work() -> None:
+            check_answers(await raw_answer(service, operators, sent), service)
+
+        run(work)
+
+
+async def answer_with(content: bytes, ask: Callable[[str], Awaitable[None]]) -> None:
+    """Run a server that answers every request with `content` as it stands, and ask it."""
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(content)
+            await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    try:
+        await ask(f"{host}:{port}")
+    finally:
+        server.close()
+        await asyncio.sleep(0)
+
+
+def response_bytes(body: bytes) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}"
+    return head.encode() + b"\r\n\r\n" + body
+
+
+def responses(sound: Any) -> st.SearchStrategy[bytes]:
+    return bodies(sound).map(response_bytes) | damaged_bytes(response_bytes(as_json(sound)))
+
+
+class TestReplies:
+    """What endpoints and the platform answer."""
+
+    @FUZZ
+    @given(content=responses(REPLY))
+    @example(content=response_bytes(as_json({**REPLY, "rows": [["k", 1.0, {"v": 2**70}]]})))
+    @example(content=response_bytes(as_json(REPLY).replace(b"1.0", b"1e999")))
+    @example(content=b"HTTP/1.1 302 Found\r\nLocation: /\r\nContent-Length: 0\r\n\r\n")
+    def test_endpoint_replies(self, content: bytes) -> None:
+        request = SubRequest("r", 1, "s", 1, 0.0, SearchTerms("washi"))
+
+        async def ask(address: str) -> None:
+            channel = open_endpoint_channel(address)
+            async with asyncio.timeout(5.0):
+                outcome = await channel.exchange(request, 100.0)
+                await channel.probe()
+            await channel.close()
+            match outcome:
+                case Ok(reply):
+                    assert (reply.request_id, reply.attempt) == ("r", 1)
+                    assert (reply.shard, reply.index_version) == ("s", 1)
+                    encode_json([[row.key, row.score, row.fields] for row in reply.rows])
+                case Err(failure):
+                    assert isinstance(failure.code, Code)
+
+        run(lambda: answer_with(content, ask))
+
+    @FUZZ
+    @given(content=responses(LIST))
+    def test_platform_answers(self, content: bytes) -> None:
+        async def ask(address: str) -> None:
+            platform = HttpPlatform(address)
+            for read in (platform.instance_list, platform.bundle):
+                answer = await read(0, 100)
+                if isinstance(answer, Err):
+                    assert isinstance(answer.err_value, Refusal)
+            await platform.close()
+
+        run(lambda: answer_with(content, ask))
+
+
+def can_pack(value: Any) -> bool:
+    try:
+        msgpack.packb(value)
+    except (ValueError, OverflowError, UnicodeEncodeError):
+        return False
+    return True
+
+
+def packable(content: st.SearchStrategy[Any]) -> st.SearchStrategy[bytes]:
+    return content.filter(can_pack).map(msgpack.packb)
+
+
+kinds = st.sampled_from([*MODELS_BY_KIND, "refusal"]) | st.text(max_size=10)
+
+
+class TestDocuments:
+    """Published objects, bundles, settings and frames, without any connection."""
+
+    @MANY
+    @given(raw=st.sampled_from(OBJECTS).flatmap(damaged))
+    def test_published_objects(self, raw: Any) -> None:
+        match object_from(raw):
+            case Ok(item):
+                write_bundle(1, [raw])
+                assert item.name
+            case Err(faults):
+                assert faults
+                assert all(str(fault) for fault in faults)
+
+    @MANY
+    @given(body=damaged_bytes(write_bundle(1, OBJECTS)) | bodies({"version": 1, "objects": []}))
+    def test_bundles(self, body: bytes) -> None:
+        read = read_bundle(body)
+
+        assert read.is_ok() or all(isinstance(f.code, Code) for f in read.unwrap_err())
+
+    @MANY
+    @given(objects=damaged(OBJECTS))
+    def test_sealed_bundles_of_damaged_objects(self, objects: Any) -> None:
+        try:
+            body = write_bundle(1, objects)
+        except (TypeError, AttributeError):
+            return  # not what a publisher's tool can write
+        read = read_bundle(body)
+
+        assert read.is_ok() or all(isinstance(f.code, Code) for f in read.unwrap_err())
+
+    @MANY
+    @given(text=st.text() | damaged_bytes(as_json(OBJECTS)).map(lambda b: b.decode("latin-1")))
+    def test_json_with_comments(self, text: str) -> None:
+        parsed = parse_jsonc(text)
+
+        assert parsed.is_ok() or parsed.unwrap_err().message
+
+    @MANY
+    @given(content=bodies(SETTINGS))
+    def test_settings(self, content: bytes, tmp_path: Path) -> None:
+        path = tmp_path / "settings.jsonc"
+        path.write_bytes(content)
+        read = read_entry_settings(path)
+
+        if isinstance(read, Err):
+            assert read.err_value.code in (
+                Code.BAD_SETTING,
+                Code.BROKEN_SYNTAX,
+                Code.UNREADABLE_FILE,
+            )
+            assert str(path) in read.err_value.detail
+
+    @MANY
+    @given(
+        content=st.binary(max_size=200)
+        | packable(values)
+        | packable(st.tuples(st.sampled_from(["n", "q", "a"]), st.integers(0, 9), kinds, values))
+    )
+    def test_peer_frames(self, content: bytes) -> None:
+        unpacked = unpack_frame(content)
+
+        assert unpacked.is_ok() or unpacked.unwrap_err().code is Code.BAD_FRAME
--- a/tests/fake_service.py
+++ b/tests/fake_service.py
@@ -35,6 +35,7 @@
     """Answers as the test sets it, and keeps the calls that came through the border."""
 
     rows: int = 1
+    fields: dict[str, Any] = field(default_factory=dict)
     missing: tuple[str, ...] = ()
     error: Exception | None = None
     leaving: bool = False
@@ -73,7 +74,7 @@
         self.calls.append(call)
         if self.error is not None:
             raise self.error
-        rows = tuple(Row(f"key-{n}", 1.0, {"n": n}) for n in range(self.rows))
+        rows = tuple(Row(f"key-{n}", 1.0, {"n": n, **self.fields}) for n in range(self.rows))
         coverage = Coverage(("low",), self.missing)
         return Ok(Answer(request_id, 1, rows, coverage, sub_requests=1))
 
