--- a/src/radishmount/programs/_ask_text.py
+++ b/src/radishmount/programs/_ask_text.py
@@ -43,6 +43,7 @@
     parts = len(coverage["covered"]) + len(coverage["missing"])
     told = f"{len(coverage['covered'])} of {parts} parts at index version"
     lines.append(f"{len(content['rows'])} rows; {told} {content['index_version']}")
+    lines.append(f"request {content['request_id']}")
     if not content["complete"]:
         lines.append(f"PARTIAL: missing {', '.join(coverage['missing'])}")
     return "\n".join(lines)
