Let entries of a trial join, stop, vanish, pause and be parted

Cause: the promises on the fleet are about instances that come and go. Streams between entries go through relays that delay, cut and count; each entry has a view of the platform of its own, which may be down or stale; the version in force is watched from outside.

--- a/src/radishmount/programs/_trial_entry.py
+++ b/src/radishmount/programs/_trial_entry.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable
 from random import Random
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from result import Err
 
@@ -16,6 +16,7 @@
 from radishmount.border import EntrySettings
 from radishmount.clock import loop_clock
 from radishmount.endpoints import OpenChannel
+from radishmount.policy import QueryPolicy
 from radishmount.programs.entry import RunningEntry, start_entry
 
 
@@ -30,15 +31,25 @@
 class EntryThread:
     """One entry. Every method is called from the loop of the trial."""
 
-    def __init__(self, settings: EntrySettings, seed: str, open_channel: OpenChannel) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        seed: str,
+        open_channel: OpenChannel,
+        route_peer: Callable[[str, str], str],
+        policy: QueryPolicy,
+    ) -> None:
         self.settings = settings
         self._seed = seed
         self._open_channel = open_channel
+        self._route_peer = route_peer
+        self._policy = policy
         self._loop: asyncio.AbstractEventLoop | None = None
         self._entry: RunningEntry | None = None
         self._end = asyncio.Event()
         self._failure = ""
         self._cpu_s = 0.0
+        self._paused_until_ms = 0.0
         self._thread = threading.Thread(target=self._run, name=settings.name, daemon=True)
 
     @property
@@ -47,6 +58,22 @@
         assert self._entry is not None
         return str(self._entry.callers.address)
 
+    @property
+    def peer_address(self) -> str:
+        """Return the address that peers connect to."""
+        assert self._entry is not None
+        return str(self._entry.peers.address)
+
+    @property
+    def version_in_force(self) -> int:
+        """Return the version of the publication that the entry follows."""
+        return 0 if self._entry is None else self._entry.node.control.in_force.current.version
+
+    @property
+    def has_started(self) -> bool:
+        """Tell whether the entry has ended its start."""
+        return self._entry is not None and self._entry.node.control.has_started
+
     @property
     def alive(self) -> bool:
         """Tell whether the entry runs."""
@@ -67,8 +94,16 @@
         if self._failure:
             raise RuntimeError(self._failure)
 
+    async def leave(self) -> None:
+        """Ask for a graceful stop, as a signal does, and wait for its end."""
+        entry, loop = self._entry, self._loop
+        if entry is None or loop is None:
+            return
+        await asyncio.wrap_future(asyncio.run_coroutine_threadsafe(entry.leave(), loop))
+        await self.vanish()
+
     async def stop(self) -> None:
-        """Ask for a graceful stop and wait for its end."""
+        """End the entry when the trial is over."""
         entry, loop = self._entry, self._loop
         if entry is None or loop is None:
             return
@@ -86,22 +121,20 @@
 
     def pause(self, duration_ms: float) -> None:
         """Hold the entry's loop for `duration_ms`, as when its process is suspended."""
+        self._paused_until_ms = time.monotonic() * 1000.0 + duration_ms
         if self._loop is not None:
             self._loop.call_soon_threadsafe(time.sleep, duration_ms / 1000.0)
 
+    def is_paused(self, now_ms: float) -> bool:
+        """Tell whether the entry is paused; `now_ms` is monotonic."""
+        return now_ms < self._paused_until_ms
+
     async def cpu_s(self) -> float:
         """Return the processor time that the entry has used."""
         if self._loop is None:
             return self._cpu_s
         return await self._there(time.thread_time)
 
-    async def node_value(self, read: Callable[[Any], T]) -> T | None:
-        """Return what `read` makes of the node, on its own loop; none if the entry is gone."""
-        entry = self._entry
-        if entry is None or self._loop is None:
-            return None
-        return await self._there(lambda: read(entry.node))
-
     async def _there(self, function: Callable[[], T]) -> T:
         async def call() -> T:
             return function()
@@ -117,7 +150,13 @@
         clock = loop_clock(loop)
         random = Random(f"{self._seed}/{self.settings.name}")
         started = await start_entry(
-            self.settings, clock, random, AuditTrail(clock), open_channel=self._open_channel
+            self.settings,
+            clock,
+            random,
+            AuditTrail(clock),
+            open_channel=self._open_channel,
+            route_peer=self._route_peer,
+            policy=self._policy,
         )
         if isinstance(started, Err):
             self._failure = str(started.err_value)
--- a/src/radishmount/programs/_trial_fleet.py
+++ b/src/radishmount/programs/_trial_fleet.py
@@ -5,7 +5,9 @@
 from random import Random
 
 from radishmount.border import EntrySettings, Listen, open_endpoint_channel
+from radishmount.policy import QueryPolicy
 from radishmount.programs._trial_entry import EntryThread
+from radishmount.programs._trial_links import PeerLinks
 from radishmount.standins import ListedInstance, Stage, delayed_channels
 from radishmount.trial import FaultKind, FaultPlan
 
@@ -26,6 +28,11 @@
     by_name: dict[str, EntryThread] = field(default_factory=dict)
     stopped: set[str] = field(default_factory=set)
     past_cpu_s: float = 0.0
+    links: PeerLinks = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Lay the links between the entries."""
+        self.links = PeerLinks(self.stage.plan)
 
     async def start(self, name: str) -> None:
         """Start an entry and list it."""
@@ -34,13 +41,24 @@
         random = Random(f"{plan.seed}/network/{name}")
         delays = self.stage.delay_by_address(settings.data_centre, random)
         open_channel = delayed_channels(open_endpoint_channel, delays)
-        thread = EntryThread(settings, str(plan.seed), open_channel)
+        thread = EntryThread(
+            settings, str(plan.seed), open_channel, self.links.route_of(name), self.policy
+        )
         await thread.start()
         self.by_name[name] = thread
+        await self.links.connect(name, thread.peer_address)
         await self._list(name, "live")
 
+    @property
+    def policy(self) -> QueryPolicy:
+        """Return which mechanisms the trial leaves on."""
+        return QueryPolicy(**self.stage.plan.policy)
+
     async def run_fault(self, fault: FaultPlan) -> None:
         """Lay `fault` on the entries that it names."""
+        if fault.kind is FaultKind.PARTITION:
+            await self._part(fault)
+            return
         for name in fault.targets:
             match fault.kind:
                 case FaultKind.ENTRY_JOIN:
@@ -65,11 +83,20 @@
     async def stop(self) -> None:
         """Stop every entry."""
         await asyncio.gather(*(thread.stop() for thread in self.by_name.values()))
+        await self.links.stop()
+
+    async def _part(self, fault: FaultPlan) -> None:
+        """Cut the links between the entries that `fault` names and all others."""
+        self.links.cut(fault.targets)
+        if fault.until_ms is None:
+            return
+        await asyncio.sleep((fault.until_ms - fault.at_ms) / 1000.0)
+        self.links.heal()
 
     async def _stop(self, name: str) -> None:
         self.stopped.add(name)
         thread = self.by_name[name]
-        stopping = asyncio.create_task(thread.stop())
+        stopping = asyncio.create_task(thread.leave())
         await asyncio.sleep(LIST_LAG_S)
         await self._list(name, "leaving")
         await stopping
@@ -89,7 +116,12 @@
     async def _list(self, name: str, state: str) -> None:
         thread = self.by_name[name]
         line = ListedInstance(
-            name, "entry", thread.settings.data_centre, state, thread.caller_address
+            name,
+            "entry",
+            thread.settings.data_centre,
+            state,
+            thread.caller_address,
+            thread.peer_address,
         )
         await self.stage.list_instances(line)
 
--- a/src/radishmount/programs/_trial_run.py
+++ b/src/radishmount/programs/_trial_run.py
@@ -13,6 +13,7 @@
     warm_up,
 )
 from radishmount.programs._trial_fleet import EntryFleet
+from radishmount.programs._trial_watch import watch_versions
 from radishmount.standins import (
     ENTRY_FAULTS,
     Stage,
@@ -29,6 +30,7 @@
     Figures,
     Summary,
     TrialPlan,
+    VersionWatch,
     arrivals_of,
     check_bounds,
     drive,
@@ -39,7 +41,6 @@
 __all__ = ["TrialOutcome", "run_trial"]
 
 BASELINE_ENTRY = "baseline"
-IDLE_S = 1.0
 
 RunFault = Callable[[FaultPlan], Awaitable[None]]
 
@@ -79,21 +80,18 @@
     try:
         await asyncio.gather(*(fleet.start(name) for name in names))
         await wait_until_ready(plan, callers)
-        control_cpu_ratio = await _idle_cpu_ratio(fleet)
+        control_cpu_ratio = await _idle_cpu_ratio(fleet, plan.idle_ms)
         await drive(warm_up(plan), callers.ask, clock, WARM_UP_PREFIX)
-        cpu_s, reads = await fleet.cpu_s(), stage.platform_reads
+        before = await _tally(fleet)
+        versions = VersionWatch()
+        watching = asyncio.create_task(watch_versions(fleet, versions, clock))
 
         async def run_any(fault: FaultPlan) -> None:
             await (fleet.run_fault if fault.kind in ENTRY_FAULTS else _on(stage))(fault)
 
         calls = await _drive_with_faults(plan, callers.ask, clock, run_any)
-        cpu_s = await fleet.cpu_s() - cpu_s
-        sub_requests = sum(r.request_id.startswith(LOAD_PREFIX) for r in stage.records)
-        cost = ControlCost(
-            cpu_us_per_subrequest=cpu_s * 1e6 / max(1, sub_requests),
-            control_cpu_ratio=control_cpu_ratio,
-            platform_reads_per_s=(stage.platform_reads - reads) * 1000.0 / plan.duration_ms,
-        )
+        watching.cancel()
+        cost = _cost(plan, before, await _tally(fleet), stage, versions, control_cpu_ratio)
         over_cap = stage.connections_over_cap
         return judge_run(plan, calls, stage.records, cost, over_cap, fleet.stopped), calls
     finally:
@@ -102,6 +100,54 @@
         await stage.stop()
 
 
+@dataclass(frozen=True, slots=True)
+class _Tally:
+    """What had been used and sent at one time."""
+
+    at_ms: float
+    cpu_s: float
+    peer_bytes: int
+    platform_bytes: int
+    platform_reads: int
+    probes: int
+
+
+async def _tally(fleet: EntryFleet) -> _Tally:
+    stage = fleet.stage
+    return _Tally(
+        at_ms=asyncio.get_running_loop().time() * 1000.0,
+        cpu_s=await fleet.cpu_s(),
+        peer_bytes=fleet.links.carried_bytes,
+        platform_bytes=stage.platform_bytes,
+        platform_reads=stage.platform_reads,
+        probes=stage.probes,
+    )
+
+
+def _cost(
+    plan: TrialPlan,
+    before: _Tally,
+    after: _Tally,
+    stage: Stage,
+    versions: VersionWatch,
+    control_cpu_ratio: float,
+) -> ControlCost:
+    passed_s = (after.at_ms - before.at_ms) / 1000.0
+    sub_requests = sum(r.request_id.startswith(LOAD_PREFIX) for r in stage.records)
+    # Every byte between entries is sent by one and received by another.
+    entry_bytes = 2 * (after.peer_bytes - before.peer_bytes)
+    entry_bytes += after.platform_bytes - before.platform_bytes
+    return ControlCost(
+        cpu_us_per_subrequest=(after.cpu_s - before.cpu_s) * 1e6 / max(1, sub_requests),
+        control_cpu_ratio=control_cpu_ratio,
+        control_bytes_per_s=entry_bytes / passed_s / plan.region.entries,
+        platform_reads_per_s=(after.platform_reads - before.platform_reads) / passed_s,
+        probes_per_s=(after.probes - before.probes) / passed_s,
+        config_lag_ms=versions.worst_lag_ms,
+        config_went_back=versions.went_back,
+    )
+
+
 async def _run_baseline(plan: TrialPlan) -> tuple[Figures, list[CallRecord]]:
     clock = loop_clock(asyncio.get_running_loop())
     stage = await start_stage(plan, [BASELINE_ENTRY])
@@ -146,8 +192,8 @@
     return calls
 
 
-async def _idle_cpu_ratio(fleet: EntryFleet) -> float:
+async def _idle_cpu_ratio(fleet: EntryFleet, idle_ms: float) -> float:
     """Return the share of a core that an entry takes without load, on average."""
     before_s = await fleet.cpu_s()
-    await asyncio.sleep(IDLE_S)
-    return (await fleet.cpu_s() - before_s) / IDLE_S / len(fleet.by_name)
+    await asyncio.sleep(idle_ms / 1000.0)
+    return (await fleet.cpu_s() - before_s) * 1000.0 / idle_ms / len(fleet.by_name)
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
@@ -31,8 +32,11 @@
 from radishmount.clock import Clock, loop_clock
 from radishmount.codes import Refusal
 from radishmount.control import LEAVING_GRACE_MS
+from radishmount.counters import Counters
 from radishmount.endpoints import OpenChannel
+from radishmount.fleet import Members, OpenPeer
 from radishmount.node import Node, NodeParts, make_node
+from radishmount.policy import QueryPolicy
 from radishmount.programs._logging import audit_log, log_state_change, set_up_logging
 
 
@@ -41,6 +45,9 @@
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_START = 3
 REFUSING_MS = 2_000.0
+EVERY_MECHANISM = QueryPolicy()
+
+RoutePeer = Callable[[str, str], str]
 
 
 class RunningEntry:
@@ -76,9 +83,16 @@
     random: Random,
     audit: AuditTrail,
     open_channel: OpenChannel = open_endpoint_channel,
+    route_peer: RoutePeer = lambda name, address: address,
+    policy: QueryPolicy = EVERY_MECHANISM,
 ) -> Result[RunningEntry, Refusal]:
-    """Start an entry from its settings."""
+    """Start an entry from its settings. Trials hand in other channels, routes and policies."""
     key = settings.peer_key.encode()
+
+    def open_peer_for(members: Members, counters: Counters) -> OpenPeer:
+        open_peer = make_open_peer(PeerKey(key, members), counters)
+        return lambda name, address: open_peer(name, route_peer(name, address))
+
     node = make_node(
         NodeParts(
             name=settings.name,
@@ -88,7 +102,8 @@
             platform=HttpPlatform(settings.platform),
             open_channel=open_channel,
             read_bundle=read_bundle,
-            open_peer_for=lambda members, counters: make_open_peer(PeerKey(key, members), counters),
+            open_peer_for=open_peer_for,
+            policy=policy,
             seeds=settings.seeds,
         ),
         audit,
--- a/src/radishmount/programs/trial.py
+++ b/src/radishmount/programs/trial.py
@@ -4,13 +4,14 @@
 import json
 import sys
 from collections.abc import Sequence
-from dataclasses import replace
+from dataclasses import fields, replace
 from pathlib import Path
 
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 from result import Err, Ok
 
+from radishmount.policy import QueryPolicy
 from radishmount.programs._application import Exit, run_program, tell, tell_error
 from radishmount.programs._trial_processes import drive_processes, serve_standins
 from radishmount.programs._trial_run import run_trial
@@ -24,6 +25,7 @@
 REPORT_FILE = "index.html"
 # Entries run on threads of their own: short turns keep one from holding up the others.
 SWITCH_INTERVAL_S = 0.0005
+MECHANISMS = frozenset(item.name for item in fields(QueryPolicy))
 
 FILE = argument("file", "The trial file, JSON with comments.")
 SEED = option("seed", None, "Takes the place of the seed in the file.", flag=False)
@@ -42,6 +44,9 @@
                 return None
             case Ok(plan):
                 pass
+        return self._with_seed(plan)
+
+    def _with_seed(self, plan: TrialPlan) -> TrialPlan | None:
         seed = self.option("seed")
         if seed is None:
             return plan
@@ -65,13 +70,25 @@
     name = NAME
     description = "Runs the fleet and the baseline under the same load and faults."
     arguments = [FILE]
-    options = [SEED, JSON, option("report", None, "Writes a page into this folder.", flag=False)]
+    options = [
+        SEED,
+        JSON,
+        option("report", None, "Writes a page into this folder.", flag=False),
+        option("without", None, "Switches off mechanisms, as hedging,ejection.", flag=False),
+    ]
 
     def handle(self) -> int:
         """Run the trial and print its result."""
         plan = self.read_plan()
         if plan is None:
             return Exit.BAD_USAGE
+        off = [name for name in (self.option("without") or "").split(",") if name]
+        unknown = set(off) - MECHANISMS
+        if unknown:
+            known = ", ".join(sorted(MECHANISMS))
+            tell_error(self, f"--without: {', '.join(sorted(unknown))}: none of {known}")
+            return Exit.BAD_USAGE
+        plan = replace(plan, policy={**plan.policy, **dict.fromkeys(off, False)})
         sys.setswitchinterval(SWITCH_INTERVAL_S)
         outcome = asyncio.run(run_trial(plan))
         if self.option("report"):
--- a/src/radishmount/standins/__init__.py
+++ b/src/radishmount/standins/__init__.py
@@ -7,6 +7,7 @@
 from radishmount.standins._faults import ENTRY_FAULTS, run_fault
 from radishmount.standins._network import delayed_channels, link_delay
 from radishmount.standins._platform import ListedInstance, PlatformStandIn
+from radishmount.standins._relay import Relay, start_relay
 from radishmount.standins._serve import StandInServer, serve_stand_in
 from radishmount.standins._stage import PlatformView, Stage, start_stage
 from radishmount.standins._trial_file import read_trial_file
@@ -23,6 +24,7 @@
     "PlatformStandIn",
     "PlatformView",
     "Stage",
+    "Relay",
     "StageControl",
     "StageReader",
     "StageRecords",
@@ -32,5 +34,6 @@
     "read_trial_file",
     "run_fault",
     "serve_stand_in",
+    "start_relay",
     "start_stage",
 ]
--- a/src/radishmount/standins/_endpoint.py
+++ b/src/radishmount/standins/_endpoint.py
@@ -43,6 +43,7 @@
     records: list[EndpointRecord] = field(default_factory=list)
     in_flight: int = 0
     queued: int = 0
+    probes: int = 0
     server: StandInServer | None = None
     rows_of: RowsOf | None = None
     slot_free: asyncio.Semaphore = field(init=False)
@@ -93,6 +94,7 @@
 
     async def _state(self, request: web.Request) -> web.Response:
         await self.arrive(request)
+        self.probes += 1
         await self.speak()
         return _json(self.load())
 
--- a/src/radishmount/standins/_platform.py
+++ b/src/radishmount/standins/_platform.py
@@ -35,6 +35,7 @@
     list_version: int = 0
     listed_by_name: dict[str, ListedInstance] = field(default_factory=dict)
     reads: int = 0
+    sent_bytes: int = 0
     down: bool = False
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
 
@@ -79,6 +80,7 @@
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         if self.bundle_version <= after:
             return web.Response(status=HTTPStatus.NOT_MODIFIED)
+        self.sent_bytes += len(self.bundle)
         return web.Response(body=self.bundle, content_type="application/json")
 
     async def _get_instances(self, request: web.Request) -> web.Response:
@@ -89,7 +91,9 @@
             return web.Response(status=HTTPStatus.NOT_MODIFIED)
         lines = [_line(instance) for instance in self.listed_by_name.values()]
         content = {"version": self.list_version, "instances": lines}
-        return web.Response(body=orjson.dumps(content), content_type="application/json")
+        body = orjson.dumps(content)
+        self.sent_bytes += len(body)
+        return web.Response(body=body, content_type="application/json")
 
     async def _wait(self, request: web.Request, version: Any) -> int:
         """Wait until the version passes `after`, at most as long as the reader asked."""
--- /dev/null
+++ b/src/radishmount/standins/_relay.py
@@ -0,0 +1,94 @@
+"""Links between instances that can be slow or cut, and that count what they carry."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from radishmount.border import Listen, split_address
+
+
+__all__ = ["Relay", "start_relay"]
+
+READ_BYTES = 64 * 1024
+CUT_CHECK_S = 0.05
+
+
+@dataclass(slots=True, eq=False)
+class Relay:
+    """Carries connections to `target`, each way after a delay.
+
+    While it is cut, nothing arrives on any connection and none is refused, as when packets are
+    dropped on the way. What was sent meanwhile arrives once the link is whole again.
+    """
+
+    target: Listen
+    delay_ms: Callable[[], float]
+    address: Listen = Listen("127.0.0.1", 0)
+    is_cut: bool = False
+    carried_bytes: int = 0
+    server: asyncio.Server | None = None
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def stop(self) -> None:
+        """Close the link."""
+        if self.server is not None:
+            self.server.close()
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Start the task of one connection."""
+        task = asyncio.get_running_loop().create_task(self._carry(reader, writer))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Carry one connection until either end closes it."""
+        far_writer: asyncio.StreamWriter | None = None
+        try:
+            await self._pass()
+            far_reader, far_writer = await asyncio.open_connection(
+                self.target.host, self.target.port
+            )
+            pumps = [
+                asyncio.create_task(self._pump(reader, far_writer)),
+                asyncio.create_task(self._pump(far_reader, writer)),
+            ]
+            try:
+                await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for pump in pumps:
+                    pump.cancel()
+                await asyncio.gather(*pumps, return_exceptions=True)
+        except OSError:
+            pass
+        finally:
+            for one in (writer, far_writer):
+                if one is not None:
+                    one.close()
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(OSError):
+            while content := await reader.read(READ_BYTES):
+                await self._pass()
+                self.carried_bytes += len(content)
+                writer.write(content)
+                await writer.drain()
+            await self._pass()
+
+    async def _pass(self) -> None:
+        await asyncio.sleep(self.delay_ms() / 1000.0)
+        while self.is_cut:
+            await asyncio.sleep(CUT_CHECK_S)
+
+
+async def start_relay(target: str, delay_ms: Callable[[], float]) -> Relay:
+    """Start a link to `target` on a free port of loopback."""
+    relay = Relay(split_address(target), delay_ms)
+    relay.server = await asyncio.start_server(relay.accept, relay.address.host, 0)
+    host, port = relay.server.sockets[0].getsockname()[:2]
+    relay.address = Listen(host, port)
+    return relay
--- a/src/radishmount/standins/_stage.py
+++ b/src/radishmount/standins/_stage.py
@@ -58,6 +58,16 @@
         """Return how often the platform was read, a waiting watch counted as one."""
         return sum(view.platform.reads for view in self.views_by_entry.values())
 
+    @property
+    def platform_bytes(self) -> int:
+        """Return how many bytes of values and lists the platform sent."""
+        return sum(view.platform.sent_bytes for view in self.views_by_entry.values())
+
+    @property
+    def probes(self) -> int:
+        """Return how often the endpoints were asked for their state."""
+        return sum(endpoint.probes for endpoint in self.endpoints_by_name.values())
+
     @property
     def connections_over_cap(self) -> int:
         """Return how many connections came in beyond the caps of the endpoints."""
--- a/src/radishmount/standins/_trial_file.py
+++ b/src/radishmount/standins/_trial_file.py
@@ -1,6 +1,7 @@
 """The trial file: JSON with comments, validated, and read into the plan of a trial."""
 
 import re
+from dataclasses import fields
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -9,6 +10,7 @@
 
 from radishmount.border import BorderModel, describe_fault, read_jsonc
 from radishmount.codes import Code, Refusal
+from radishmount.policy import QueryPolicy
 from radishmount.trial import (
     BoundPlan,
     CollectionPlan,
@@ -218,6 +220,7 @@
     windows: list[WindowModel] = []
     policy: dict[str, bool] = {}
     baseline: bool = True
+    idle: Millis = 1_000.0
 
     def to_data(self) -> TrialPlan:
         """Return the plan."""
@@ -233,6 +236,7 @@
             windows=tuple(WindowPlan(w.name, w.begin, w.until) for w in self.windows),
             policy=self.policy,
             baseline=self.baseline,
+            idle_ms=self.idle,
         )
 
 
@@ -254,8 +258,12 @@
 
 
 def _dangling(plan: TrialPlan) -> str:
-    """Return what names something that the region does not have, empty if nothing does."""
+    """Return what names something that does not exist, empty if nothing does."""
     region = plan.region
+    mechanisms = {item.name for item in fields(QueryPolicy)}
+    for name in plan.policy:
+        if name not in mechanisms:
+            return f"policy: {name} is none of {', '.join(sorted(mechanisms))}"
     services = {service.name for service in region.services}
     known = {*services, *region.entry_names()}
     for service in region.services:
--- a/src/radishmount/trial/__init__.py
+++ b/src/radishmount/trial/__init__.py
@@ -27,6 +27,7 @@
 from radishmount.trial._region import objects_of, parts_of, shards_of
 from radishmount.trial._report import report_page
 from radishmount.trial._summary import Summary, result_of, result_text
+from radishmount.trial._versions import EntrySight, VersionWatch
 from radishmount.trial._violations import Violations, count_violations
 
 
@@ -41,6 +42,7 @@
     "CollectionPlan",
     "ControlCost",
     "EndpointRecord",
+    "EntrySight",
     "FaultKind",
     "FaultPlan",
     "Figures",
@@ -52,6 +54,7 @@
     "Summary",
     "Told",
     "TrialPlan",
+    "VersionWatch",
     "Violations",
     "WindowPlan",
     "arrivals_of",
--- a/src/radishmount/trial/_figures.py
+++ b/src/radishmount/trial/_figures.py
@@ -25,18 +25,25 @@
     "ran_twice",
     "work_after_leaving",
     "cut_in_flight",
+    "lost_to_stop",
 )
 
 
 @dataclass(frozen=True, slots=True)
 class ControlCost:
-    """What the entries cost. A figure that could not be measured is none."""
+    """What the entries cost beside their work. A figure that could not be measured is none.
+
+    Processor time and bytes are for each entry, the bytes of both directions; reads of the
+    platform and probes of endpoints are for the whole fleet.
+    """
 
     cpu_us_per_subrequest: float | None = None
     control_cpu_ratio: float | None = None
     control_bytes_per_s: float | None = None
     platform_reads_per_s: float | None = None
-    memory_mb: float | None = None
+    probes_per_s: float | None = None
+    config_lag_ms: float | None = None
+    config_went_back: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +85,9 @@
     by_name["control_cpu_ratio"] = cost.control_cpu_ratio
     by_name["control_bytes_per_s"] = cost.control_bytes_per_s
     by_name["platform_reads_per_s"] = cost.platform_reads_per_s
-    by_name["memory_mb"] = cost.memory_mb
+    by_name["probes_per_s"] = cost.probes_per_s
+    by_name["config_lag_ms"] = cost.config_lag_ms
+    by_name["config_went_back"] = cost.config_went_back
     by_name["goodput_ratio"] = _goodput_ratio(plan, calls, WindowPlan("", 0.0, plan.duration_ms))
     by_name["loads"] = _by_load(plan, calls)
     by_name["windows"] = _by_window(plan, calls)
--- a/src/radishmount/trial/_plan.py
+++ b/src/radishmount/trial/_plan.py
@@ -146,7 +146,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TrialPlan:
-    """One trial. Loads and faults are timed from the end of the warm-up."""
+    """One trial. Loads and faults are timed from the end of the warm-up.
+
+    Before it the entries are left without load for `idle_ms`, to measure what control costs.
+    `policy` switches mechanisms of the entries off by name.
+    """
 
     name: str
     seed: int
@@ -159,6 +163,7 @@
     windows: tuple[WindowPlan, ...] = ()
     policy: dict[str, bool] = field(default_factory=dict)
     baseline: bool = True
+    idle_ms: float = 1_000.0
 
     def loads_of_warm_up(self) -> list[LoadPlan]:
         """Return the loads that begin at once, which also warm the system up."""
--- a/src/radishmount/trial/_summary.py
+++ b/src/radishmount/trial/_summary.py
@@ -28,11 +28,15 @@
     ("ran_twice", "ran twice"),
     ("work_after_leaving", "work after leaving"),
     ("cut_in_flight", "cut in flight"),
+    ("lost_to_stop", "lost to a planned stop"),
     ("connections_over_cap", "connections over cap"),
     ("cpu_us_per_subrequest", "entry CPU per sub-request, us"),
     ("control_cpu_ratio", "control CPU per entry, cores"),
     ("control_bytes_per_s", "control bytes per entry and second"),
     ("platform_reads_per_s", "platform reads per second"),
+    ("probes_per_s", "probes of endpoints per second"),
+    ("config_lag_ms", "configuration in force after, ms"),
+    ("config_went_back", "configuration went back"),
 )
 LABEL_WIDTH = 36
 VALUE_WIDTH = 14
--- a/src/radishmount/trial/_violations.py
+++ b/src/radishmount/trial/_violations.py
@@ -49,6 +49,7 @@
     stopped = frozenset(stopped_entries)
     for call in calls:
         _check_tries(call, records_by_id, stopped, violations)
+        _check_lost(call, stopped, violations)
         if call.told is Told.ANSWER and call.collection in parts_by_collection:
             _check_answer(call, records_by_id, violations)
             _check_coverage(call, parts_by_collection[call.collection], records_by_id, violations)
@@ -106,6 +107,12 @@
             violations.add("cut_in_flight", f"{attempt.request_id} at {attempt.instance}")
 
 
+def _check_lost(call: CallRecord, stopped: frozenset[str], violations: Violations) -> None:
+    """Count a call that was lost at an entry which was asked to stop gracefully."""
+    if call.told is Told.LOST and call.tries and call.tries[-1].instance in stopped:
+        violations.add("lost_to_stop", f"{call.call_id} at {call.tries[-1].instance}")
+
+
 def _check_orders(records: Iterable[EndpointRecord], violations: Violations) -> None:
     runs_by_key: Counter[str] = Counter()
     for record in records:
--- /dev/null
+++ b/tests/standins/test_relay.py
@@ -0,0 +1,57 @@
+"""Tests of the links between instances."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from radishmount.standins import Relay, start_relay
+
+
+async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while content := await reader.read(100):
+        writer.write(content)
+    writer.close()
+
+
+@pytest.fixture
+async def relay() -> AsyncIterator[Relay]:
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    relay = await start_relay(f"{host}:{port}", lambda: 0.0)
+    yield relay
+    await relay.stop()
+    server.close()
+
+
+class TestRelay:
+    """A link that can be cut."""
+
+    async def test_carries_both_ways_and_counts(self, relay: Relay) -> None:
+        reader, writer = await asyncio.open_connection(relay.address.host, relay.address.port)
+        writer.write(b"washi")
+
+        assert await reader.readexactly(5) == b"washi"
+        assert relay.carried_bytes == 10
+        writer.close()
+
+    async def test_nothing_arrives_while_it_is_cut(self, relay: Relay) -> None:
+        relay.is_cut = True
+        reader, writer = await asyncio.open_connection(relay.address.host, relay.address.port)
+        writer.write(b"washi")
+        await asyncio.sleep(0.02)
+        assert relay.carried_bytes == 0
+
+        relay.is_cut = False
+
+        assert await reader.readexactly(5) == b"washi"
+        writer.close()
+
+    async def test_a_closed_end_closes_the_other(self, relay: Relay) -> None:
+        reader, writer = await asyncio.open_connection(relay.address.host, relay.address.port)
+        writer.write(b"washi")
+        await reader.readexactly(5)
+        writer.write_eof()
+
+        assert await reader.read() == b""
+        writer.close()
--- a/tests/trial/test_violations.py
+++ b/tests/trial/test_violations.py
@@ -124,3 +124,9 @@
         call = answered_call(tries=[CallTry("q1.0", "entry-1", 9.0, cut=True)])
 
         assert counted([call], endpoint_records(), stopped=["entry-2"]) == {}
+
+    def test_counts_a_call_lost_at_an_entry_that_stopped_as_planned(self) -> None:
+        call = answered_call(told=Told.LOST, tries=[CallTry("q1.0", "entry-1", 9.0)])
+
+        assert counted([call], [], stopped=["entry-1"]) == {"lost_to_stop": 1}
+        assert counted([call], [], stopped=["entry-2"]) == {}
