--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -1,9 +1,11 @@
 """The border: bytes become data classes here, and data classes bytes."""
 
+from radishmount.border._ask_client import AskAnswer, AskClient
 from radishmount.border._bundle import digest_of, read_bundle, write_bundle
 from radishmount.border._callers import CallerService, make_caller_app
 from radishmount.border._endpoint_client import EndpointChannel, open_endpoint_channel
 from radishmount.border._jsonc import read_jsonc
+from radishmount.border._metrics import RequestMetrics
 from radishmount.border._models import BorderModel, describe_fault, read_json
 from radishmount.border._object_files import ObjectFolder, check_folder, read_folder
 from radishmount.border._objects import object_from, publication_from
@@ -31,6 +33,8 @@
     "serve_peers",
     "unpack_frame",
     "CONFIGURATION_KEY",
+    "AskAnswer",
+    "AskClient",
     "BorderModel",
     "CallerService",
     "EndpointChannel",
@@ -39,6 +43,7 @@
     "Listen",
     "ObjectFolder",
     "OperatorService",
+    "RequestMetrics",
     "Server",
     "check_folder",
     "describe_fault",
