--- a/src/radishmount/admission/_share.py
+++ b/src/radishmount/admission/_share.py
@@ -21,11 +21,12 @@
 def crowding_at(endpoints: Iterable[Endpoint], now_ms: float) -> float:
     """Return how many requests wait for each slot at the least crowded of the fit `endpoints`.
 
-    The choice of endpoint goes round a crowded one, so that only the best of them tells whether
+    Those that the endpoint reports count, and those that wait here for a connection to it. The
+    choice of endpoint goes round a crowded one, so that only the best of them tells whether
     the service as a whole is at its limit.
     """
     ratios = [
-        endpoint.report.queued / max(1, endpoint.slots)
+        (endpoint.report.queued + endpoint.in_flight - endpoint.sent) / max(1, endpoint.slots)
         for endpoint in endpoints
         if endpoint.may_take_work(now_ms)
     ]
--- a/src/radishmount/endpoints/_carried.py
+++ b/src/radishmount/endpoints/_carried.py
@@ -1,6 +1,6 @@
 """What a connection carries: anything that can be sent over a channel before a deadline."""
 
-import asyncio
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from result import Result
@@ -15,20 +15,28 @@
 class Carried(Protocol):
     """One attempt on its way to one endpoint; a search's or an order's.
 
-    A reply of any kind holds the endpoint's report as `load`.
+    A reply of any kind holds the endpoint's report as `load`. `interrupt` is set by the link that
+    holds the attempt. An exchange that lasts longer than `progress_limit_ms` is broken off.
     """
 
+    request: Any
     endpoint: Endpoint
-    submitted_at_ms: float
+    progress_limit_ms: float
+    sent_at_ms: float | None
+    ended_at_ms: float | None
     cancelled: bool
-    timeout: asyncio.Timeout | None
+    interrupt: Callable[[], None] | None
 
     @property
     def deadline_at_ms(self) -> float:
-        """Return the time after which nothing is sent."""
+        """Return the time after which the exchange is broken off."""
+
+    @property
+    def index_version(self) -> int | None:
+        """Return the index version that is asked for, none for an order."""
 
     async def send(self, channel: Channel, remaining_ms: float) -> Result[Any, Failure]:
         """Make the exchange over `channel`."""
 
-    def finish(self, outcome: Result[Any, Failure]) -> None:
-        """Take the outcome; called exactly once."""
+    def finish(self, outcome: Result[Any, Failure], now_ms: float) -> None:
+        """Take the outcome."""
--- a/src/radishmount/endpoints/_order_exchange.py
+++ b/src/radishmount/endpoints/_order_exchange.py
@@ -84,5 +84,9 @@
     result: dict[str, Any]
     load: LoadReport
 
+    def answers(self, request: OrderRequest) -> bool:
+        """Tell whether this is the reply to `request`."""
+        return (self.request_id, self.attempt) == (request.request_id, request.attempt)
+
 
 OrderExchange = Result[OrderReply, Failure]
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -1,7 +1,7 @@
 """One entry instance: its aggregates, put together."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -19,8 +19,8 @@
 from radishmount.node_admission import join_admission
 from radishmount.node_orders import OrderWiring, join_orders
 from radishmount.orders import OrderCall, OrderDesk, OrderTools, new_start_number
-from radishmount.policy import QueryPolicy
-from radishmount.publication import InForce, Publication, ReadBundle, Rule
+from radishmount.policy import EVERY_MECHANISM, QueryPolicy
+from radishmount.publication import InForce, Publication, ReadBundle, Rule, Shard
 from radishmount.queries import Answer, QueryTools, RequestRecord, Search, SearchCall, run_search
 
 
@@ -45,7 +45,7 @@
     open_channel: OpenChannel
     read_bundle: ReadBundle
     open_peer_for: OpenPeerFor
-    policy: QueryPolicy = QueryPolicy()
+    policy: QueryPolicy = EVERY_MECHANISM
     seeds: tuple[str, ...] = ()
     secret: bytes = b""
 
@@ -138,15 +138,19 @@
             rule=rule,
             terms=call.terms,
             deadline_at_ms=deadline_at_ms,
+            deadline_ms=deadline_ms,
         )
-        shards = publication.shards_by_collection[collection.name]
         answer: Result[Answer, Refusal] | None = None
         try:
-            answer = await run_search(search, shards, self.tools)
+            answer = await run_search(search, self._shards_of(collection.name), self.tools)
         finally:
             admitted.ok_value.release(answered=answer is not None and _is_complete(answer))
         return answer
 
+    def _shards_of(self, collection: str) -> Callable[[], Sequence[Shard]]:
+        """Return a function that reads the shards of a collection from what is in force."""
+        return lambda: self.in_force.current.shards_by_collection.get(collection, ())
+
     async def admit_order(
         self, call: OrderCall, rule: Rule, deadline_at_ms: float
     ) -> Result[Permit, Refusal]:
@@ -248,7 +252,8 @@
 def make_node(parts: NodeParts, audit: AuditTrail) -> Node:
     """Return an instance that is not started yet."""
     counters = Counters()
-    pool = EndpointPool(parts.name, parts.open_channel, parts.clock, counters)
+    pool = EndpointPool(parts.name, parts.open_channel, parts.clock, counters, audit, parts.policy)
+    choose = make_choice(parts.data_centre, Random(parts.random.random()), parts.policy)
     control_parts = ControlParts(
         name=parts.name,
         data_centre=parts.data_centre,
@@ -260,7 +265,6 @@
         seeds=parts.seeds,
     )
     control = make_control(control_parts, audit, counters)
-    choose = make_choice(parts.data_centre)
     tools = QueryTools(pool, parts.clock, choose, counters, parts.policy)
     wiring = OrderWiring(
         own_name=parts.name,
--- a/src/radishmount/orders/_attempt.py
+++ b/src/radishmount/orders/_attempt.py
@@ -1,8 +1,8 @@
 """One attempt at an order, over a connection that searches share."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 
 from radishmount.endpoints import Channel, Endpoint, OrderExchange, OrderRequest
 
@@ -20,8 +20,11 @@
     endpoint: Endpoint
     deliver: Callable[["OrderAttempt", OrderExchange], None]
     submitted_at_ms: float
+    progress_limit_ms: float = inf
+    sent_at_ms: float | None = None
+    ended_at_ms: float | None = None
     cancelled: bool = False
-    timeout: asyncio.Timeout | None = None
+    interrupt: Callable[[], None] | None = None
 
     @property
     def deadline_at_ms(self) -> float:
@@ -32,10 +35,19 @@
         """
         return self.request.deadline_at_ms + LATE_ANSWER_MS
 
+    @property
+    def index_version(self) -> int | None:
+        """Return none: orders are of no index version."""
+        return None
+
     async def send(self, channel: Channel, remaining_ms: float) -> OrderExchange:
         """Make the exchange over `channel`."""
         return await channel.place(self.request, remaining_ms)
 
-    def finish(self, outcome: OrderExchange) -> None:
-        """Deliver the outcome."""
+    def finish(self, outcome: OrderExchange, now_ms: float) -> None:
+        """Deliver the outcome. Later outcomes of the same attempt are dropped."""
+        if self.ended_at_ms is not None:
+            return
+        self.ended_at_ms = now_ms
+        self.interrupt = None
         self.deliver(self, outcome)
--- a/src/radishmount/orders/_run.py
+++ b/src/radishmount/orders/_run.py
@@ -17,7 +17,6 @@
 __all__ = ["OrderRun"]
 
 MAX_ATTEMPTS = 4
-RETRY_RATIO = 0.2
 CODES_TO_RETRY = frozenset(
     {
         Code.NOT_CONNECTED,
@@ -26,6 +25,8 @@
         Code.BAD_REPLY,
         Code.SHED,
         Code.ENDPOINT_LEAVING,
+        Code.QUEUE_FULL,
+        Code.NO_ENDPOINT,
     }
 )
 
@@ -51,7 +52,7 @@
 
     async def run(self) -> OrderOutcome:
         """Try endpoints in turn until one has the order, or none is left."""
-        self.tools.retry_budget.earn(1, RETRY_RATIO)
+        self.tools.retry_budget.earn()
         last = OrderOutcome(Ran.NOT_RUN, Code.NO_ENDPOINT, detail=self.order.service)
         while self.attempts < MAX_ATTEMPTS:
             now_ms = self.tools.clock.now_ms()
--- a/src/radishmount/orders/_tools.py
+++ b/src/radishmount/orders/_tools.py
@@ -5,7 +5,7 @@
 from radishmount.clock import Clock
 from radishmount.counters import Counters
 from radishmount.endpoints import Choose, EndpointPool
-from radishmount.queries import ExtraBudget
+from radishmount.orders._budget import RetryBudget
 
 
 __all__ = ["OrderTools"]
@@ -19,4 +19,4 @@
     clock: Clock
     choose: Choose
     counters: Counters
-    retry_budget: ExtraBudget = field(default_factory=lambda: ExtraBudget(tokens=10.0))
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
--- a/src/radishmount/standins/__init__.py
+++ b/src/radishmount/standins/__init__.py
@@ -13,6 +13,7 @@
     runs_by_request_id,
 )
 from radishmount.standins._platform import ListedInstance, PlatformStandIn
+from radishmount.standins._relay import Relay, start_relay
 from radishmount.standins._serve import StandInServer, serve_stand_in
 from radishmount.standins._stage import PlatformView, Stage, start_stage
 from radishmount.standins._trial_file import read_trial_file
@@ -32,6 +33,7 @@
     "PlatformStandIn",
     "PlatformView",
     "Stage",
+    "Relay",
     "StageControl",
     "StageReader",
     "StageRecords",
@@ -42,5 +44,6 @@
     "run_fault",
     "runs_by_request_id",
     "serve_stand_in",
+    "start_relay",
     "start_stage",
 ]
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -10,12 +10,14 @@
 from result import Err, Ok, Result
 
 from fakes import SessionLog, virtual_clock
+from radishmount.audit import AuditTrail
 from radishmount.border import digest_of, object_from, publication_from
 from radishmount.clock import Clock
 from radishmount.codes import Code, Ran, Refusal
 from radishmount.counters import Counters
 from radishmount.endpoints import (
     Channel,
+    Endpoint,
     EndpointPool,
     Failure,
     LoadReport,
@@ -24,7 +26,6 @@
     OrderRequest,
     Outcome,
     SubRequest,
-    make_choice,
 )
 from radishmount.orders import (
     KeyAgreement,
@@ -131,8 +132,9 @@
             return Err(Failure(Code.NOT_CONNECTED))
         return Ok(self._endpoint.load())
 
-    async def close(self) -> None:
+    async def close(self) -> bool:
         """Close the connection."""
+        return True
 
 
 @dataclass
@@ -190,13 +192,13 @@
         def open_channel(address: str) -> Channel:
             return FakeOrderChannel(self.endpoints_by_address[address], self.arrivals)
 
-        pool = EndpointPool(name, open_channel, self.clock, counters)
+        pool = EndpointPool(name, open_channel, self.clock, counters, AuditTrail(self.clock))
         await pool.take_publication(self.publication, listed)
         parts = OrderParts(
             own_name=name,
             start_number=new_start_number(self.clock, self.random),
             secret=SECRET,
-            tools=OrderTools(pool, self.clock, make_choice("milano"), counters),
+            tools=OrderTools(pool, self.clock, choose_first, counters),
             bind=lambda call: self.publication.rule_for(call.caller, call.service),
             admit=_admit_all,
             forward=self._forward_from(name),
@@ -308,6 +310,16 @@
         """Do nothing."""
 
 
+def choose_first(
+    replicas: Iterable[Endpoint], excluded: Collection[str], now_ms: float
+) -> Endpoint | None:
+    """Return the first endpoint that takes work, so that a test knows which it will be."""
+    for endpoint in replicas:
+        if endpoint.name not in excluded and endpoint.may_take_work(now_ms):
+            return endpoint
+    return None
+
+
 async def _admit_all(call: OrderCall, rule: Rule, deadline_at_ms: float) -> Any:
     return Ok(NoPermit())
 
