--- a/tests/orders/test_at_most_once.py
+++ b/tests/orders/test_at_most_once.py
@@ -214,6 +214,22 @@
         for name in readers:
             self.read_list(name)
 
+    @precondition(lambda self: self.intents)
+    @rule(readers=PLACES, at=PLACES, is_restarted=st.booleans())
+    def move_the_last_key(self, readers: list[str], at: list[str], is_restarted: bool) -> None:
+        """Take the owner of the last key off the list, or start it again, and repeat."""
+        intent = self.intents[-1]
+        for name in NAMES:
+            records = self.world.instances_by_name[name].desk.keys.records
+            if f"workshop\n{intent.key}" not in records.by_id:
+                continue
+            if is_restarted:
+                self.restart(name)
+            else:
+                self.publish_list(name, set(readers))
+            break
+        self.repeat(0, at, 300.0)
+
     @rule(name=INSTANCE)
     def read_list(self, name: str) -> None:
         self.list_held[name] = len(self.lists) - 1
