--- a/benchmarks/fan_out.py
+++ b/benchmarks/fan_out.py
@@ -18,21 +18,22 @@
 import orjson
 
 from radishmount.audit import AuditTrail
-from radishmount.border import (
-    Listen,
-    open_endpoint_channel,
-    read_bundle,
-    serve,
-    write_bundle,
-)
+from radishmount.border import EntrySettings, Listen, serve, write_bundle
 from radishmount.clock import loop_clock
 from radishmount.endpoints import SearchTerms
-from radishmount.fleet import Instance, InstanceList
-from radishmount.node import Node, NodeParts, make_node
+from radishmount.node import Node
+from radishmount.programs.entry import start_entry
 from radishmount.queries import SearchCall
-from radishmount.standins import EndpointBehaviour, EndpointStandIn
+from radishmount.standins import (
+    EndpointBehaviour,
+    EndpointStandIn,
+    ListedInstance,
+    PlatformStandIn,
+    serve_stand_in,
+)
 
 
+FREE = Listen("127.0.0.1", 0)
 SHARDS = 30
 ROUNDS = 10
 QUERIES_PER_ROUND = 100
@@ -97,50 +98,20 @@
     return listed
 
 
-class StillPlatform:
-    """Publishes one bundle and one list, and nothing after them."""
-
-    def __init__(self, body: bytes) -> None:
-        self._body = body
-
-    async def bundle(self, after: int, wait_ms: int):  # type: ignore[no-untyped-def]
-        """Return the bundle once."""
-        from result import Ok
-
-        if after:
-            await asyncio.Event().wait()
-        return Ok(self._body)
-
-    async def instance_list(self, after: int, wait_ms: int):  # type: ignore[no-untyped-def]
-        """Return the list once."""
-        from result import Ok
-
-        if after:
-            await asyncio.Event().wait()
-        return Ok(InstanceList(1, (Instance("entry-a", "milano", "", ""),)))
-
-    async def close(self) -> None:
-        """Close nothing."""
-
-
 async def start_node(first_port: int) -> Node:
-    """Start an entry without its callers' HTTP and wait until every endpoint was probed."""
+    """Start an entry over a stand-in of the platform, and wait until a search is whole."""
     clock = loop_clock(asyncio.get_running_loop())
-    platform = StillPlatform(write_bundle(1, objects(first_port)))
-    parts = NodeParts(
-        name="entry-a",
-        data_centre="milano",
-        clock=clock,
-        random=Random(1),
-        platform=platform,
-        open_channel=open_endpoint_channel,
-        read_bundle=read_bundle,
-    )
-    node = make_node(parts, AuditTrail(clock))
-    node.start()
-    while not await whole_search(node):
+    platform = PlatformStandIn()
+    server = await serve_stand_in(platform.app())
+    await platform.publish(1, write_bundle(1, objects(first_port)))
+    settings = EntrySettings("entry-a", "milano", FREE, FREE, FREE, str(server.address), "k" * 16)
+    started = await start_entry(settings, clock, Random(1), AuditTrail(clock))
+    entry = started.unwrap()
+    address = str(entry.callers.address)
+    await platform.list_instances(ListedInstance("entry-a", "entry", "milano", "live", address))
+    while not await whole_search(entry.node):
         await asyncio.sleep(0.05)
-    return node
+    return entry.node
 
 
 async def whole_search(node: Node) -> bool:
