End a search whose caller has gone, and nothing else

A caller that gave up left its fan-out running until the deadline, as load for endpoints. Requests that are not marked as abandonable go on in a task of their own, which the server waits for.

--- a/src/radishmount/border/_callers.py
+++ b/src/radishmount/border/_callers.py
@@ -11,7 +11,7 @@
     HttpService,
     elapsed_ms,
     expect_continue,
-    guard_requests,
+    guarded_app,
     request_id_of,
 )
 from radishmount.border._metrics import RequestMetrics
@@ -26,6 +26,8 @@
 
 __all__ = ["CallerService", "make_caller_app"]
 
+SEARCH_PATH = "/v1/search"
+ABANDONABLE_PATHS = frozenset({SEARCH_PATH})
 MAX_BODY_BYTES = 64 * 1024
 MAX_LIMIT = 10_000
 MAX_TEXT_CHARS = 4_096
@@ -118,8 +120,12 @@
             case Ok(answer):
                 return answer_response(answer, request)
 
-    guard = guard_requests(service, metrics or RequestMetrics())
-    app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[guard])
+    app = guarded_app(
+        service,
+        metrics or RequestMetrics(),
+        max_body_bytes=MAX_BODY_BYTES,
+        abandonable=ABANDONABLE_PATHS,
+    )
     app.router.add_get("/v1/addresses", addresses)
-    app.router.add_post("/v1/search", search, expect_handler=expect_continue)
+    app.router.add_post(SEARCH_PATH, search, expect_handler=expect_continue)
     return app
--- a/src/radishmount/border/_http.py
+++ b/src/radishmount/border/_http.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from radishmount.audit import AuditTrail
+from radishmount.border._kept_work import KeptWork
 from radishmount.border._metrics import RequestMetrics
 from radishmount.border._refusals import CHUNKS, RESULT_NAME, refusal_response
 from radishmount.clock import loop_clock
@@ -21,7 +22,7 @@
     "HttpService",
     "elapsed_ms",
     "expect_continue",
-    "guard_requests",
+    "guarded_app",
     "request_id_of",
 ]
 
@@ -67,37 +68,52 @@
         request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
 
-def guard_requests(service: HttpService, metrics: RequestMetrics) -> Callable[..., Awaitable]:
-    """Return a middleware that answers each request with a result or with a numbered refusal.
+def guarded_app(
+    service: HttpService,
+    metrics: RequestMetrics,
+    *,
+    max_body_bytes: int,
+    abandonable: frozenset[str] = frozenset(),
+) -> web.Application:
+    """Return an application that answers each request with a result or with a numbered refusal.
 
     It takes or makes the request id, reads the body within its limits of size and time, turns every
     error into a refusal, and sends the answer within a limit of time, so that a caller that neither
-    sends nor reads cannot hold a task.
+    sends nor reads cannot hold a task. A request goes on when its caller closes the connection,
+    unless its path is `abandonable`.
     """
+    kept = KeptWork()
 
     @web.middleware
     async def guarded(request: web.Request, handler: Handler) -> web.StreamResponse:
         clock = loop_clock(asyncio.get_running_loop())
         request[ARRIVED_AT_MS] = clock.now_ms()
+        path = _path_of(request)
         result_name = Code.CANCELLED.name
         metrics.started()
         try:
-            response = await _answer(request, handler, service)
+            refused = await _prepare(request, service)
+            if refused is not None:
+                response = refused
+            elif path in abandonable:
+                response = await _handle(request, handler, service)
+            else:
+                response = await kept.run(_handle(request, handler, service))
             result_name = response.get(RESULT_NAME, "OK")
             if service.is_leaving():
                 response.force_close()
             await _send(request, response, service)
         finally:
-            path = _path_of(request)
             metrics.ended(path, result_name, clock.now_ms() - request[ARRIVED_AT_MS])
         return response
 
-    return guarded
+    app = web.Application(client_max_size=max_body_bytes, middlewares=[guarded])
+    app.on_cleanup.append(kept.finish)
+    return app
 
 
-async def _answer(
-    request: web.Request, handler: Handler, service: HttpService
-) -> web.StreamResponse:
+async def _prepare(request: web.Request, service: HttpService) -> web.StreamResponse | None:
+    """Give `request` its id and read its body; return a refusal when one of them is wrong."""
     match _read_request_id(request):
         case Err(refusal):
             request[REQUEST_ID] = service.new_request_id()
@@ -113,6 +129,12 @@
         return _refuse_body(request, Refusal(Code.BODY_TOO_LARGE))
     except web.RequestPayloadError as error:
         return _refuse_body(request, Refusal(Code.BAD_HTTP, detail=str(error)))
+    return None
+
+
+async def _handle(
+    request: web.Request, handler: Handler, service: HttpService
+) -> web.StreamResponse:
     try:
         return await handler(request)
     except web.HTTPNotFound:
--- a/src/radishmount/border/_operators.py
+++ b/src/radishmount/border/_operators.py
@@ -13,7 +13,7 @@
 from result import Err, Ok
 
 from radishmount.audit import AuditLine
-from radishmount.border._http import HttpService, guard_requests, request_id_of
+from radishmount.border._http import HttpService, guarded_app, request_id_of
 from radishmount.border._metrics import MeteredService, RequestMetrics, render_metrics
 from radishmount.border._models import BorderModel, Digits, read_query
 from radishmount.border._refusals import json_response, refusal_response
@@ -92,8 +92,7 @@
         body, content_type = render_metrics(service, caller_metrics)
         return web.Response(body=body, headers={"Content-Type": content_type})
 
-    guard = guard_requests(service, RequestMetrics())
-    app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[guard])
+    app = guarded_app(service, RequestMetrics(), max_body_bytes=MAX_BODY_BYTES)
     app.router.add_get("/health", health)
     app.router.add_get("/ready", ready)
     app.router.add_get("/status", status)
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -93,7 +93,8 @@
         audit,
     )
     metrics = RequestMetrics()
-    callers = await serve(make_caller_app(node, metrics), settings.caller_listen)
+    caller_app = make_caller_app(node, metrics)
+    callers = await serve(caller_app, settings.caller_listen, cancel_abandoned=True)
     if isinstance(callers, Err):
         return callers
     operators = await serve(make_operator_app(node, metrics), settings.operator_listen)
--- a/tests/border/test_callers.py
+++ b/tests/border/test_callers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from fake_service import FakeService, send_raw, serving
-from radishmount.border import _http, _serve
+from radishmount.border import _callers, _http, _serve
 
 
 SEARCH = {"caller": "workshop", "collection": "catalogue", "text": "washi"}
@@ -248,3 +248,38 @@
 
         assert status == 200
         assert content["rows"][0]["fields"]["lot"] == 2**70
+
+
+async def send_and_go(address: str, service: FakeService) -> None:
+    """Send a search, wait until it has reached the instance, and close the connection."""
+    host, _, port = address.partition(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    body = json.dumps(SEARCH).encode()
+    writer.write(head_of(len(body)) + body)
+    while not service.calls:
+        await asyncio.sleep(0.01)
+    writer.close()
+
+
+class TestCallersThatGo:
+    """A caller that closes its connection before the answer."""
+
+    async def test_ends_its_search(self) -> None:
+        service = FakeService(slow_s=60.0)
+        async with serving(service, cancel_abandoned=True) as address:
+            await send_and_go(address, service)
+            while not service.ended:
+                await asyncio.sleep(0.01)
+
+        assert service.ended == ["cancelled"]
+
+    async def test_does_not_end_what_must_not_be_left_half_done(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(_callers, "ABANDONABLE_PATHS", frozenset())
+        service = FakeService(slow_s=0.1)
+        async with serving(service, cancel_abandoned=True) as address:
+            await send_and_go(address, service)
+
+        # The server waits for it when it stops.
+        assert service.ended == ["whole"]
--- a/tests/fake_service.py
+++ b/tests/fake_service.py
@@ -38,6 +38,8 @@
     fields: dict[str, Any] = field(default_factory=dict)
     missing: tuple[str, ...] = ()
     error: Exception | None = None
+    slow_s: float = 0.0
+    ended: list[str] = field(default_factory=list)
     leaving: bool = False
     ready: bool = True
     record: RequestRecord | None = None
@@ -72,6 +74,12 @@
 
     async def search(self, request_id: str, call: SearchCall) -> Result[Answer, Refusal]:
         self.calls.append(call)
+        try:
+            await asyncio.sleep(self.slow_s)
+        except asyncio.CancelledError:
+            self.ended.append("cancelled")
+            raise
+        self.ended.append("whole")
         if self.error is not None:
             raise self.error
         rows = tuple(Row(f"key-{n}", 1.0, {"n": n, **self.fields}) for n in range(self.rows))
