--- a/tests/border/test_fuzz.py
+++ b/tests/border/test_fuzz.py
@@ -12,15 +12,18 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from fake_service import FakeService, MakeApp, operators, send_raw, serving
+from fake_service import FREE, FakeService, MakeApp, operators, send_raw, serving
 from radishmount.border import (
     HttpPlatform,
+    PeerKey,
     _http,
+    _peer_stream,
     make_caller_app,
     object_from,
     open_endpoint_channel,
     read_bundle,
     read_entry_settings,
+    serve_peers,
     unpack_frame,
     write_bundle,
 )
@@ -28,7 +31,9 @@
 from radishmount.border._peer_codec import MODELS_BY_KIND
 from radishmount.border._refusals import encode_json
 from radishmount.codes import Code, Refusal
+from radishmount.counters import Counters
 from radishmount.endpoints import SearchTerms, SubRequest
+from radishmount.fleet import Members, MemberState, MemberUpdate, PeerStream
 
 
 ROOT = Path(__file__).parents[2]
@@ -53,6 +58,19 @@
     max_leaves=12,
 )
 
+
+def can_pack(value: Any) -> bool:
+    try:
+        msgpack.packb(value)
+    except (ValueError, OverflowError, UnicodeEncodeError):
+        return False
+    return True
+
+
+def packable(content: st.SearchStrategy[Any]) -> st.SearchStrategy[bytes]:
+    return content.filter(can_pack).map(msgpack.packb)
+
+
 SEARCH = {
     "caller": "workshop",
     "collection": "catalogue",
@@ -256,6 +274,33 @@
     return bodies(sound).map(response_bytes) | damaged_bytes(response_bytes(as_json(sound)))
 
 
+class TestPeerPort:
+    """What a stranger sends to the port for other instances."""
+
+    @FUZZ
+    @given(sent=st.binary(max_size=200) | packable(values))
+    def test_a_stranger_is_closed_and_counted(self, sent: bytes) -> None:
+        counters = Counters()
+        taken: list[PeerStream] = []
+
+        async def accept(stream: PeerStream) -> None:
+            taken.append(stream)
+
+        async def work() -> None:
+            update = MemberUpdate("entry-a", 1, 0, MemberState.LIVE)
+            key = PeerKey(b"a key for tests only", Members(update, "milano"))
+            served = await serve_peers(FREE, key, counters, accept)
+            server = served.unwrap()
+            await send_raw(str(server.address), sent)
+            while not counters.value("peer_strangers"):
+                await asyncio.sleep(0.001)
+            await server.stop()
+
+        with patch.object(_peer_stream, "HELLO_TIMEOUT_S", 0.05):
+            run(work)
+        assert taken == []
+
+
 class TestReplies:
     """What endpoints and the platform answer."""
 
@@ -297,18 +342,6 @@
         run(lambda: answer_with(content, ask))
 
 
-def can_pack(value: Any) -> bool:
-    try:
-        msgpack.packb(value)
-    except (ValueError, OverflowError, UnicodeEncodeError):
-        return False
-    return True
-
-
-def packable(content: st.SearchStrategy[Any]) -> st.SearchStrategy[bytes]:
-    return content.filter(can_pack).map(msgpack.packb)
-
-
 kinds = st.sampled_from([*MODELS_BY_KIND, "refusal"]) | st.text(max_size=10)
 
 
