--- a/src/radishmount/programs/_trial_callers.py
+++ b/src/radishmount/programs/_trial_callers.py
@@ -56,7 +56,14 @@
         self._devices_by_caller: dict[str, list[CallerStandIn]] = {}
         for load in plan.loads:
             self._devices_by_caller[load.caller] = [
-                CallerStandIn(load.caller, data_centre, clock, first_addresses, distance)
+                CallerStandIn(
+                    load.caller,
+                    data_centre,
+                    clock,
+                    first_addresses,
+                    distance,
+                    load.move_on_ms,
+                )
                 for data_centre in plan.region.data_centres
             ]
 
--- a/src/radishmount/standins/_caller.py
+++ b/src/radishmount/standins/_caller.py
@@ -15,7 +15,7 @@
 __all__ = ["CallerStandIn"]
 
 ANSWER_GRACE_MS = 500.0
-ADDRESSES_TIMEOUT_S = 1.0
+ADDRESSES_TIMEOUT_S = 0.3
 CONNECT_TIMEOUT_S = 0.25
 ROW_LIMIT = 1000
 MAX_TRIES = 3
@@ -34,8 +34,8 @@
 class CallerStandIn:
     """One caller. `first_addresses` are where it asks while it knows nothing better.
 
-    It tries another address when a connection fails or the instance takes no work, and never
-    after any other answer.
+    It tries another address when a connection fails, when the instance takes no work, and after
+    `move_on_ms` without an answer, if that is set.
     """
 
     name: str
@@ -43,9 +43,11 @@
     clock: Clock
     first_addresses: Callable[[], Sequence[str]]
     distance_ms: Callable[[], float]
+    move_on_ms: float | None = None
     known: Sequence[KnownAddress] = ()
     valid_until_ms: float = 0.0
     refreshing: asyncio.Lock = field(default_factory=asyncio.Lock)
+    renewal: asyncio.Task[None] | None = None
     http: aiohttp.ClientSession | None = None
 
     async def search(self, record: CallRecord) -> None:
@@ -72,6 +74,9 @@
 
     async def close(self) -> None:
         """Close the connections."""
+        if self.renewal is not None:
+            self.renewal.cancel()
+            await asyncio.gather(self.renewal, return_exceptions=True)
         if self.http is not None:
             await self.http.close()
 
@@ -93,9 +98,10 @@
         self, target: KnownAddress, path: str, body: bytes, record: CallRecord
     ) -> dict[str, Any] | None:
         """Send `body`; none tells that the connection failed."""
-        timeout = aiohttp.ClientTimeout(
-            total=(record.deadline_ms + ANSWER_GRACE_MS) / 1000.0, sock_connect=CONNECT_TIMEOUT_S
-        )
+        patience_ms = record.deadline_ms + ANSWER_GRACE_MS
+        if self.move_on_ms is not None and len(self.known) > 1:
+            patience_ms = min(patience_ms, self.move_on_ms)
+        timeout = aiohttp.ClientTimeout(total=patience_ms / 1000.0, sock_connect=CONNECT_TIMEOUT_S)
         headers = {"X-Request-Id": record.request_id, "Content-Type": "application/json"}
         try:
             await asyncio.sleep(self.distance_ms() / 1000.0)
@@ -122,12 +128,22 @@
         record.tries.append(CallTry(record.request_id, target.name, now_ms, **told))
 
     async def _address(self, number: int) -> KnownAddress | None:
-        """Return the address to use for try `number`, asked for anew when the last is too old."""
-        async with self.refreshing:
-            if not self.known or self.clock.now_ms() >= self.valid_until_ms:
-                await self._refresh()
+        """Return the address to use for try `number`.
+
+        An answer that is too old is renewed in the background and used until then.
+        """
+        if not self.known:
+            async with self.refreshing:
+                if not self.known:
+                    await self._refresh()
+        elif self.clock.now_ms() >= self.valid_until_ms and not self.refreshing.locked():
+            self.renewal = asyncio.create_task(self._renew())
         return self.known[min(number, len(self.known) - 1)] if self.known else None
 
+    async def _renew(self) -> None:
+        async with self.refreshing:
+            await self._refresh()
+
     async def _refresh(self) -> None:
         asked = [known.address for known in self.known] + list(self.first_addresses())
         params = {"caller": self.name, "data_centre": self.data_centre}
--- a/src/radishmount/standins/_trial_file.py
+++ b/src/radishmount/standins/_trial_file.py
@@ -137,6 +137,7 @@
     repeat_ratio: Ratio = 0.0
     begin: Annotated[Millis, Field(alias="from")] = 0.0
     until: Millis | None = None
+    move_on: Millis | None = None
 
     def to_data(self) -> LoadPlan:
         """Return the load."""
@@ -154,6 +155,7 @@
             repeat_ratio=self.repeat_ratio,
             from_ms=self.begin,
             until_ms=self.until,
+            move_on_ms=self.move_on,
         )
 
 
--- a/src/radishmount/trial/_plan.py
+++ b/src/radishmount/trial/_plan.py
@@ -91,7 +91,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadPlan:
-    """Calls of one caller to `target`, at random times that average `rate_per_s`."""
+    """Calls of one caller to `target`, at random times that average `rate_per_s`.
+
+    A caller tries its next address after `move_on_ms` without an answer.
+    """
 
     caller: str
     target: str
@@ -106,6 +109,7 @@
     repeat_ratio: float = 0.0
     from_ms: float = 0.0
     until_ms: float | None = None
+    move_on_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/trial/_report.py
+++ b/src/radishmount/trial/_report.py
@@ -58,7 +58,7 @@
         _quantile_plot(summary.figures, summary.baseline),
         "<h2>Latency over time</h2>",
         _time_plot(summary.plan, calls, baseline_calls),
-        "<h2>Broken promises</h2>",
+        "<h2>Broken promises and lost calls</h2>",
         _examples(summary.figures),
     ]
     return (
--- a/src/radishmount/trial/_summary.py
+++ b/src/radishmount/trial/_summary.py
@@ -88,7 +88,7 @@
         told = ", ".join(f"{code} {count}" for code, count in sorted(refusals.items()))
         lines.extend(["", f"not answered: {told}"])
     if summary.figures.examples:
-        lines.extend(["", "broken promises, the first ones:"])
+        lines.extend(["", "broken promises and lost calls, the first ones:"])
         lines.extend(f"  {example}" for example in summary.figures.examples)
     if summary.bounds:
         lines.append("")
--- a/src/radishmount/trial/_violations.py
+++ b/src/radishmount/trial/_violations.py
@@ -27,8 +27,12 @@
     def add(self, name: str, example: str) -> None:
         """Count one broken promise."""
         self.count_by_name[name] += 1
+        self.note(f"{name}: {example}")
+
+    def note(self, example: str) -> None:
+        """Keep one line for people to read."""
         if len(self.examples) < KEPT_EXAMPLES:
-            self.examples.append(f"{name}: {example}")
+            self.examples.append(example)
 
 
 def count_violations(
@@ -108,9 +112,14 @@
 
 
 def _check_lost(call: CallRecord, stopped: frozenset[str], violations: Violations) -> None:
-    """Count a call that was lost at an entry which was asked to stop gracefully."""
-    if call.told is Told.LOST and call.tries and call.tries[-1].instance in stopped:
-        violations.add("lost_to_stop", f"{call.call_id} at {call.tries[-1].instance}")
+    """Count a call that was lost, for which no entry but one asked to stop can be blamed."""
+    if call.told is not Told.LOST:
+        return
+    tries = ", ".join(f"{t.instance}{' cut' if t.cut else ''}" for t in call.tries)
+    told = f"{call.call_id} at {call.at_ms:.0f} ms, tried {tries or 'none'}"
+    violations.note(f"lost: {told}")
+    if call.tries and call.tries[-1].instance in stopped:
+        violations.add("lost_to_stop", told)
 
 
 def _check_orders(records: Iterable[EndpointRecord], violations: Violations) -> None:
