--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -1,7 +1,7 @@
 """One entry instance: its aggregates, put together."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -16,8 +16,8 @@
 from radishmount.counters import Counters
 from radishmount.endpoints import EndpointPool, OpenChannel, make_choice
 from radishmount.fleet import AddressAnswer, Fleet, InstanceList, Peers, choose_addresses
-from radishmount.policy import QueryPolicy
-from radishmount.publication import InForce, Publication, ReadBundle
+from radishmount.policy import EVERY_MECHANISM, QueryPolicy
+from radishmount.publication import InForce, Publication, ReadBundle, Shard
 from radishmount.queries import Answer, QueryTools, RequestRecord, Search, SearchCall, run_search
 
 
@@ -38,7 +38,7 @@
     open_channel: OpenChannel
     read_bundle: ReadBundle
     open_peer_for: OpenPeerFor
-    policy: QueryPolicy = QueryPolicy()
+    policy: QueryPolicy = EVERY_MECHANISM
     seeds: tuple[str, ...] = ()
 
 
@@ -127,9 +127,13 @@
             rule=rule,
             terms=call.terms,
             deadline_at_ms=arrived_at_ms + deadline_ms,
+            deadline_ms=deadline_ms,
         )
-        shards = publication.shards_by_collection[collection.name]
-        return await run_search(search, shards, self.tools)
+        return await run_search(search, self._shards_of(collection.name), self.tools)
+
+    def _shards_of(self, collection: str) -> Callable[[], Sequence[Shard]]:
+        """Return a function that reads the shards of a collection from what is in force."""
+        return lambda: self.in_force.current.shards_by_collection.get(collection, ())
 
     async def may_take_request(self, deadline_ms: float | None) -> Result[None, Refusal]:
         """Tell whether a new request is taken; after a pause it waits for a renewed view."""
@@ -217,7 +221,8 @@
 def make_node(parts: NodeParts, audit: AuditTrail) -> Node:
     """Return an instance that is not started yet."""
     counters = Counters()
-    pool = EndpointPool(parts.name, parts.open_channel, parts.clock, counters)
+    pool = EndpointPool(parts.name, parts.open_channel, parts.clock, counters, audit, parts.policy)
+    choose = make_choice(parts.data_centre, Random(parts.random.random()), parts.policy)
     control_parts = ControlParts(
         name=parts.name,
         data_centre=parts.data_centre,
@@ -232,7 +237,7 @@
         parts=parts,
         control=make_control(control_parts, audit, counters),
         pool=pool,
-        tools=QueryTools(pool, parts.clock, make_choice(parts.data_centre), counters, parts.policy),
+        tools=QueryTools(pool, parts.clock, choose, counters, parts.policy),
         audit=audit,
         counters=counters,
     )
