--- /dev/null
+++ b/tests/fleet/test_freshness.py
@@ -0,0 +1,93 @@
+"""An instance that wakes late renews its view before new work, on virtual time."""
+
+import asyncio
+
+import pytest
+
+from fakes import start_world, virtual_clock
+from fleet_world import make_world
+from radishmount.audit import AuditTrail
+from radishmount.counters import Counters
+from radishmount.fleet import make_freshness
+
+
+pytestmark = pytest.mark.looptime
+
+
+class TestFreshness:
+    """New work waits from a late tick until the view was renewed."""
+
+    async def test_holds_work_until_renewed(self) -> None:
+        clock = virtual_clock()
+        events = []
+
+        async def renew() -> None:
+            await asyncio.sleep(0.2)
+            events.append("renewed")
+
+        freshness = make_freshness(
+            clock, AuditTrail(clock), Counters(), lambda: events.append("forgot"), renew
+        )
+        freshness.pause_watch.last_tick_at_ms -= 3_000.0
+
+        assert not await freshness.wait(100.0)
+        assert events == ["forgot"]
+        assert await freshness.wait(200.0)
+        assert events == ["forgot", "renewed"]
+
+    async def test_a_renewal_that_hangs_is_cut_short(self) -> None:
+        clock = virtual_clock()
+        counters = Counters()
+
+        async def hang() -> None:
+            await asyncio.sleep(1_000.0)
+
+        freshness = make_freshness(clock, AuditTrail(clock), counters, lambda: None, hang)
+        ticking = asyncio.create_task(freshness.run())
+        freshness.pause_watch.last_tick_at_ms -= 3_000.0
+
+        assert not freshness.check()
+        await asyncio.sleep(1.4)
+        assert not freshness.check()
+        await asyncio.sleep(0.2)
+        assert freshness.check()
+        ticking.cancel()
+        assert counters.value("renewals_cut_short") == 1
+
+    async def test_ticks_in_time_are_no_pause(self) -> None:
+        clock = virtual_clock()
+        counters = Counters()
+
+        async def renew() -> None:
+            pass
+
+        freshness = make_freshness(clock, AuditTrail(clock), counters, lambda: None, renew)
+        ticking = asyncio.create_task(freshness.run())
+        await asyncio.sleep(100.0)
+        ticking.cancel()
+
+        assert counters.value("pauses") == 0
+
+    async def test_a_version_published_during_the_pause_is_in_force_first(self) -> None:
+        world = make_world()
+        await world.start_all(("entry-a", "entry-b", "entry-c"), ("milano",))
+        paused = asyncio.create_task(world.pause("entry-c", 5.0))
+        await asyncio.sleep(1.0)
+        world.platform.publish_bundle(2, b"2 two")
+        before = await paused
+        control = world.controls_by_name["entry-c"]
+        was_fresh = await control.wait_until_fresh(1_500.0)
+
+        assert (before, was_fresh) == (1, True)
+        assert control.in_force.current.version == 2
+        await world.stop()
+
+    async def test_a_search_after_a_pause_is_answered_or_not_run(self) -> None:
+        world = await start_world()
+        node = world.nodes_by_name["entry-a"]
+        node.control.freshness.pause_watch.last_tick_at_ms -= 5_000.0
+        await world.search(request_id="late", deadline_ms=1_000.0)
+        await world.stop()
+
+        assert "missing none" in world.log.lines[-1]
+        assert node.counters.value("pauses") == 1
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -11,7 +11,7 @@
 from peer_fakes import FakeNetwork
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
-from radishmount.codes import Code
+from radishmount.codes import Code, Refusal
 from radishmount.control import Control, ControlParts, make_control
 from radishmount.counters import Counters
 from radishmount.fleet import Instance, InstanceList
@@ -26,6 +26,30 @@
     return Ok(Publication(int(words[0]), words[1].decode()))
 
 
+class GatedPlatform:
+    """The platform as one instance sees it; while that one is paused nothing comes through."""
+
+    def __init__(self, platform: FakePlatform) -> None:
+        self.platform = platform
+        self.open = asyncio.Event()
+        self.open.set()
+
+    async def bundle(self, after: int, wait_ms: int) -> Result[bytes | None, Refusal]:
+        """Return the bundle newer than `after`."""
+        answer = await self.platform.bundle(after, wait_ms)
+        await self.open.wait()
+        return answer
+
+    async def instance_list(self, after: int, wait_ms: int) -> Result[InstanceList | None, Refusal]:
+        """Return the list newer than `after`."""
+        answer = await self.platform.instance_list(after, wait_ms)
+        await self.open.wait()
+        return answer
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
 @dataclass
 class FleetWorld:
     """The instances by name, the network between them, and one log of the whole session."""
@@ -35,6 +59,7 @@
     network: FakeNetwork = field(default_factory=FakeNetwork)
     platform: FakePlatform = field(default_factory=FakePlatform)
     controls_by_name: dict[str, Control] = field(default_factory=dict)
+    platforms_by_name: dict[str, GatedPlatform] = field(default_factory=dict)
     counters_by_name: dict[str, Counters] = field(default_factory=dict)
     data_centres_by_name: dict[str, str] = field(default_factory=dict)
     starts: int = 0
@@ -58,12 +83,13 @@
         audit = AuditTrail(
             clock, emit=lambda line: self.log.add(f"{name}: {line.subject} {line.change}")
         )
+        self.platforms_by_name[name] = GatedPlatform(platform or self.platform)
         parts = ControlParts(
             name=name,
             data_centre=data_centre,
             clock=clock,
             random=Random(self.starts),
-            platform=platform or self.platform,
+            platform=self.platforms_by_name[name],
             read_bundle=read_small_bundle,
             open_peer_for=self.network.open_peer_for,
             seeds=seeds,
@@ -106,20 +132,26 @@
         self.network.down.add(name)
         await self.controls_by_name.pop(name).stop()
 
-    async def pause(self, name: str, duration_s: float) -> None:
+    async def pause(self, name: str, duration_s: float) -> int:
         """Keep an instance from hearing and saying anything, then have its tick come late.
 
+        Return the version that it had in force when it woke.
+
         The tasks of the paused instance cannot be held on a shared loop; what they send meanwhile
         is dropped, and what is sent to them arrives when it wakes.
         """
         self.log.add(f"-- {name} pauses for {duration_s:.0f} s")
         self.network.freeze(name)
+        self.platforms_by_name[name].open.clear()
         await asyncio.sleep(duration_s)
+        control = self.controls_by_name[name]
+        version = control.in_force.current.version
         self.network.thaw(name)
+        self.platforms_by_name[name].open.set()
         self.log.add(f"-- {name} wakes")
-        control = self.controls_by_name[name]
         control.freshness.pause_watch.last_tick_at_ms -= duration_s * 1000.0
         control.freshness.check()
+        return version
 
     def versions(self) -> dict[str, int]:
         """Return the version in force at each instance."""
