--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -31,6 +31,7 @@
     NO_RULE = 1011
     BAD_REQUEST_ID = 1012
     BAD_HTTP = 1013
+    UNKNOWN_REQUEST = 1014
 
     OVER_QUOTA = 2001
     OVERLOADED = 2002
@@ -50,6 +51,7 @@
     NO_SNAPSHOT = 3010
     CANCELLED = 3011
     PARTIAL = 3012
+    QUEUE_FULL = 3013
 
     OUTCOME_UNKNOWN = 4001
     UNKNOWN_TICKET = 4002
@@ -107,6 +109,7 @@
     Code.NO_RULE: "no rule binds the caller to the target",
     Code.BAD_REQUEST_ID: "the request id is too long or holds characters that are not allowed",
     Code.BAD_HTTP: "the request is not valid HTTP",
+    Code.UNKNOWN_REQUEST: "no record of the request is kept",
     Code.OVER_QUOTA: "the caller has used up its quota",
     Code.OVERLOADED: "the queue is full",
     Code.CANNOT_MEET_DEADLINE: "the deadline cannot be met",
@@ -124,6 +127,7 @@
     Code.NO_SNAPSHOT: "no index version is held by a live replica of every shard",
     Code.CANCELLED: "the request was cancelled",
     Code.PARTIAL: "the answer does not cover every part",
+    Code.QUEUE_FULL: "the queue for the endpoint is full",
     Code.OUTCOME_UNKNOWN: "the order may or may not have run",
     Code.UNKNOWN_TICKET: "no such ticket was issued",
     Code.TICKET_EXPIRED: "the ticket has expired",
--- a/src/radishmount/trial/__init__.py
+++ b/src/radishmount/trial/__init__.py
@@ -10,6 +10,7 @@
     figures_of,
     latency_histogram,
 )
+from radishmount.trial._judge import LOAD_PREFIX, judge_run
 from radishmount.trial._naive import NaiveCaller, row_told
 from radishmount.trial._plan import (
     BoundPlan,
@@ -24,7 +25,9 @@
 )
 from radishmount.trial._records import CallRecord, CallTry, EndpointRecord, RowTold, Told
 from radishmount.trial._region import objects_of, parts_of, shards_of
+from radishmount.trial._report import report_page
 from radishmount.trial._summary import Summary, result_of, result_text
+from radishmount.trial._versions import EntrySight, VersionWatch
 from radishmount.trial._violations import Violations, count_violations
 
 
@@ -33,11 +36,13 @@
     "Ask",
     "BoundOutcome",
     "BoundPlan",
+    "LOAD_PREFIX",
     "CallRecord",
     "CallTry",
     "CollectionPlan",
     "ControlCost",
     "EndpointRecord",
+    "EntrySight",
     "FaultKind",
     "FaultPlan",
     "Figures",
@@ -49,6 +54,7 @@
     "Summary",
     "Told",
     "TrialPlan",
+    "VersionWatch",
     "Violations",
     "WindowPlan",
     "arrivals_of",
@@ -57,9 +63,11 @@
     "drive",
     "extra_load_ratio",
     "figures_of",
+    "judge_run",
     "latency_histogram",
     "objects_of",
     "parts_of",
+    "report_page",
     "result_of",
     "result_text",
     "row_told",
