Publish long bundles under a manifest, and count what control costs

The platform holds values up to a megabyte; a longer bundle could not be published. It is now cut in pieces whose keys name the version, with a manifest published last; a piece that is missing or changed refuses the whole. Values above the limit are not read to their end.

control_bytes and control_cpu_ms count connections and handlers of control apart from work. A stop during a renewal left the platform's readers running; it ends the renewal first.

--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -5,6 +5,7 @@
 from radishmount.border._callers import CallerService, make_caller_app
 from radishmount.border._endpoint_client import EndpointChannel, open_endpoint_channel
 from radishmount.border._jsonc import read_jsonc
+from radishmount.border._manifest import CONFIGURATION_KEY, MAX_VALUE_BYTES, split_bundle
 from radishmount.border._metrics import RequestMetrics
 from radishmount.border._models import BorderModel, describe_fault, read_json
 from radishmount.border._object_files import ObjectFolder, check_folder, read_folder
@@ -13,7 +14,7 @@
 from radishmount.border._peer_codec import add_peer_models, pack_frame, unpack_frame
 from radishmount.border._peer_models import PeerModel
 from radishmount.border._peer_stream import PeerKey, PeerServer, make_open_peer, serve_peers
-from radishmount.border._platform_client import CONFIGURATION_KEY, HttpPlatform
+from radishmount.border._platform_client import HttpPlatform
 from radishmount.border._serve import Server, serve
 from radishmount.border._settings import (
     EntrySettings,
@@ -24,34 +25,33 @@
 
 
 __all__ = [
-    "PeerKey",
-    "PeerModel",
-    "PeerServer",
-    "add_peer_models",
-    "make_open_peer",
-    "pack_frame",
-    "serve_peers",
-    "unpack_frame",
-    "CONFIGURATION_KEY",
     "AskAnswer",
     "AskClient",
     "BorderModel",
+    "CONFIGURATION_KEY",
     "CallerService",
     "EndpointChannel",
     "EntrySettings",
     "HttpPlatform",
     "Listen",
+    "MAX_VALUE_BYTES",
     "ObjectFolder",
     "OperatorService",
+    "PeerKey",
+    "PeerModel",
+    "PeerServer",
     "RequestMetrics",
     "Server",
+    "add_peer_models",
     "check_folder",
     "describe_fault",
     "digest_of",
     "make_caller_app",
+    "make_open_peer",
     "make_operator_app",
     "object_from",
     "open_endpoint_channel",
+    "pack_frame",
     "publication_from",
     "read_bundle",
     "read_entry_settings",
@@ -59,6 +59,9 @@
     "read_json",
     "read_jsonc",
     "serve",
+    "serve_peers",
     "split_address",
+    "split_bundle",
+    "unpack_frame",
     "write_bundle",
 ]
--- /dev/null
+++ b/src/radishmount/border/_manifest.py
@@ -0,0 +1,76 @@
+"""The manifest: a bundle that is longer than one value of the platform, in pieces.
+
+The pieces are published first and the manifest last, under the key of the bundle; the key of each
+piece names the version, so that pieces of two versions never mix.
+"""
+
+from hashlib import sha256
+from typing import Annotated
+
+import orjson
+from pydantic import Field, ValidationError
+
+from radishmount.border._models import BorderModel
+
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "MAX_VALUE_BYTES",
+    "ManifestModel",
+    "joined_pieces",
+    "manifest_in",
+    "split_bundle",
+]
+
+CONFIGURATION_KEY = "radishmount/bundle"
+MAX_VALUE_BYTES = 1_000_000
+MAX_PIECES = 32
+MANIFEST_START = b'{"manifest":'
+
+
+class ManifestModel(BorderModel):
+    """The pieces of one version, and the digest of the whole."""
+
+    version: Annotated[int, Field(ge=1)]
+    total_bytes: Annotated[int, Field(ge=1, le=MAX_PIECES * MAX_VALUE_BYTES)]
+    sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    pieces: Annotated[
+        list[Annotated[str, Field(pattern=r"^[A-Za-z0-9._/-]{1,200}$")]],
+        Field(min_length=1, max_length=MAX_PIECES),
+    ]
+
+
+def split_bundle(version: int, body: bytes) -> dict[str, bytes]:
+    """Return the values to publish for `body` by key, in the order in which to publish them."""
+    if len(body) <= MAX_VALUE_BYTES:
+        return {CONFIGURATION_KEY: body}
+    values = {}
+    for start in range(0, len(body), MAX_VALUE_BYTES):
+        key = f"{CONFIGURATION_KEY}/{version}/{start // MAX_VALUE_BYTES}"
+        values[key] = body[start : start + MAX_VALUE_BYTES]
+    manifest = ManifestModel(
+        version=version,
+        total_bytes=len(body),
+        sha256=sha256(body).hexdigest(),
+        pieces=list(values),
+    )
+    values[CONFIGURATION_KEY] = orjson.dumps({"manifest": manifest.model_dump()})
+    return values
+
+
+def manifest_in(value: bytes) -> ManifestModel | None:
+    """Return the manifest that `value` is, none if it is a bundle; raise ValueError if broken."""
+    if not value.startswith(MANIFEST_START):
+        return None
+    try:
+        return ManifestModel.model_validate(orjson.loads(value)["manifest"])
+    except (ValidationError, KeyError, orjson.JSONDecodeError) as error:
+        raise ValueError(f"a broken manifest: {error!r}") from error
+
+
+def joined_pieces(manifest: ManifestModel, pieces: list[bytes]) -> bytes | None:
+    """Return the bundle that `pieces` make up, none if it is not the one of `manifest`."""
+    body = b"".join(pieces)
+    if len(body) != manifest.total_bytes or sha256(body).hexdigest() != manifest.sha256:
+        return None
+    return body
--- a/src/radishmount/border/_peer_stream.py
+++ b/src/radishmount/border/_peer_stream.py
@@ -41,10 +41,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerKey:
-    """What an end needs for a hello: the key, who it is, and which starts of others it knows."""
+    """What an end needs for a hello: the key, who it is, and which starts of others it knows.
+
+    `cpu_ms` reads the processor time of this thread, for the count of what control costs.
+    """
 
     key: bytes
     members: Members
+    cpu_ms: Callable[[], float] = lambda: 0.0
 
 
 class HelloFailed(Exception):
@@ -106,8 +110,10 @@
         writer: asyncio.StreamWriter,
         seals: tuple[FrameSeal, FrameSeal],
         counters: Counters,
+        cpu_ms: Callable[[], float],
     ) -> None:
         self.peer = peer
+        self._cpu_ms = cpu_ms
         self._source = source
         self._writer = writer
         self._own_seal, self._peer_seal = seals
@@ -141,6 +147,12 @@
             return Err(error.refusal)
         finally:
             self._counters.add("control_bytes", "peer in", self._source.bytes_in - before)
+        started_ms = self._cpu_ms()
+        frame = self._open(sealed)
+        self._counters.add("control_cpu_ms", "codec", self._cpu_ms() - started_ms)
+        return frame
+
+    def _open(self, sealed: Any) -> Result[Frame, Refusal]:
         if not isinstance(sealed, bytes):
             return Err(Refusal(Code.BAD_FRAME, detail="not sealed"))
         content = self._peer_seal.open(sealed)
@@ -270,7 +282,7 @@
         own.members.was_reborn(known)
         raise HelloFailed(Refusal(Code.OLD_INCARNATION, detail=f"{name} knows {known}"))
     seals = _seals(own.key, OPENER, ACCEPTOR, transcript)
-    return TcpPeerStream(peer, source, writer, seals, counters)
+    return TcpPeerStream(peer, source, writer, seals, counters, own.cpu_ms)
 
 
 async def _take_hello(
@@ -309,7 +321,7 @@
     if known_of_peer > peer.incarnation:
         raise HelloFailed(Refusal(Code.OLD_INCARNATION, detail=peer.name))
     seals = _seals(own.key, ACCEPTOR, OPENER, transcript)
-    return TcpPeerStream(peer, source, writer, seals, counters)
+    return TcpPeerStream(peer, source, writer, seals, counters, own.cpu_ms)
 
 
 def _seals(
--- a/src/radishmount/border/_platform_client.py
+++ b/src/radishmount/border/_platform_client.py
@@ -1,26 +1,30 @@
 """The client of the platform: published values and the instance list, read and watched."""
 
-from collections.abc import Callable
 from http import HTTPStatus
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, Literal
 
 import aiohttp
 import orjson
 from pydantic import Field, ValidationError
 from result import Err, Ok, Result
 
+from radishmount.border._manifest import (
+    CONFIGURATION_KEY,
+    MAX_VALUE_BYTES,
+    ManifestModel,
+    joined_pieces,
+    manifest_in,
+)
 from radishmount.border._models import BorderModel, describe_fault
 from radishmount.codes import Code, Refusal
+from radishmount.counters import Counters
 from radishmount.fleet import Instance, InstanceList, InstanceState
 
 
-__all__ = ["CONFIGURATION_KEY", "HttpPlatform"]
+__all__ = ["HttpPlatform"]
 
-CONFIGURATION_KEY = "radishmount/bundle"
 ANSWER_MARGIN_S = 2.0
 
-T = TypeVar("T")
-
 
 class ListedModel(BorderModel):
     """One line of the instance list."""
@@ -61,43 +65,79 @@
 
 
 class HttpPlatform:
-    """The platform over HTTP."""
+    """The platform over HTTP. What its connections carry is counted as a cost of control."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, counters: Counters | None = None) -> None:
         self._url = f"http://{address}"
+        self._counters = counters or Counters()
         self._session: aiohttp.ClientSession | None = None
 
     async def bundle(self, after: int, wait_ms: int) -> Result[bytes | None, Refusal]:
         """Return the bundle newer than version `after`, or none within `wait_ms`."""
-        return await self._get(f"/v1/values/{CONFIGURATION_KEY}", after, wait_ms, _as_it_is)
+        answer = await self._get(f"/v1/values/{CONFIGURATION_KEY}", after, wait_ms)
+        if isinstance(answer, Err) or answer.ok_value is None:
+            return answer
+        try:
+            manifest = manifest_in(answer.ok_value)
+        except ValueError as error:
+            return Err(Refusal(Code.PLATFORM_RUBBISH, detail=str(error)))
+        if manifest is None:
+            return answer
+        if manifest.version <= after:
+            return Err(Refusal(Code.PLATFORM_WENT_BACK, detail=f"version {manifest.version}"))
+        return await self._pieces_of(manifest)
 
     async def instance_list(self, after: int, wait_ms: int) -> Result[InstanceList | None, Refusal]:
         """Return the list newer than version `after`, or none within `wait_ms`."""
-        return await self._get("/v1/instances", after, wait_ms, _as_list)
+        answer = await self._get("/v1/instances", after, wait_ms)
+        if isinstance(answer, Err):
+            return answer
+        return Ok(None) if answer.ok_value is None else _as_list(answer.ok_value)
 
     async def close(self) -> None:
         """Close the connections."""
         if self._session is not None:
             await self._session.close()
 
-    async def _get(
-        self, path: str, after: int, wait_ms: int, read: Callable[[bytes], Result[T, Refusal]]
-    ) -> Result[T | None, Refusal]:
+    async def _pieces_of(self, manifest: ManifestModel) -> Result[bytes | None, Refusal]:
+        pieces = []
+        for key in manifest.pieces:
+            self._counters.add("platform_reads", "piece")
+            answer = await self._get(f"/v1/values/{key}", after=0, wait_ms=0)
+            if isinstance(answer, Err):
+                return answer
+            pieces.append(answer.ok_value or b"")
+        body = joined_pieces(manifest, pieces)
+        if body is None:
+            return Err(Refusal(Code.PLATFORM_RUBBISH, detail="pieces that are not the manifest's"))
+        return Ok(body)
+
+    async def _get(self, path: str, after: int, wait_ms: int) -> Result[bytes | None, Refusal]:
         parameters = {"after": str(after), "wait_ms": str(wait_ms)}
         timeout = aiohttp.ClientTimeout(total=wait_ms / 1000.0 + ANSWER_MARGIN_S)
         try:
             async with self._open().get(
                 self._url + path, params=parameters, timeout=timeout
             ) as response:
-                content = await response.read()
-                status = response.status
+                content = await _read_value(response)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Err(Refusal(Code.PLATFORM_DOWN, detail=repr(error)))
-        if status == HTTPStatus.NOT_MODIFIED:
+        self._count(response, content)
+        if response.status == HTTPStatus.NOT_MODIFIED:
             return Ok(None)
-        if status != HTTPStatus.OK:
-            return Err(Refusal(Code.PLATFORM_DOWN, detail=f"status {status}"))
-        return read(content)
+        if response.status != HTTPStatus.OK:
+            return Err(Refusal(Code.PLATFORM_DOWN, detail=f"status {response.status}"))
+        if content is None:
+            return Err(Refusal(Code.PLATFORM_RUBBISH, detail=f"above {MAX_VALUE_BYTES} bytes"))
+        return Ok(content)
+
+    def _count(self, response: aiohttp.ClientResponse, content: bytes | None) -> None:
+        sent = sum(
+            len(name) + len(text) + 4 for name, text in response.request_info.headers.items()
+        )
+        received = sum(len(name) + len(text) + 4 for name, text in response.raw_headers)
+        self._counters.add("control_bytes", "platform out", sent + len(str(response.url)))
+        self._counters.add("control_bytes", "platform in", received + len(content or b""))
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -105,11 +145,18 @@
         return self._session
 
 
-def _as_it_is(content: bytes) -> Result[bytes, Refusal]:
-    return Ok(content)
+async def _read_value(response: aiohttp.ClientResponse) -> bytes | None:
+    """Return the body, none when it is longer than any value of the platform may be."""
+    content = bytearray()
+    async for part in response.content.iter_chunked(64 * 1024):
+        content += part
+        if len(content) > MAX_VALUE_BYTES:
+            response.close()
+            return None
+    return bytes(content)
 
 
-def _as_list(content: bytes) -> Result[InstanceList, Refusal]:
+def _as_list(content: bytes) -> Result[InstanceList | None, Refusal]:
     try:
         return Ok(ListModel.model_validate(orjson.loads(content)).to_data())
     except orjson.JSONDecodeError as error:
--- a/src/radishmount/control.py
+++ b/src/radishmount/control.py
@@ -113,11 +113,9 @@
 
     async def stop(self) -> None:
         """End every task and stream."""
-        tasks = [*self.tasks, *self.reader_tasks]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await self.freshness.stop()
+        await _end(self.tasks)
+        await self.freshness.stop()  # before the readers, which a renewal starts anew
+        await _end(self.reader_tasks)
         await self.distribution.stop()
         await self.list_spread.stop()
         await self.membership.stop()
@@ -266,9 +264,7 @@
 
     async def renew(self) -> None:
         """Ask the platform and every neighbour for what changed during a pause."""
-        for task in self.reader_tasks:
-            task.cancel()
-        await asyncio.gather(*self.reader_tasks, return_exceptions=True)
+        await _end(self.reader_tasks)
         self.reader_tasks.clear()
         self._start_readers()
         await asyncio.gather(
@@ -279,6 +275,12 @@
         await self._end_fetch()
 
 
+async def _end(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def make_control(parts: ControlParts, audit: AuditTrail, counters: Counters) -> Control:
     """Return the control of an instance, not started yet."""
     clock, random = parts.clock, parts.random
--- a/src/radishmount/fleet/__init__.py
+++ b/src/radishmount/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from radishmount.fleet._addresses import ADDRESSES_VALID_FOR_MS, AddressAnswer, choose_addresses
 from radishmount.fleet._backoff import Backoff
+from radishmount.fleet._cost import ControlCost
 from radishmount.fleet._duty import fallback_interval_ms, is_watcher
 from radishmount.fleet._fleet import Fleet, InstanceList
 from radishmount.fleet._freshness import RENEWAL_LIMIT_MS, Freshness, make_freshness
@@ -43,6 +44,7 @@
     "Backoff",
     "BundlePiece",
     "BundleRequest",
+    "ControlCost",
     "EndpointChanges",
     "Fleet",
     "Frame",
--- a/src/radishmount/fleet/_membership.py
+++ b/src/radishmount/fleet/_membership.py
@@ -158,7 +158,8 @@
 
     async def _beat_until_end(self, session: PeerSession) -> None:
         while not session.closed:
-            session.notify(self._heartbeat(()))
+            with self.peers.cost.measured("heartbeat"):
+                session.notify(self._heartbeat(()))
             try:
                 async with asyncio.timeout(HEARTBEAT_INTERVAL_MS / 1000.0):
                     await session.ended.wait()
--- a/src/radishmount/fleet/_peers.py
+++ b/src/radishmount/fleet/_peers.py
@@ -9,8 +9,9 @@
 from radishmount.clock import Clock
 from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
+from radishmount.fleet._cost import ControlCost
 from radishmount.fleet._fleet import Fleet
-from radishmount.fleet._messages import Message, Notice, Request, Response
+from radishmount.fleet._messages import Frame, Message, Notice, Request, Response
 from radishmount.fleet._session import PeerSession
 from radishmount.fleet._stream import OpenPeer, PeerStream
 
@@ -46,8 +47,13 @@
         default_factory=dict
     )
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    cost: ControlCost = field(init=False)
     on_open: list[Callable[[PeerSession], None]] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        """Count what the streams cost."""
+        self.cost = ControlCost(self.clock, self.counters)
+
     def answer(self, kind: type, function: AnswerPeer) -> None:
         """Have `function` answer requests of the message type `kind`."""
         self.answers_by_kind[kind] = function
@@ -143,19 +149,23 @@
                     self.counters.add("peer_streams_ended", received.err_value.code.name)
                     return
                 session.heard_at_ms = self.clock.now_ms()
-                match received.ok_value:
-                    case Request() as request:
-                        self._answer(session, request)
-                    case Response() as response:
-                        if not session.take_response(response):
-                            self.counters.add("peer_answers_late")
-                    case Notice(message):
-                        self._take(session, message)
+                with self.cost.measured("peer"):
+                    self._take_frame(session, received.ok_value)
         finally:
             if self.sessions_by_name.get(session.peer.name) is session:
                 del self.sessions_by_name[session.peer.name]
             await session.close()
 
+    def _take_frame(self, session: PeerSession, frame: Frame) -> None:
+        match frame:
+            case Request() as request:
+                self._answer(session, request)
+            case Response() as response:
+                if not session.take_response(response):
+                    self.counters.add("peer_answers_late")
+            case Notice(message):
+                self._take(session, message)
+
     def _take(self, session: PeerSession, message: Message) -> None:
         take = self.notices_by_kind.get(type(message))
         if take is None:
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -218,9 +218,9 @@
     return min(0.99, in_flight / max(1, slots))
 
 
-def make_node(parts: NodeParts, audit: AuditTrail) -> Node:
+def make_node(parts: NodeParts, audit: AuditTrail, counters: Counters | None = None) -> Node:
     """Return an instance that is not started yet."""
-    counters = Counters()
+    counters = counters or Counters()
     pool = EndpointPool(parts.name, parts.open_channel, parts.clock, counters, audit, parts.policy)
     choose = make_choice(parts.data_centre, Random(parts.random.random()), parts.policy)
     control_parts = ControlParts(
--- a/src/radishmount/programs/check.py
+++ b/src/radishmount/programs/check.py
@@ -9,10 +9,13 @@
 from result import Err, Ok, Result
 
 from radishmount.border import (
+    CONFIGURATION_KEY,
+    MAX_VALUE_BYTES,
     ObjectFolder,
     check_folder,
     read_bundle,
     read_folder,
+    split_bundle,
     write_bundle,
 )
 from radishmount.codes import TEXT_BY_CODE, Code, Refusal
@@ -23,7 +26,6 @@
 __all__ = ["main"]
 
 PROGRAM = "radishmount-check"
-MAX_VALUE_BYTES = 1_000_000
 
 
 class CheckCommand(Command):
@@ -76,7 +78,7 @@
         out = self.option("out")
         if out:
             try:
-                Path(out).write_bytes(body)
+                _write(out, publication.version, body)
             except OSError as error:
                 tell_error(self, str(Refusal(Code.UNREADABLE_FILE, f"{out}: {error.strerror}")))
                 return Exit.BAD_USAGE
@@ -88,6 +90,8 @@
         tell(self, _summary(publication, changes, len(body)))
         if len(body) > MAX_VALUE_BYTES:
             tell_error(self, f"note: above {MAX_VALUE_BYTES} bytes, so it is published in pieces")
+            if out:
+                tell_error(self, f"note: publish {out}.piece-* first, {out}.manifest last")
         return Exit.OK
 
     def _tell_faults(self, faults: list[Fault]) -> int:
@@ -101,6 +105,18 @@
         return Exit.REFUSED
 
 
+def _write(out: str, version: int, body: bytes) -> None:
+    """Write the bundle, and what to publish in its place when it is too long for one value."""
+    Path(out).write_bytes(body)
+    values = split_bundle(version, body)
+    if len(values) == 1:
+        return
+    for key, value in values.items():
+        number = key.rpartition("/")[2]
+        suffix = "manifest" if key == CONFIGURATION_KEY else f"piece-{number}"
+        Path(f"{out}.{suffix}").write_bytes(value)
+
+
 def _read_version(text: str | None, old: Publication) -> Result[int, Refusal]:
     if text is None:
         return Ok(old.version + 1)
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -87,6 +87,7 @@
 ) -> Result[RunningEntry, Refusal]:
     """Start an entry from its settings. Trials hand in other channels, routes and policies."""
     key = settings.peer_key.encode()
+    counters = Counters()
 
     def open_peer_for(members: Members, counters: Counters) -> OpenPeer:
         open_peer = make_open_peer(PeerKey(key, members), counters)
@@ -98,7 +99,7 @@
             data_centre=settings.data_centre,
             clock=clock,
             random=random,
-            platform=HttpPlatform(settings.platform),
+            platform=HttpPlatform(settings.platform, counters),
             open_channel=open_channel,
             read_bundle=read_bundle,
             open_peer_for=open_peer_for,
@@ -115,7 +116,7 @@
     if isinstance(operators, Err):
         await callers.ok_value.stop()
         return operators
-    own = PeerKey(key, node.fleet.members)
+    own = PeerKey(key, node.fleet.members, clock.cpu_ms)
     peers = await serve_peers(settings.peer_listen, own, node.counters, node.peers.accept)
     if isinstance(peers, Err):
         await callers.ok_value.stop()
--- a/src/radishmount/standins/_platform.py
+++ b/src/radishmount/standins/_platform.py
@@ -8,7 +8,7 @@
 import orjson
 from aiohttp import web
 
-from radishmount.border import CONFIGURATION_KEY
+from radishmount.border import CONFIGURATION_KEY, split_bundle
 
 
 __all__ = ["ListedInstance", "PlatformStandIn"]
@@ -31,6 +31,7 @@
     """Holds what is published. Tests and trials change it; instances can only read it."""
 
     bundle: bytes = b""
+    pieces_by_key: dict[str, bytes] = field(default_factory=dict)
     bundle_version: int = 0
     list_version: int = 0
     listed_by_name: dict[str, ListedInstance] = field(default_factory=dict)
@@ -40,10 +41,12 @@
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
 
     async def publish(self, version: int, bundle: bytes) -> None:
-        """Publish a bundle."""
+        """Publish a bundle, in pieces under a manifest when it is too long for one value."""
         async with self.changed:
+            values = split_bundle(version, bundle)
             self.bundle_version = version
-            self.bundle = bundle
+            self.bundle = values.pop(CONFIGURATION_KEY)
+            self.pieces_by_key.update(values)
             self.changed.notify_all()
 
     async def list_instances(self, *instances: ListedInstance) -> None:
@@ -71,6 +74,9 @@
         """Return the HTTP application."""
         app = web.Application()
         app.router.add_get(f"/v1/values/{CONFIGURATION_KEY}", self._get_bundle)
+        app.router.add_get(
+            f"/v1/values/{CONFIGURATION_KEY}/{{version}}/{{number}}", self._get_piece
+        )
         app.router.add_get("/v1/instances", self._get_instances)
         return app
 
@@ -83,6 +89,14 @@
         self.sent_bytes += len(self.bundle)
         return web.Response(body=self.bundle, content_type="application/json")
 
+    async def _get_piece(self, request: web.Request) -> web.Response:
+        self.reads += 1
+        piece = self.pieces_by_key.get(request.path.removeprefix("/v1/values/"))
+        if self.down or piece is None:
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        self.sent_bytes += len(piece)
+        return web.Response(body=piece)
+
     async def _get_instances(self, request: web.Request) -> web.Response:
         after = await self._wait(request, lambda: self.list_version)
         if self.down:
--- /dev/null
+++ b/tests/fleet/test_manifest.py
@@ -0,0 +1,103 @@
+"""Bundles that are longer than one value of the platform."""
+
+import asyncio
+import json
+from random import Random
+
+import pytest
+from result import Ok
+
+from radishmount.border import CONFIGURATION_KEY, MAX_VALUE_BYTES, HttpPlatform, split_bundle
+from radishmount.codes import Code
+from radishmount.counters import Counters
+from radishmount.standins import PlatformStandIn, serve_stand_in
+
+
+BODY = Random(1).randbytes(2_500_000).hex().encode()
+
+
+class TestSplitBundle:
+    """A long bundle is cut under a manifest, which is published last."""
+
+    def test_a_short_bundle_stays_whole(self) -> None:
+        assert split_bundle(1, b"short") == {CONFIGURATION_KEY: b"short"}
+
+    def test_every_value_fits_and_the_manifest_is_last(self) -> None:
+        values = split_bundle(7, BODY)
+
+        assert list(values)[-1] == CONFIGURATION_KEY
+        assert all(len(value) <= MAX_VALUE_BYTES for value in values.values())
+        assert b"".join(list(values.values())[:-1]) == BODY
+
+
+class TestManifestAtThePlatform:
+    """The pieces are read and joined, or the whole is refused."""
+
+    async def read(self, platform: PlatformStandIn, after: int = 0):  # type: ignore[no-untyped-def]
+        server = await serve_stand_in(platform.app())
+        client = HttpPlatform(str(server.address), Counters())
+        try:
+            return await client.bundle(after, 0)
+        finally:
+            await client.close()
+            await server.stop()
+
+    async def test_is_joined(self) -> None:
+        platform = PlatformStandIn()
+        await platform.publish(3, BODY)
+
+        assert await self.read(platform) == Ok(BODY)
+        assert platform.reads == 1 + 5
+
+    async def test_a_missing_piece_is_the_platforms_fault(self) -> None:
+        platform = PlatformStandIn()
+        await platform.publish(3, BODY)
+        del platform.pieces_by_key[f"{CONFIGURATION_KEY}/3/1"]
+
+        assert (await self.read(platform)).unwrap_err().code is Code.PLATFORM_DOWN
+
+    async def test_a_changed_piece_refuses_the_whole(self) -> None:
+        platform = PlatformStandIn()
+        await platform.publish(3, BODY)
+        key = f"{CONFIGURATION_KEY}/3/1"
+        platform.pieces_by_key[key] = platform.pieces_by_key[key][::-1]
+
+        assert (await self.read(platform)).unwrap_err().code is Code.PLATFORM_RUBBISH
+
+    @pytest.mark.parametrize("field", ["version", "total_bytes", "sha256", "pieces"])
+    async def test_a_broken_manifest_is_rubbish(self, field: str) -> None:
+        platform = PlatformStandIn()
+        await platform.publish(3, BODY)
+        content = json.loads(platform.bundle)
+        content["manifest"][field] = None
+        platform.bundle = json.dumps(content, separators=(",", ":")).encode()
+
+        assert (await self.read(platform)).unwrap_err().code is Code.PLATFORM_RUBBISH
+
+    async def test_an_older_manifest_costs_no_pieces(self) -> None:
+        platform = PlatformStandIn()
+        await platform.publish(3, BODY)
+        platform.bundle_version = 9
+
+        assert (await self.read(platform, after=5)).unwrap_err().code is Code.PLATFORM_WENT_BACK
+        assert platform.reads == 1
+
+    async def test_a_value_above_the_limit_is_not_read_to_its_end(self) -> None:
+        platform = PlatformStandIn()
+        await platform.publish(3, b"x")
+        platform.bundle = b"x" * (MAX_VALUE_BYTES + 1)
+
+        assert (await self.read(platform)).unwrap_err().code is Code.PLATFORM_RUBBISH
+
+    async def test_what_the_connections_carry_is_counted(self) -> None:
+        platform = PlatformStandIn()
+        await platform.publish(1, b"x" * 1000)
+        server = await serve_stand_in(platform.app())
+        counters = Counters()
+        client = HttpPlatform(str(server.address), counters)
+        await asyncio.gather(client.bundle(0, 0), client.instance_list(0, 0))
+        await client.close()
+        await server.stop()
+
+        assert counters.value("control_bytes", "platform in") > 1000
+        assert counters.value("control_bytes", "platform out") > 100
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -169,6 +169,7 @@
         """Stop every instance."""
         for control in self.controls_by_name.values():
             await control.stop()
+        await self.network.stop()
 
 
 def make_world() -> FleetWorld:
--- a/tests/peer_fakes.py
+++ b/tests/peer_fakes.py
@@ -78,6 +78,13 @@
     tasks: set[asyncio.Task[object]] = field(default_factory=set)
     held_by_frozen: dict[str, list[Callable[[], None]]] = field(default_factory=dict)
 
+    async def stop(self) -> None:
+        """End the streams that are still served."""
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def freeze(self, name: str) -> None:
         """Drop what `name` sends and hold what is sent to it."""
         self.held_by_frozen[name] = []
