--- a/src/radishmount/border/_endpoint_orders.py
+++ b/src/radishmount/border/_endpoint_orders.py
@@ -8,6 +8,7 @@
 import orjson
 from pydantic import Field, ValidationError
 from result import Err, Ok
+from yarl import URL
 
 from radishmount.border._load_model import LoadModel
 from radishmount.border._models import BorderModel, describe_fault
@@ -45,7 +46,7 @@
 
 
 async def place_order(
-    session: aiohttp.ClientSession, url: str, request: OrderRequest, remaining_ms: float
+    session: aiohttp.ClientSession, url: URL, request: OrderRequest, remaining_ms: float
 ) -> OrderExchange:
     """Send the headers, then the body once the endpoint is ready for it, and read the reply.
 
@@ -71,7 +72,7 @@
                 yield opening + f"{request.gate.remaining_ms():{DEADLINE_WIDTH}.1f}}}".encode()
 
             async with session.post(
-                f"{url}/v1/orders",
+                url,
                 data=body(),
                 headers=headers,
                 expect100=True,
