Have instances hold different lists for a whole lifetime in the stateful test of keys

Cause: the machine never had two owners that were both certain of themselves, so leaving out the agreement of the others passed it.

--- a/tests/orders/test_at_most_once.py
+++ b/tests/orders/test_at_most_once.py
@@ -230,6 +230,15 @@
             break
         self.repeat(0, at, 300.0)
 
+    @rule(without=INSTANCE, readers=st.sets(INSTANCE), at=PLACES)
+    def live_apart(self, without: str, readers: set[str], at: list[str]) -> None:
+        """Hold different lists for a whole lifetime, then send one key to several instances."""
+        self.publish_list(without, readers)
+        self.let_pass(LIMITS.key_lifetime_ms)
+        self.order_with_key(at, 300.0)
+        self.let_pass(400.0)
+        self.repeat(0, list(NAMES), 300.0)
+
     @rule(name=INSTANCE)
     def read_list(self, name: str) -> None:
         self.list_held[name] = len(self.lists) - 1
