--- a/src/radishmount/border/_models.py
+++ b/src/radishmount/border/_models.py
@@ -19,6 +19,7 @@
     "Name",
     "describe_error",
     "describe_fault",
+    "describe_faults",
     "errors_of",
     "read_json",
     "read_query",
@@ -76,6 +77,11 @@
     return describe_error(errors_of(error)[0])
 
 
+def describe_faults(error: ValidationError) -> str:
+    """Return every fault of `error`, one after the other."""
+    return "; ".join(describe_error(details) for details in errors_of(error))
+
+
 def describe_error(details: ErrorDetails, skipped_steps: int = 0) -> str:
     """Return one fault as `field.path: message`, without the first `skipped_steps` of the path."""
     steps = details["loc"][skipped_steps:]
--- a/src/radishmount/border/_refusals.py
+++ b/src/radishmount/border/_refusals.py
@@ -43,6 +43,8 @@
     Code.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
 }
 FIRST_UNAVAILABLE_CODE = 2000
+RETRY_LATER_CODES = frozenset({Code.OVER_QUOTA, Code.OVERLOADED, Code.NOT_READY})
+RETRY_AFTER_S = "1"
 
 
 def status_of(code: Code) -> HTTPStatus:
@@ -69,6 +71,8 @@
     content = {"request_id": request_id, "error": error}
     response = json_response(content, request_id, status_of(refusal.code))
     response[RESULT_NAME] = refusal.code.name
+    if refusal.code in RETRY_LATER_CODES:
+        response.headers["Retry-After"] = RETRY_AFTER_S
     return response
 
 
--- a/src/radishmount/border/_settings.py
+++ b/src/radishmount/border/_settings.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from radishmount.border._jsonc import read_jsonc
-from radishmount.border._models import BorderModel, describe_fault
+from radishmount.border._models import BorderModel, describe_faults
 from radishmount.border._quantities import ListenAddress, ReachableAddress
 from radishmount.codes import Code, Refusal
 
@@ -75,7 +75,7 @@
     try:
         model = EntrySettingsModel.model_validate(value)
     except ValidationError as error:
-        return Err(Refusal(Code.BAD_SETTING, detail=f"{path}: {describe_fault(error)}"))
+        return Err(Refusal(Code.BAD_SETTING, detail=f"{path}: {describe_faults(error)}"))
     return Ok(
         EntrySettings(
             name=model.name,
--- a/tests/border/test_callers.py
+++ b/tests/border/test_callers.py
@@ -8,6 +8,7 @@
 
 from fake_service import FakeService, send_raw, serving
 from radishmount.border import _callers, _http, _serve
+from radishmount.codes import Code, Refusal
 
 
 SEARCH = {"caller": "workshop", "collection": "catalogue", "text": "washi"}
@@ -261,6 +262,19 @@
     writer.close()
 
 
+class TestRefusals:
+    """What goes with the number."""
+
+    async def test_tells_when_to_come_back(self) -> None:
+        service = FakeService(refusal=Refusal(Code.OVER_QUOTA))
+        async with (
+            serving(service) as address,
+            aiohttp.ClientSession() as http,
+            http.post(f"http://{address}/v1/search", json=SEARCH) as response,
+        ):
+            assert (response.status, response.headers["Retry-After"]) == (429, "1")
+
+
 class TestCallersThatGo:
     """A caller that closes its connection before the answer."""
 
--- a/tests/border/test_fuzz.py
+++ b/tests/border/test_fuzz.py
@@ -7,12 +7,12 @@
 from typing import Any
 from unittest.mock import patch
 
-import msgpack
-from hypothesis import HealthCheck, example, given, settings
+from hypothesis import example, given
 from hypothesis import strategies as st
 from result import Err, Ok
 
 from fake_service import FREE, FakeService, MakeApp, operators, send_raw, serving
+from fuzzing import FUZZ, MANY, as_json, bodies, damaged, damaged_bytes, packable, run, values
 from radishmount.border import (
     HttpPlatform,
     PeerKey,
@@ -37,39 +37,6 @@
 
 
 ROOT = Path(__file__).parents[2]
-HANG_LIMIT_S = 20.0
-FUZZ = settings(
-    derandomize=True,
-    max_examples=60,
-    deadline=None,
-    suppress_health_check=[HealthCheck.function_scoped_fixture, HealthCheck.too_slow],
-)
-MANY = settings(FUZZ, max_examples=400)
-
-values = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers(-(2**70), 2**70)
-    | st.floats()
-    | st.text(max_size=20)
-    | st.sampled_from(["", "0ms", "1h", "127.0.0.1:1", "shard", "\x00", "𐏿"]),
-    lambda inner: st.lists(inner, max_size=4)
-    | st.dictionaries(st.text(max_size=8), inner, max_size=4),
-    max_leaves=12,
-)
-
-
-def can_pack(value: Any) -> bool:
-    try:
-        msgpack.packb(value)
-    except (ValueError, OverflowError, UnicodeEncodeError):
-        return False
-    return True
-
-
-def packable(content: st.SearchStrategy[Any]) -> st.SearchStrategy[bytes]:
-    return content.filter(can_pack).map(msgpack.packb)
-
 
 SEARCH = {
     "caller": "workshop",
@@ -111,67 +78,6 @@
 }
 
 
-def paths_of(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
-    """Return the way to each value within `value`."""
-    steps: list[Any] = []
-    if isinstance(value, dict):
-        steps = list(value)
-    if isinstance(value, list):
-        steps = list(range(len(value)))
-    return [path, *(p for step in steps for p in paths_of(value[step], (*path, step)))]
-
-
-@st.composite
-def damaged(draw: st.DrawFn, sound: Any) -> Any:
-    """Return `sound` with a value replaced, taken away or added somewhere."""
-    value = json.loads(json.dumps(sound))
-    path = draw(st.sampled_from(paths_of(value)))
-    if not path:
-        return draw(values)
-    holder = value
-    for step in path[:-1]:
-        holder = holder[step]
-    kind = draw(st.sampled_from(["replace", "remove", "add"]))
-    if kind == "remove":
-        del holder[path[-1]]
-    elif kind == "add" and isinstance(holder, dict):
-        holder[draw(st.text(max_size=8))] = draw(values)
-    else:
-        holder[path[-1]] = draw(values)
-    return value
-
-
-@st.composite
-def damaged_bytes(draw: st.DrawFn, sound: bytes) -> bytes:
-    """Return `sound` with some bytes cut out and others put in."""
-    content = bytearray(sound)
-    for _ in range(draw(st.integers(1, 3))):
-        start = draw(st.integers(0, len(content)))
-        length = draw(st.integers(0, 12))
-        content[start : start + length] = draw(st.binary(max_size=8))
-    return bytes(content)
-
-
-def as_json(value: Any) -> bytes:
-    return json.dumps(value).encode("utf-8", "surrogatepass")
-
-
-def bodies(sound: Any) -> st.SearchStrategy[bytes]:
-    return damaged(sound).map(as_json) | damaged_bytes(as_json(sound)) | st.binary(max_size=60)
-
-
-def run(work: Callable[[], Awaitable[None]]) -> None:
-    """Run one example; afterwards no task may be left."""
-
-    async def bounded() -> None:
-        async with asyncio.timeout(HANG_LIMIT_S):
-            await work()
-        left = asyncio.all_tasks() - {asyncio.current_task()}
-        assert left == set()
-
-    asyncio.run(bounded())
-
-
 async def raw_answer(service: FakeService, make_app: MakeApp, sent: bytes) -> bytes:
     """Send bytes to a border whose limits of time are short, and return what comes back."""
     with patch.object(_http, "BODY_TIMEOUT_S", 0.05):
--- a/tests/fake_service.py
+++ b/tests/fake_service.py
@@ -38,6 +38,7 @@
     fields: dict[str, Any] = field(default_factory=dict)
     missing: tuple[str, ...] = ()
     error: Exception | None = None
+    refusal: Refusal | None = None
     slow_s: float = 0.0
     ended: list[str] = field(default_factory=list)
     leaving: bool = False
@@ -82,6 +83,8 @@
         self.ended.append("whole")
         if self.error is not None:
             raise self.error
+        if self.refusal is not None:
+            return Err(self.refusal)
         rows = tuple(Row(f"key-{n}", 1.0, {"n": n, **self.fields}) for n in range(self.rows))
         coverage = Coverage(("low",), self.missing)
         return Ok(Answer(request_id, 1, rows, coverage, sub_requests=1))
