Stop gracefully, start without the platform, measure what control costs

Callers that follow address answers lose nothing to a graceful stop, a late request is refused as not run, and an entry starts from a seed while the platform is down (tests/fleet/test_entries.py, over loopback).

An instance that its neighbours did not list yet heard no heartbeats from them and reopened its streams every 2.5 s; it now asks for a heartbeat after 1.5 s of quiet.

--- a/src/radishmount/border/_peer_stream.py
+++ b/src/radishmount/border/_peer_stream.py
@@ -134,6 +134,7 @@
         content = msgpack.packb(self._own_seal.seal(packed.ok_value))
         self._writer.write(content)
         self._counters.add("control_bytes", "peer out", len(content))
+        self._counters.add("control_frames", "out")
         return Ok(None)
 
     async def receive(self) -> Result[Frame, Refusal]:
@@ -147,6 +148,7 @@
             return Err(error.refusal)
         finally:
             self._counters.add("control_bytes", "peer in", self._source.bytes_in - before)
+        self._counters.add("control_frames", "in")
         started_ms = self._cpu_ms()
         frame = self._open(sealed)
         self._counters.add("control_cpu_ms", "codec", self._cpu_ms() - started_ms)
--- a/src/radishmount/control.py
+++ b/src/radishmount/control.py
@@ -97,7 +97,7 @@
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
     reader_tasks: list[asyncio.Task[None]] = field(default_factory=list)
     has_started: bool = False
-    leaving_at_ms: float | None = None
+    takes_requests_until_ms: float | None = None
 
     def start(self) -> None:
         """Start the watches at the platform, the streams to peers and the tick."""
@@ -122,27 +122,26 @@
         await self.peers.stop()
         await self.parts.platform.close()
 
-    def leave(self) -> None:
-        """Say that this instance leaves. Requests are taken for a while, as callers keep addresses.
+    def leave(self, grace_ms: float = LEAVING_GRACE_MS) -> None:
+        """Say that this instance leaves. Requests are taken for `grace_ms`: callers keep addresses.
 
         A second call changes nothing.
         """
-        if self.leaving_at_ms is not None:
+        if self.takes_requests_until_ms is not None:
             return
-        self.leaving_at_ms = self.parts.clock.now_ms()
+        self.takes_requests_until_ms = self.parts.clock.now_ms() + grace_ms
         self.fleet.members.say(MemberState.LEAVING, "asked to stop")
 
     def is_leaving(self) -> bool:
         """Tell whether callers are to be sent elsewhere."""
-        return self.leaving_at_ms is not None
+        return self.takes_requests_until_ms is not None
 
     def takes_requests(self) -> bool:
         """Tell whether new requests are answered, in the time of grace of a leave too."""
         if not self.has_started:
             return False
-        if self.leaving_at_ms is None:
-            return True
-        return self.parts.clock.now_ms() < self.leaving_at_ms + LEAVING_GRACE_MS
+        until_ms = self.takes_requests_until_ms
+        return until_ms is None or self.parts.clock.now_ms() < until_ms
 
     async def wait_until_fresh(self, limit_ms: float | None) -> bool:
         """Wait for the view to be renewed after a pause; tell whether it was in time."""
--- a/src/radishmount/fleet/_membership.py
+++ b/src/radishmount/fleet/_membership.py
@@ -31,6 +31,7 @@
 __all__ = ["HeldVersions", "Membership", "OnHeartbeat"]
 
 HEARTBEAT_INTERVAL_MS = 1_000.0
+PING_AFTER_MS = 1_500.0
 SILENCE_LIMIT_MS = 2_500.0
 IDLE_STREAM_LIMIT_MS = 15_000.0
 ACCEPT_WAIT_MS = 500.0
@@ -165,7 +166,12 @@
                     await session.ended.wait()
             except TimeoutError:
                 pass
-            if self.clock.now_ms() - session.heard_at_ms > SILENCE_LIMIT_MS:
+            quiet_ms = self.clock.now_ms() - session.heard_at_ms
+            if PING_AFTER_MS < quiet_ms <= SILENCE_LIMIT_MS:
+                # The peer may not have this instance on its list yet, and then it does not beat.
+                await self._ask_heartbeat(session.peer.name)
+                quiet_ms = self.clock.now_ms() - session.heard_at_ms
+            if quiet_ms > SILENCE_LIMIT_MS:
                 self.counters.add("peer_streams_silent")
                 await session.close()
 
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -12,7 +12,14 @@
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.codes import Code, Refusal
-from radishmount.control import Control, ControlParts, OpenPeerFor, Platform, make_control
+from radishmount.control import (
+    LEAVING_GRACE_MS,
+    Control,
+    ControlParts,
+    OpenPeerFor,
+    Platform,
+    make_control,
+)
 from radishmount.counters import Counters
 from radishmount.endpoints import EndpointPool, OpenChannel, make_choice
 from radishmount.fleet import AddressAnswer, Fleet, InstanceList, Peers, choose_addresses
@@ -83,9 +90,9 @@
         await self.control.stop()
         await self.pool.stop()
 
-    def leave(self) -> None:
-        """Begin a graceful stop: callers are sent elsewhere, requests still answered a while."""
-        self.control.leave()
+    def leave(self, grace_ms: float = LEAVING_GRACE_MS) -> None:
+        """Begin a graceful stop: callers are sent elsewhere, requests answered for `grace_ms`."""
+        self.control.leave(grace_ms)
 
     def is_leaving(self) -> bool:
         """Tell whether callers are to be moved to other instances."""
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -58,14 +58,16 @@
         self.operators = operators
         self.peers = peers
 
-    async def leave(self) -> None:
+    async def leave(
+        self, grace_ms: float = LEAVING_GRACE_MS, refusing_ms: float = REFUSING_MS
+    ) -> None:
         """Stop gracefully: have callers moved elsewhere first, and finish what is in flight.
 
-        Requests are answered for as long as callers may hold this address, then refused as not
-        run for a short while, and then no connection is taken any more.
+        Requests are answered for `grace_ms`, as callers may hold this address, then refused as
+        not run for `refusing_ms`, and then no connection is taken any more.
         """
-        self.node.leave()
-        await self.node.parts.clock.sleep_ms(LEAVING_GRACE_MS + REFUSING_MS)
+        self.node.leave(grace_ms)
+        await self.node.parts.clock.sleep_ms(grace_ms + refusing_ms)
         await self.stop()
 
     async def stop(self) -> None:
@@ -90,7 +92,7 @@
     counters = Counters()
 
     def open_peer_for(members: Members, counters: Counters) -> OpenPeer:
-        open_peer = make_open_peer(PeerKey(key, members), counters)
+        open_peer = make_open_peer(PeerKey(key, members, clock.cpu_ms), counters)
         return lambda name, address: open_peer(name, route_peer(name, address))
 
     node = make_node(
@@ -107,6 +109,7 @@
             seeds=settings.seeds,
         ),
         audit,
+        counters,
     )
     metrics = RequestMetrics()
     callers = await serve(make_caller_app(node, metrics), settings.caller_listen)
--- /dev/null
+++ b/tests/fleet/test_entries.py
@@ -0,0 +1,144 @@
+"""Whole entries over loopback: versions, leaving, and callers that follow address answers."""
+
+import asyncio
+from random import Random
+from typing import Any
+
+from radishmount.audit import AuditTrail
+from radishmount.border import EntrySettings, Listen, split_address, write_bundle
+from radishmount.clock import loop_clock
+from radishmount.programs.entry import RunningEntry, start_entry
+from radishmount.standins import ListedInstance
+from support import FREE, PEER_KEY, Session, objects_for
+
+
+async def add_entry(
+    session: Session, name: str, platform: Listen | None = None, seeds: tuple[str, ...] = ()
+) -> RunningEntry:
+    """Start one more entry next to that of the session, and list it."""
+    clock = loop_clock(asyncio.get_running_loop())
+    address = str(platform or session.servers[-1].address)
+    settings = EntrySettings(name, "torino", FREE, FREE, FREE, address, PEER_KEY, seeds)
+    return (await start_entry(settings, clock, Random(2), AuditTrail(clock))).unwrap()
+
+
+async def list_entries(session: Session, *entries: RunningEntry) -> None:
+    lines = [
+        ListedInstance(
+            entry.node.parts.name,
+            "entry",
+            entry.node.parts.data_centre,
+            "live",
+            str(entry.callers.address),
+            str(entry.peers.address),
+        )
+        for entry in entries
+    ]
+    await session.platform.list_instances(*lines)
+
+
+async def until(condition) -> None:  # type: ignore[no-untyped-def]
+    async with asyncio.timeout(20.0):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+class Follower:
+    """A caller that asks for addresses now and then and searches at the first of them."""
+
+    def __init__(self, session: Session, known: str) -> None:
+        self.session = session
+        self.addresses = [known]
+        self.lost: list[str] = []
+        self.answered = 0
+
+    async def refresh(self) -> None:
+        for address in list(self.addresses):
+            url = f"http://{address}/v1/addresses?caller=workshop&data_centre=milano"
+            async with self.session.http.get(url) as response:
+                content: dict[str, Any] = await response.json()
+            self.addresses = [line["address"] for line in content["addresses"]]
+            return
+
+    async def run(self, done: asyncio.Event) -> None:
+        while not done.is_set():
+            await self.refresh()
+            for _ in range(3):
+                await self.search()
+                await asyncio.sleep(0.02)
+
+    async def search(self) -> None:
+        body = {"caller": "workshop", "collection": "catalogue", "text": "washi"}
+        url = f"http://{self.addresses[0]}/v1/search"
+        try:
+            async with self.session.http.post(url, json=body) as response:
+                content = await response.json()
+        except OSError as error:
+            self.lost.append(repr(error))
+            return
+        if response.status != 200 or not content["complete"]:
+            self.lost.append(str(content))
+            return
+        self.answered += 1
+
+
+class TestEntries:
+    """Entries find one another and serve callers through a graceful stop."""
+
+    async def test_followers_lose_nothing_to_a_graceful_stop(self, session: Session) -> None:
+        other = await add_entry(session, "entry-b")
+        await list_entries(session, session.entry, other)
+        await until(other.node.is_ready)
+        await until(lambda: "entry-b" in session.entry.node.peers.sessions_by_name)
+        follower = Follower(session, str(session.entry.callers.address))
+        done = asyncio.Event()
+        following = asyncio.create_task(follower.run(done))
+        await until(lambda: follower.answered > 5)
+        await session.entry.leave(grace_ms=600.0, refusing_ms=100.0)
+        answered = follower.answered
+        await until(lambda: follower.answered > answered + 5)
+        done.set()
+        await following
+        await other.stop()
+
+        assert follower.lost == []
+        assert follower.addresses == [str(other.callers.address)]
+
+    async def test_a_late_request_is_refused_as_not_run(self, session: Session) -> None:
+        leaving = asyncio.create_task(session.entry.leave(grace_ms=0.0, refusing_ms=500.0))
+        await asyncio.sleep(0.05)
+        status, content = await session.search()
+        await leaving
+
+        assert status == 503
+        assert content["error"]["name"] == "INSTANCE_LEAVING"
+        assert content["error"]["ran"] == "not-run"
+
+    async def test_a_new_entry_starts_from_seeds_while_the_platform_is_down(
+        self, session: Session
+    ) -> None:
+        await list_entries(session, session.entry)
+        await until(lambda: session.entry.node.fleet.by_name["entry-a"].peer_address)
+        seeds = (str(session.entry.peers.address),)
+        other = await add_entry(session, "entry-b", split_address("127.0.0.1:1"), seeds)
+        await until(other.node.is_ready)
+        version = other.node.in_force.current.version
+        await other.stop()
+
+        assert version == 1
+
+    async def test_a_version_travels_from_peer_to_peer(self, session: Session) -> None:
+        await list_entries(session, session.entry)
+        await until(lambda: session.entry.node.fleet.by_name["entry-a"].peer_address)
+        seeds = (str(session.entry.peers.address),)
+        other = await add_entry(session, "entry-b", split_address("127.0.0.1:1"), seeds)
+        await until(other.node.is_ready)
+        listed = {"catalogue-0": ["127.0.0.1:9"], "catalogue-1": ["127.0.0.1:10"]}
+        await session.platform.publish(2, write_bundle(2, objects_for(listed)))
+        await until(lambda: other.node.in_force.current.version == 2)
+        streams = other.node.counters.value("peer_streams_opened")
+        source = [line.cause for line in other.node.audit.lines if line.subject == "publication"]
+        await other.stop()
+
+        assert source[-1] == "peer entry-a"
+        assert streams <= 2  # a seed's, and one in its place; entry-a does not list entry-b yet
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -110,6 +110,18 @@
         assert set(world.states_of("entry-b").values()) == LIVE
         await world.stop()
 
+    async def test_an_instance_that_others_do_not_list_yet_keeps_its_stream(self) -> None:
+        world = make_world()
+        await world.start_all(NAMES, CENTRES)
+        newcomer = world.start("entry-x")
+        world.network.opened = 0
+        await asyncio.sleep(30.0)
+
+        assert newcomer.is_ready()
+        assert world.network.opened <= len(NAMES)
+        assert world.counters_by_name["entry-x"].value("peer_streams_silent") == 0
+        await world.stop()
+
     async def test_overload_is_told_and_taken_back(self) -> None:
         world = make_world()
         await world.start_all(NAMES, CENTRES)
