--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -15,6 +15,7 @@
 from radishmount.border._peer_models import PeerModel
 from radishmount.border._peer_stream import PeerKey, PeerServer, make_open_peer, serve_peers
 from radishmount.border._platform_client import HttpPlatform
+from radishmount.border._refusals import status_of
 from radishmount.border._serve import Server, serve
 from radishmount.border._settings import (
     EntrySettings,
@@ -62,6 +63,7 @@
     "serve_peers",
     "split_address",
     "split_bundle",
+    "status_of",
     "unpack_frame",
     "write_bundle",
 ]
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -250,5 +250,6 @@
     )
     node.in_force.on_change.append(node.take_publication)
     node.control.list_watch.on_change.append(node.take_list)
+    node.control.on_forget.append(pool.forget_evidence)
     node.control.membership.load = node.load
     return node
