Tell peers at once which endpoints said that they leave

An instance learned of a leaving endpoint from its own probe, up to a second after another instance had. What an endpoint said to one instance now goes to the others that may connect to it, as a hint that fades after 2 s unless the endpoint's own word confirms it (tests/fleet/test_endpoint_news.py).

--- a/src/radishmount/border/_peer_models.py
+++ b/src/radishmount/border/_peer_models.py
@@ -165,15 +165,14 @@
 
 
 class EndpointChangesModel(PeerModel):
-    """Endpoints that were found to be leaving, or back."""
+    """Endpoints that said that they are leaving."""
 
     data_type = EndpointChanges
     leaving: Annotated[list[PeerName], Field(max_length=MAX_ENDPOINTS)]
-    returned: Annotated[list[PeerName], Field(max_length=MAX_ENDPOINTS)]
 
     def to_data(self) -> EndpointChanges:
         """Return the message as a data class."""
-        return EndpointChanges(tuple(self.leaving), tuple(self.returned))
+        return EndpointChanges(tuple(self.leaving))
 
 
 PEER_MODELS: tuple[type[PeerModel], ...] = (
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -170,6 +170,13 @@
         self.listed_as_leaving = listed
         self.note_leaving(now_ms)
 
+    def take_leaving_hint(self, now_ms: float) -> None:
+        """Take the word of a peer, which holds for as long as a refusal does."""
+        self.refused_as_leaving_at_ms = now_ms
+        if not self.was_leaving:
+            self.was_leaving = True
+            self.on_change(self, "leaving", "a peer")
+
     def forget_evidence(self) -> None:
         """Make all evidence stale, as after a pause of this process."""
         self.reported_at_ms = None
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -1,7 +1,7 @@
 """All endpoints of the publication in force, and the links to them."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from result import Err
@@ -39,6 +39,7 @@
     endpoints_by_service: dict[str, list[Endpoint]] = field(default_factory=dict)
     retiring: list[Link] = field(default_factory=list)
     leaving_names: frozenset[str] = frozenset()
+    on_leaving: Callable[[str], None] = lambda name: None
     evidence_waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
     def endpoints_of(self, service: str) -> Iterable[Endpoint]:
@@ -80,6 +81,23 @@
         for name, link in self.links_by_name.items():
             link.endpoint.list_as_leaving(name in names, now_ms)
 
+    def take_leaving_hint(self, names: Iterable[str]) -> None:
+        """Send nothing to endpoints that a peer saw leaving, until their own word is heard."""
+        now_ms = self.clock.now_ms()
+        for name in names:
+            link = self.links_by_name.get(name)
+            if link is not None:
+                link.endpoint.take_leaving_hint(now_ms)
+                link.probe_now()
+
+    def users_of(self, name: str, instances: Iterable[str]) -> list[str]:
+        """Return the other instances that may connect to the endpoint `name`."""
+        service = self.publication.services_by_endpoint.get(name)
+        if service is None:
+            return []
+        holders = holders_of(name, sorted(instances), service.connections)
+        return [holder for holder in holders if holder != self.own_name]
+
     def forget_evidence(self) -> None:
         """Make all evidence stale and probe at once, as after a pause of this process."""
         self.counters.add("evidence_forgotten")
@@ -176,6 +194,8 @@
         self.counters.add("endpoint_changes", change)
         version = self.publication.version
         self.audit.record(f"endpoint/{endpoint.name}", change, cause=cause, version=version)
+        if change == "leaving" and endpoint.report.draining:
+            self.on_leaving(endpoint.name)
 
     def _evidence_came(self) -> None:
         while self.evidence_waiters:
--- a/src/radishmount/fleet/__init__.py
+++ b/src/radishmount/fleet/__init__.py
@@ -4,6 +4,7 @@
 from radishmount.fleet._backoff import Backoff
 from radishmount.fleet._cost import ControlCost
 from radishmount.fleet._duty import fallback_interval_ms, is_watcher
+from radishmount.fleet._endpoint_news import EndpointNews
 from radishmount.fleet._fleet import Fleet, InstanceList
 from radishmount.fleet._freshness import RENEWAL_LIMIT_MS, Freshness, make_freshness
 from radishmount.fleet._incarnation import first_incarnation
@@ -46,6 +47,7 @@
     "BundleRequest",
     "ControlCost",
     "EndpointChanges",
+    "EndpointNews",
     "Fleet",
     "Frame",
     "Freshness",
--- a/src/radishmount/fleet/_messages.py
+++ b/src/radishmount/fleet/_messages.py
@@ -135,10 +135,9 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointChanges:
-    """Endpoints that the sender found to be leaving, or back, since it last said so."""
+    """Endpoints that have just told the sender that they are leaving."""
 
     leaving: tuple[str, ...]
-    returned: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -22,7 +22,14 @@
 )
 from radishmount.counters import Counters
 from radishmount.endpoints import EndpointPool, OpenChannel, make_choice
-from radishmount.fleet import AddressAnswer, Fleet, InstanceList, Peers, choose_addresses
+from radishmount.fleet import (
+    AddressAnswer,
+    EndpointNews,
+    Fleet,
+    InstanceList,
+    Peers,
+    choose_addresses,
+)
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 from radishmount.publication import InForce, Publication, ReadBundle, Shard
 from radishmount.queries import Answer, QueryTools, RequestRecord, Search, SearchCall, run_search
@@ -252,4 +259,12 @@
     node.control.list_watch.on_change.append(node.take_list)
     node.control.on_forget.append(pool.forget_evidence)
     node.control.membership.load = node.load
+    news = EndpointNews(
+        node.peers,
+        counters,
+        users_of=lambda name: pool.users_of(name, node.fleet.listed_names),
+        take_hint=pool.take_leaving_hint,
+    )
+    news.start()
+    pool.on_leaving = news.tell_leaving
     return node
--- /dev/null
+++ b/tests/fleet/test_endpoint_news.py
@@ -0,0 +1,50 @@
+"""What one instance learns of a leaving endpoint, the others that use it know at once."""
+
+import asyncio
+
+import pytest
+
+from fakes import start_world
+
+
+pytestmark = pytest.mark.looptime
+
+
+class TestEndpointNews:
+    """A leaving endpoint is told to peers; a hint that is wrong fades."""
+
+    async def test_peers_are_told_at_once(self) -> None:
+        world = await start_world(nodes=("entry-a", "entry-b"))
+        await asyncio.sleep(2.0)
+        endpoint = world.endpoints_by_name["catalogue-0-0"]
+        other = world.nodes_by_name["entry-b"]
+        endpoint.draining = True
+        while (
+            not world.nodes_by_name["entry-a"]
+            .pool.links_by_name["catalogue-0-0"]
+            .endpoint.was_leaving
+        ):
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)
+        known = other.pool.links_by_name["catalogue-0-0"].endpoint.was_leaving
+        told = sum(n.counters.value("endpoint_news", "in") for n in world.nodes_by_name.values())
+        await world.stop()
+
+        assert known
+        assert told >= 1
+
+    async def test_a_wrong_hint_fades(self) -> None:
+        world = await start_world()
+        await asyncio.sleep(1.0)
+        pool = world.nodes_by_name["entry-a"].pool
+        pool.take_leaving_hint(["catalogue-0-0", "unknown"])
+        endpoint = pool.links_by_name["catalogue-0-0"].endpoint
+        now_ms = pool.clock.now_ms
+        during = endpoint.may_take_work(now_ms())
+        await asyncio.sleep(4.0)
+        after = endpoint.may_take_work(now_ms())
+        causes = [line.cause for line in pool.audit.lines if line.change == "leaving"]
+        await world.stop()
+
+        assert (during, after) == (False, True)
+        assert causes == ["a peer"]
