Give the hello and the reading of frames modules of their own

Tests now hold what the seals and the limits promise: repeated, lost and changed frames, objects without end, a stranger that says nothing.

--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -12,8 +12,9 @@
 from radishmount.border._objects import object_from, publication_from
 from radishmount.border._operators import OperatorService, make_operator_app
 from radishmount.border._peer_codec import add_peer_models, pack_frame, unpack_frame
+from radishmount.border._peer_hello import PeerKey
 from radishmount.border._peer_models import PeerModel
-from radishmount.border._peer_stream import PeerKey, PeerServer, make_open_peer, serve_peers
+from radishmount.border._peer_stream import PeerServer, make_open_peer, serve_peers
 from radishmount.border._platform_client import HttpPlatform
 from radishmount.border._refusals import status_of
 from radishmount.border._serve import Server, serve
--- /dev/null
+++ b/tests/fleet/test_peer_wire.py
@@ -0,0 +1,85 @@
+"""The bytes of peer streams: limits, seals, and models that match their data classes."""
+
+import asyncio
+from dataclasses import fields
+
+import msgpack
+import pytest
+
+from radishmount.border._peer_auth import FrameSeal
+from radishmount.border._peer_codec import MODELS_BY_KIND
+from radishmount.border._peer_wire import MAX_HELLO_BYTES, MsgpackReader, PeerFault
+from radishmount.codes import Code
+
+
+KEY = b"k" * 32
+
+
+class TestMsgpackReader:
+    """Objects come off the stream whole, and none is longer than allowed."""
+
+    async def test_what_came_with_the_hello_is_kept(self) -> None:
+        stream = asyncio.StreamReader()
+        reader = MsgpackReader(stream)
+        stream.feed_data(msgpack.packb(b"hello") + msgpack.packb(b"frame one")[:4])
+        first = await reader.next()
+        reader.limit_to(1000)
+        stream.feed_data(msgpack.packb(b"frame one")[4:])
+
+        assert (first, await reader.next()) == (b"hello", b"frame one")
+
+    async def test_a_long_object_ends_the_stream(self) -> None:
+        stream = asyncio.StreamReader()
+        stream.feed_data(msgpack.packb(b"x" * (MAX_HELLO_BYTES + 1)))
+
+        with pytest.raises(PeerFault):
+            await MsgpackReader(stream).next()
+
+    async def test_an_object_without_end_fills_no_memory(self) -> None:
+        stream = asyncio.StreamReader()
+        reader = MsgpackReader(stream)
+        stream.feed_data(b"\x91" * 1_000_000)
+
+        with pytest.raises(PeerFault) as raised:
+            await reader.next()
+        assert raised.value.refusal.code in (Code.BAD_FRAME, Code.FRAME_TOO_LARGE)
+
+
+class TestFrameSeal:
+    """A frame opens only as it was sealed, and only in its place."""
+
+    def test_opens_in_order(self) -> None:
+        sender, receiver = FrameSeal(KEY), FrameSeal(KEY)
+
+        assert receiver.open(sender.seal(b"one")) == b"one"
+        assert receiver.open(sender.seal(b"two")) == b"two"
+
+    def test_a_repeated_frame_does_not_open(self) -> None:
+        sender, receiver = FrameSeal(KEY), FrameSeal(KEY)
+        sealed = sender.seal(b"one")
+        receiver.open(sealed)
+
+        assert receiver.open(sealed) is None
+
+    def test_a_frame_behind_a_lost_one_does_not_open(self) -> None:
+        sender, receiver = FrameSeal(KEY), FrameSeal(KEY)
+        sender.seal(b"lost")
+
+        assert receiver.open(sender.seal(b"two")) is None
+
+    @pytest.mark.parametrize("place", [0, 7, 8, 10])
+    def test_a_changed_frame_does_not_open(self, place: int) -> None:
+        sealed = bytearray(FrameSeal(KEY).seal(b"one"))
+        sealed[place] ^= 1
+
+        assert FrameSeal(KEY).open(bytes(sealed)) is None
+
+
+class TestPeerModels:
+    """Each model has the fields of its data class, in their order."""
+
+    @pytest.mark.parametrize("kind", sorted(MODELS_BY_KIND))
+    def test_fields_match(self, kind: str) -> None:
+        model = MODELS_BY_KIND[kind]
+
+        assert list(model.model_fields) == [field.name for field in fields(model.data_type)]
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -238,3 +238,16 @@
 
             assert answer == b""
             assert pair.other_counters.value("peer_strangers") == 1
+
+    async def test_a_stranger_that_says_nothing_is_closed(self) -> None:
+        async with Loopback() as pair:
+            assert pair.server is not None
+            address = pair.server.address
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            challenge = await reader.read(100)
+            rest = await reader.read()
+            writer.close()
+
+            assert len(challenge) == 18  # sixteen random bytes and their length
+            assert rest == b""
+            assert pair.other_counters.value("peer_strangers") == 1
