--- a/src/radishmount/border/_peer_stream.py
+++ b/src/radishmount/border/_peer_stream.py
@@ -15,6 +15,7 @@
     check_hello,
     say_hello,
 )
+from radishmount.border._peer_squeeze import expand, squeeze
 from radishmount.border._peer_wire import MsgpackReader, PeerFault
 from radishmount.border._settings import Listen, split_address
 from radishmount.codes import Code, Refusal
@@ -59,7 +60,7 @@
         if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             transport.abort()
             return Err(Refusal(Code.PEER_UNREACHABLE, detail=f"{self.peer.name} does not read"))
-        content = msgpack.packb(self._own_seal.seal(packed.ok_value))
+        content = msgpack.packb(self._own_seal.seal(squeeze(packed.ok_value)))
         self._writer.write(content)
         self._counters.add("control_bytes", "peer out", len(content))
         self._counters.add("control_frames", "out")
@@ -88,7 +89,8 @@
         content = self._peer_seal.open(sealed)
         if content is None:
             return Err(Refusal(Code.STRANGER, detail=f"a frame that {self.peer.name} did not seal"))
-        return unpack_frame(content)
+        expanded = expand(content, MAX_FRAME_BYTES)
+        return expanded if isinstance(expanded, Err) else unpack_frame(expanded.ok_value)
 
     async def close(self) -> None:
         """Close the stream."""
--- a/tests/fleet/test_peer_wire.py
+++ b/tests/fleet/test_peer_wire.py
@@ -5,9 +5,11 @@
 
 import msgpack
 import pytest
+from result import Ok
 
 from radishmount.border._peer_auth import FrameSeal
 from radishmount.border._peer_codec import MODELS_BY_KIND
+from radishmount.border._peer_squeeze import expand, squeeze
 from radishmount.border._peer_wire import MAX_HELLO_BYTES, MsgpackReader, PeerFault
 from radishmount.codes import Code
 
@@ -75,6 +77,28 @@
         assert FrameSeal(KEY).open(bytes(sealed)) is None
 
 
+class TestSqueeze:
+    """Long frames travel compressed, and expand to no more than allowed."""
+
+    @pytest.mark.parametrize("size", [0, 1, 1023, 1024, 60_000])
+    def test_comes_back_as_it_was(self, size: int) -> None:
+        content = b"radishmount " * (size // 12) + b"x" * (size % 12)
+
+        assert expand(squeeze(content), 100_000) == Ok(content)
+
+    def test_a_long_frame_is_shorter_on_the_wire(self) -> None:
+        assert len(squeeze(b"radishmount " * 5_000)) < 1_000
+
+    def test_expands_to_no_more_than_allowed(self) -> None:
+        refusal = expand(squeeze(b"x" * 10_000_000), 100_000).unwrap_err()
+
+        assert refusal.code is Code.FRAME_TOO_LARGE
+
+    @pytest.mark.parametrize("content", [b"", b"\x02abc", b"\x01abc", squeeze(b"x" * 5_000)[:-3]])
+    def test_rubbish_is_refused(self, content: bytes) -> None:
+        assert expand(content, 100_000).is_err()
+
+
 class TestPeerModels:
     """Each model has the fields of its data class, in their order."""
 
