Hedge by multiples of the median, and only what lags behind its peers

Cause: with few latencies known the 98th percentile was the slowest reply ever seen, so stragglers were not hedged, and one busy moment of the machine spent the budget on hedges for every shard at once. Endpoints also counted as pressed by a single slow reply, long after it. Now the delay is 2.5 times the median (2 for rules that prefer the tail) between the 96th (94th) percentile, once 64 latencies are known, and 1.2 times the 98th. A hedge is held back once while most shards are unanswered or the wake-up was late. Pressed means shed, or a reported queue longer than the slots, within 1 s, at most endpoints.

--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -45,6 +45,7 @@
     load_of_others: int = 0
     live_since_ms: float = NEVER_MS
     shed_at_ms: float = NEVER_MS
+    queued_at_ms: float = NEVER_MS
     listed_as_leaving: bool = False
     refused_as_leaving_at_ms: float = NEVER_MS
     was_leaving: bool = False
@@ -115,7 +116,10 @@
         latency_ms = now_ms - sent_at_ms
         self.latency.add(latency_ms, now_ms)
         self.ejection.answered()
-        self.limit.replied(latency_ms, report.queued > self.usable_slots, now_ms)
+        is_queueing = report.queued > self.usable_slots
+        if is_queueing:
+            self.queued_at_ms = now_ms
+        self.limit.replied(latency_ms, is_queueing, now_ms)
         self.reported(report, sent_at_ms, now_ms)
 
     def reported(self, report: LoadReport, asked_at_ms: float, now_ms: float) -> None:
--- a/src/radishmount/endpoints/_limit.py
+++ b/src/radishmount/endpoints/_limit.py
@@ -25,7 +25,6 @@
     value: float = MAX_LIMIT
     least_ms: float | None = None
     shrunk_at_ms: float = 0.0
-    queueing: bool = False
 
     def replied(self, latency_ms: float, reported_queueing: bool, now_ms: float) -> None:
         """Take a reply."""
@@ -33,8 +32,7 @@
             self.least_ms = latency_ms
         self.least_ms = min(latency_ms, self.least_ms * FLOOR_GROWTH)
         slow = latency_ms > self.least_ms * QUEUEING_FACTOR + QUEUEING_SLACK_MS
-        self.queueing = slow or reported_queueing
-        if self.queueing:
+        if slow or reported_queueing:
             self.shrink(now_ms)
             return
         self.value = min(MAX_LIMIT, self.value + 1.0 / self.value)
--- a/src/radishmount/queries/_fan_out.py
+++ b/src/radishmount/queries/_fan_out.py
@@ -30,6 +30,8 @@
 
 ANSWER_MARGIN_RATIO = 0.02
 TIMER_SLACK_MS = 0.01
+LATE_WAKE_MS = 5.0
+MIN_SHARDS_TO_COMPARE = 4
 MIN_RESTART_MS = 10.0
 RESTART_CHECK_INTERVAL_MS = 10.0
 
@@ -125,16 +127,36 @@
         """Act for the shard that is due; tell whether there was one."""
         if self._next_due_ms() > now_ms + TIMER_SLACK_MS:
             return False
-        progress = heapq.heappop(self.due)[2]
+        due_at_ms, _, progress = heapq.heappop(self.due)
         progress.act_at_ms = float("inf")
         if not progress.open_attempts:
             self._send(progress)
         elif not progress.hedged:
+            hold_ms = self._hold_ms(progress, now_ms - due_at_ms)
+            if hold_ms:
+                progress.held_back = True
+                self._plan(progress, now_ms + hold_ms)
+                return True
             self._hedge(progress, now_ms)
         else:
             self._move_on(progress, now_ms)
         return True
 
+    def _hold_ms(self, progress: ShardProgress, late_ms: float) -> float:
+        """Return how long to hold a hedge back, once: only one among many is a straggler.
+
+        While most shards are unanswered the delay is everywhere, and after a late wake-up replies
+        may lie unread: hedges would only add to it.
+        """
+        if progress.held_back:
+            return 0.0
+        if late_ms > LATE_WAKE_MS:
+            return LATE_WAKE_MS
+        shards = len(self.progress_by_shard)
+        if shards >= MIN_SHARDS_TO_COMPARE and 2 * self.unanswered > shards:
+            return hedge_delay_ms(progress.service.window, self.search.rule.prefer)
+        return 0.0
+
     def _send(self, progress: ShardProgress) -> None:
         """Send to the best replica; with none, or no budget for it, try again after a pause."""
         now_ms = self.tools.clock.now_ms()
--- a/src/radishmount/queries/_hedge.py
+++ b/src/radishmount/queries/_hedge.py
@@ -10,10 +10,13 @@
 
 KEPT_LATENCIES = 256
 REFRESH_EVERY = 32
-HEDGE_QUANTILE_BY_PREFERENCE = {Preference.COVERAGE: 0.98, Preference.TAIL: 0.95}
+ENOUGH_FOR_QUANTILES = 64
+LATEST_HEDGE_QUANTILE = 0.98
+LATEST_HEDGE_FACTOR = 1.2
+EARLIEST_HEDGE_QUANTILE_BY_PREFERENCE = {Preference.COVERAGE: 0.96, Preference.TAIL: 0.94}
+MEDIAN_FACTOR_BY_PREFERENCE = {Preference.COVERAGE: 2.5, Preference.TAIL: 2.0}
 UNKNOWN_HEDGE_DELAY_MS = 30.0
 MIN_HEDGE_DELAY_MS = 1.0
-HEDGE_MARGIN_FACTOR = 1.2
 PROGRESS_QUANTILE = 0.95
 PROGRESS_FACTOR = 6.0
 MIN_PROGRESS_LIMIT_MS = 80.0
@@ -45,11 +48,21 @@
 
 
 def hedge_delay_ms(window: LatencyWindow, preference: Preference) -> float:
-    """Return how long to wait for a first endpoint before a second one is asked."""
-    quantile_ms = window.quantile_ms(HEDGE_QUANTILE_BY_PREFERENCE[preference])
-    if quantile_ms is None:
+    """Return how long to wait for a first endpoint before a second one is asked.
+
+    That is a multiple of the median, which few latencies tell well enough. Once there are many,
+    it is no less than a quantile that keeps most hedges within their budget; it is never much
+    more than nearly all replies take.
+    """
+    median_ms = window.quantile_ms(0.5)
+    latest_ms = window.quantile_ms(LATEST_HEDGE_QUANTILE)
+    if median_ms is None or latest_ms is None:
         return UNKNOWN_HEDGE_DELAY_MS
-    return max(MIN_HEDGE_DELAY_MS, HEDGE_MARGIN_FACTOR * quantile_ms)
+    delay_ms = MEDIAN_FACTOR_BY_PREFERENCE[preference] * median_ms
+    if len(window.ordered_ms) >= ENOUGH_FOR_QUANTILES:
+        earliest_ms = window.quantile_ms(EARLIEST_HEDGE_QUANTILE_BY_PREFERENCE[preference])
+        delay_ms = max(delay_ms, earliest_ms or 0.0)
+    return max(MIN_HEDGE_DELAY_MS, min(delay_ms, LATEST_HEDGE_FACTOR * latest_ms))
 
 
 def progress_limit_ms(window: LatencyWindow) -> float:
--- a/src/radishmount/queries/_progress.py
+++ b/src/radishmount/queries/_progress.py
@@ -24,6 +24,7 @@
     act_at_ms: float = 0.0
     first_sent_at_ms: float | None = None
     hedged: bool = False
+    held_back: bool = False
     pause_ms: float = FIRST_PAUSE_MS
     is_lost: bool = False
     reply: SubReply | None = None
--- a/src/radishmount/queries/_service.py
+++ b/src/radishmount/queries/_service.py
@@ -41,6 +41,6 @@
     pressed = 0
     for endpoint in endpoints:
         total += 1
-        has_shed = now_ms - endpoint.shed_at_ms < PRESSED_KEPT_MS
-        pressed += has_shed or endpoint.limit.queueing
+        last_ms = max(endpoint.shed_at_ms, endpoint.queued_at_ms)
+        pressed += now_ms - last_ms < PRESSED_KEPT_MS
     return 2 * pressed > total
