--- a/src/radishmount/border/_endpoint_connection.py
+++ b/src/radishmount/border/_endpoint_connection.py
@@ -10,8 +10,8 @@
 
 __all__ = ["EndpointConnection"]
 
-CONNECT_TIMEOUT_S = 0.1
-CLOSE_TIMEOUT_S = 0.1
+CONNECT_TIMEOUT_S = 0.2
+CLOSE_TIMEOUT_S = 0.5
 KEEP_ALIVE_S = 3600.0
 READ_BYTES = 65536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
--- a/src/radishmount/endpoints/_link.py
+++ b/src/radishmount/endpoints/_link.py
@@ -23,7 +23,8 @@
 PROBE_TIMEOUT_MS = 500.0
 IDLE_CLOSE_MS = 30_000.0
 TIMER_SLACK_MS = 0.01
-UNCONFIRMED_CLOSE_KEPT_MS = 10_000.0
+UNCONFIRMED_CLOSE_KEPT_MS = 2_000.0
+LATE_REPLY_WAIT_MS = 100.0
 RESTART_AFTER_ERROR_MS = 1_000.0
 LONGEST_FOR_PROBER_MS = 1_500.0
 QUEUED_PER_CONNECTION = 8
@@ -246,9 +247,9 @@
         if remaining_ms <= 0.0:
             return Err(Failure(Code.DEADLINE_PASSED))
         attempt.sent_at_ms = now_ms
-        limit_ms = remaining_ms
+        limit_ms = remaining_ms + LATE_REPLY_WAIT_MS
         if self.policy.progress_limits:
-            limit_ms = min(remaining_ms, attempt.progress_limit_ms)
+            limit_ms = min(limit_ms, attempt.progress_limit_ms)
         try:
             async with asyncio.timeout(limit_ms / 1000.0) as timeout:
                 attempt.interrupt = lambda: timeout.reschedule(0.0)
--- a/src/radishmount/queries/_fan_out.py
+++ b/src/radishmount/queries/_fan_out.py
@@ -65,19 +65,24 @@
         now_ms = self.tools.clock.now_ms()
         remaining_ms = self.search.deadline_at_ms - now_ms
         self.collect_until_ms = now_ms + remaining_ms * (1.0 - ANSWER_MARGIN_RATIO)
-        self._send_first(now_ms)
+        try:
+            self._send_first(now_ms)
+            await self._collect()
+        finally:
+            self._end_open()
+
+    async def _collect(self) -> None:
         while True:
             while self.inbox:
                 self._take(*self.inbox.popleft())
             if not self.unanswered or self.must_restart:
-                break
+                return
             now_ms = self.tools.clock.now_ms()
             if now_ms >= self.collect_until_ms - TIMER_SLACK_MS or self._has_no_hope(now_ms):
-                break
+                return
             if self._act_when_due(now_ms):
                 continue
             await self._sleep_until(min(self.collect_until_ms, self._next_due_ms()), now_ms)
-        self._cancel_open()
 
     @property
     def replies(self) -> list[SubReply]:
@@ -288,7 +293,14 @@
             return False
         return all(p.is_lost for p in self.progress_by_shard.values() if p.reply is None)
 
-    def _cancel_open(self) -> None:
+    def _end_open(self) -> None:
+        """Take back what is still open.
+
+        An exchange that has been sent and is out of time is left to its link: the endpoint knows
+        the deadline, and its late reply saves the connection. If the search starts again the
+        exchange is cancelled, so that it takes no slot of the endpoint.
+        """
         for progress in self.progress_by_shard.values():
             for attempt in list(progress.open_attempts):
-                attempt.cancel()
+                if self.must_restart or attempt.sent_at_ms is None:
+                    attempt.cancel()
