--- a/src/radishmount/queries/_budget.py
+++ b/src/radishmount/queries/_budget.py
@@ -8,6 +8,7 @@
 
 SLICE_MS = 1_000.0
 KEPT_SLICES = 10
+ROUNDING = 1e-6
 
 
 @dataclass(slots=True)
@@ -41,7 +42,7 @@
     def spend(self, now_ms: float) -> bool:
         """Take one extra sub-request out of the budget; tell whether there was one."""
         self._slice(now_ms)
-        if self.spent + 1.0 > self.earned + self.reserve:
+        if self.spent + 1.0 > self.earned + self.reserve + ROUNDING:
             return False
         self.charge(now_ms)
         return True
--- /dev/null
+++ b/tests/queries/test_budget.py
@@ -0,0 +1,113 @@
+"""Budgets and delays of extra sub-requests."""
+
+import pytest
+
+from radishmount.endpoints import Endpoint, LoadReport
+from radishmount.publication import EndpointSpec, Preference
+from radishmount.queries import (
+    ExtraBudget,
+    LatencyWindow,
+    ServiceRecord,
+    hedge_delay_ms,
+    progress_limit_ms,
+)
+
+
+class TestExtraBudget:
+    """No more extra sub-requests than were earned over the last seconds."""
+
+    def test_is_bounded_by_what_was_earned(self) -> None:
+        budget = ExtraBudget()
+        for _ in range(100):
+            budget.earn(0.05, 0.0)
+
+        assert [budget.spend(1.0) for _ in range(7)] == [True] * 5 + [False] * 2
+
+    def test_old_traffic_earns_nothing(self) -> None:
+        budget = ExtraBudget()
+        budget.earn(5.0, 0.0)
+
+        assert not budget.spend(10_000.0)
+
+    def test_old_spending_is_forgotten(self) -> None:
+        budget = ExtraBudget()
+        budget.earn(1.0, 0.0)
+        budget.spend(0.0)
+        budget.earn(1.0, 10_000.0)
+
+        assert budget.spend(10_000.0)
+
+    def test_what_another_budget_granted_counts(self) -> None:
+        budget = ExtraBudget()
+        budget.earn(1.0, 0.0)
+        budget.charge(0.0)
+
+        assert not budget.spend(0.0)
+
+    def test_never_passes_five_in_a_hundred_over_any_ten_seconds(self) -> None:
+        budget = ExtraBudget()
+        spent_at_ms = []
+        for step in range(3_000):
+            now_ms = step * 10.0
+            budget.earn(0.05, now_ms)
+            if budget.spend(now_ms):
+                spent_at_ms.append(now_ms)
+        for end_ms in range(10_000, 30_000, 500):
+            in_window = [at for at in spent_at_ms if end_ms - 10_000.0 < at <= end_ms]
+            assert len(in_window) <= 50 + 5
+
+
+def window_of(*latencies_ms: float) -> LatencyWindow:
+    window = LatencyWindow()
+    for latency_ms in latencies_ms:
+        window.add(latency_ms)
+    return window
+
+
+class TestDelays:
+    """When a second endpoint is asked, and when the first is given up."""
+
+    def test_few_latencies_with_one_outlier_do_not_hide_stragglers(self) -> None:
+        window = window_of(*[10.0] * 9, 200.0)
+
+        assert hedge_delay_ms(window, Preference.COVERAGE) == 25.0
+
+    def test_rules_that_prefer_the_tail_hedge_earlier(self) -> None:
+        window = window_of(*[10.0] * 9, 200.0)
+
+        assert hedge_delay_ms(window, Preference.TAIL) == 20.0
+
+    def test_wide_distributions_hedge_no_more_than_the_budget_pays(self) -> None:
+        window = window_of(*(float(n % 100 + 1) ** 2 / 50.0 for n in range(256)))
+        later = sum(x > hedge_delay_ms(window, Preference.COVERAGE) for x in window.latencies_ms)
+
+        assert later / 256 <= 0.05
+
+    def test_a_silent_connection_is_given_up_before_a_short_deadline(self) -> None:
+        assert progress_limit_ms(window_of(*[10.0] * 20)) == 120.0
+        assert progress_limit_ms(window_of(*[100.0] * 20)) == 600.0
+
+
+class TestServiceRecord:
+    """Hedging stops for a while when most endpoints are pressed."""
+
+    @pytest.mark.parametrize(("pressed", "may_hedge"), [(0, True), (1, True), (2, False)])
+    def test_most_endpoints_shedding(self, pressed: int, may_hedge: bool) -> None:
+        endpoints = [
+            Endpoint(EndpointSpec(f"e{n}", "milano", "127.0.0.1:80"), slots=2) for n in range(3)
+        ]
+        for endpoint in endpoints[:pressed]:
+            endpoint.shed_at_ms = 10_000.0
+        record = ServiceRecord("catalogue")
+
+        assert record.may_hedge(endpoints, 10_500.0) is may_hedge
+        assert record.may_hedge(endpoints, 12_000.0) is True
+
+    def test_growing_queues(self) -> None:
+        endpoints = [
+            Endpoint(EndpointSpec(f"e{n}", "milano", "127.0.0.1:80"), slots=2) for n in range(2)
+        ]
+        for endpoint in endpoints:
+            endpoint.replied(LoadReport(slots=2, in_flight=2, queued=5), 9_990.0, 10_000.0)
+
+        assert ServiceRecord("catalogue").may_hedge(endpoints, 10_100.0) is False
