--- a/src/radishmount/queries/_fan_out.py
+++ b/src/radishmount/queries/_fan_out.py
@@ -68,8 +68,10 @@
         try:
             self._send_first(now_ms)
             await self._collect()
-        finally:
-            self._end_open()
+        except asyncio.CancelledError:
+            self._end_open(cancel_sent=True)
+            raise
+        self._end_open(cancel_sent=self.must_restart)
 
     async def _collect(self) -> None:
         while True:
@@ -293,14 +295,14 @@
             return False
         return all(p.is_lost for p in self.progress_by_shard.values() if p.reply is None)
 
-    def _end_open(self) -> None:
+    def _end_open(self, *, cancel_sent: bool) -> None:
         """Take back what is still open.
 
         An exchange that has been sent and is out of time is left to its link: the endpoint knows
-        the deadline, and its late reply saves the connection. If the search starts again the
-        exchange is cancelled, so that it takes no slot of the endpoint.
+        the deadline, and its late reply saves the connection. If the caller has gone or the search
+        starts again, `cancel_sent` frees the slots of the endpoints at once.
         """
         for progress in self.progress_by_shard.values():
             for attempt in list(progress.open_attempts):
-                if self.must_restart or attempt.sent_at_ms is None:
+                if cancel_sent or attempt.sent_at_ms is None:
                     attempt.cancel()
