--- a/tests/orders/test_path.py
+++ b/tests/orders/test_path.py
@@ -132,3 +132,15 @@
 
         assert (content["error"]["name"], content["ran"]) == ("TICKET_VOID", "not-run")
         assert runs(shop) == 0
+
+    async def test_graceful_stop_finishes_an_order_in_flight(self, shop: Session) -> None:
+        for name in ("order-booking-0", "order-booking-1"):
+            shop.endpoints_by_name[name].behaviour.service_ms = 100.0
+        in_flight = asyncio.create_task(post(shop))
+        while not runs(shop):
+            await asyncio.sleep(0.005)
+        await shop.entry.stop()
+        _, content = await in_flight
+
+        assert content["ran"] == "ran"
+        assert runs(shop) == 1
