Count what waits here for a connection once for each instance

Cause: links queue attempts here since they limit what is in flight, where no report shows them.

Run: make lint; pytest -n 4 of admission, orders, queries, path, imports: 127 passed.

--- a/src/radishmount/admission/_share.py
+++ b/src/radishmount/admission/_share.py
@@ -18,15 +18,16 @@
     return sum(endpoint.slots for endpoint in fit) / max(1, instances)
 
 
-def crowding_at(endpoints: Iterable[Endpoint], now_ms: float) -> float:
+def crowding_at(endpoints: Iterable[Endpoint], instances: int, now_ms: float) -> float:
     """Return how many requests wait for each slot at the least crowded of the fit `endpoints`.
 
-    Those that the endpoint reports count, and those that wait here for a connection to it. The
-    choice of endpoint goes round a crowded one, so that only the best of them tells whether
-    the service as a whole is at its limit.
+    Those that the endpoint reports count, and those that wait here for a connection to it, as
+    often as there are instances: as many wait at each of them. The choice of endpoint goes round
+    a crowded one, so that only the best of them tells whether the service is at its limit.
     """
     ratios = [
-        (endpoint.report.queued + endpoint.in_flight - endpoint.sent) / max(1, endpoint.slots)
+        (endpoint.report.queued + instances * (endpoint.in_flight - endpoint.sent))
+        / max(1, endpoint.slots)
         for endpoint in endpoints
         if endpoint.may_take_work(now_ms)
     ]
--- a/src/radishmount/node_admission.py
+++ b/src/radishmount/node_admission.py
@@ -34,7 +34,11 @@
 
     def crowding_of(target: str) -> float:
         now_ms = clock.now_ms()
-        ratios = [crowding_at(pool.endpoints_of(name), now_ms) for name in services_of(target)]
+        instances = len(fleet.listed_names)
+        ratios = [
+            crowding_at(pool.endpoints_of(service), instances, now_ms)
+            for service in services_of(target)
+        ]
         return max(ratios, default=0.0)
 
     return Admission(clock, counters, share_of, crowding_of)
