--- a/src/radishmount/endpoints/_attempt.py
+++ b/src/radishmount/endpoints/_attempt.py
@@ -7,6 +7,7 @@
 
 from result import Err
 
+from radishmount.codes import Code
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._exchange import Outcome, SubRequest
 
@@ -14,6 +15,7 @@
 __all__ = ["Attempt", "Purpose"]
 
 RESULT_OK = "OK"
+ROUNDING_MS = 0.01
 
 
 class Purpose(StrEnum):
@@ -52,6 +54,12 @@
         if self.interrupt is not None:
             self.interrupt()
 
+    def was_silent(self, code: Code) -> bool:
+        """Tell whether the exchange ended with `code` by its progress limit, not the deadline."""
+        if code is not Code.TIMED_OUT or self.sent_at_ms is None or self.ended_at_ms is None:
+            return False
+        return self.ended_at_ms - self.sent_at_ms >= self.progress_limit_ms - ROUNDING_MS
+
     def finish(self, outcome: Outcome, now_ms: float) -> None:
         """Deliver `outcome`. Later outcomes of the same attempt are dropped."""
         if self.ended_at_ms is not None:
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -87,6 +87,10 @@
             now_ms - self.reported_at_ms <= EVIDENCE_MAX_AGE_MS
         )
 
+    def evidence_age_ms(self, now_ms: float) -> float:
+        """Return the age of the evidence, without end where there is none."""
+        return float("inf") if self.reported_at_ms is None else now_ms - self.reported_at_ms
+
     def is_live(self, now_ms: float) -> bool:
         """Tell whether there is young evidence that it lives and is not leaving."""
         return self.is_known(now_ms) and not self.is_leaving(now_ms)
--- a/src/radishmount/endpoints/_link.py
+++ b/src/radishmount/endpoints/_link.py
@@ -14,6 +14,7 @@
 from radishmount.endpoints._attempt import Attempt
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._exchange import Channel, Failure, OpenChannel, Outcome
+from radishmount.endpoints._waker import wake
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 
 
@@ -304,11 +305,14 @@
         await self._close(channel)
         if failure.code is Code.NOT_CONNECTED:
             return
-        is_suspect = failure.code is Code.CONNECTION_LOST or _was_silent(attempt, failure)
+        is_suspect = failure.code is Code.CONNECTION_LOST or attempt.was_silent(failure.code)
         if is_suspect:
             self.counters.add("broken_connections", failure.code.name)
             self.endpoint.suspect(failure, self.clock.now_ms())
-        if not is_suspect and self._evidence_age_ms() < PROBE_INTERVAL_MS / 2.0:
+        if (
+            not is_suspect
+            and self.endpoint.evidence_age_ms(self.clock.now_ms()) < PROBE_INTERVAL_MS / 2.0
+        ):
             return
         probes = asyncio.current_task() is self.prober
         if self.retired or self._is_over_limit(probes):
@@ -352,9 +356,9 @@
         if not self.waiting or not self._may_send():
             return
         if self.wakers:
-            _wake(self.wakers.pop())
+            wake(self.wakers.pop())
         elif self.prober_waker is not None and self._suits_prober(self.waiting[0]):
-            _wake(self.prober_waker)
+            wake(self.prober_waker)
             self.prober_waker = None
         elif len(self.tasks) + self.unconfirmed < self.connection_limit:
             self._add_connection(probes=False)
@@ -370,10 +374,6 @@
             return self.connection_limit < 1
         return len(self.tasks) + self.unconfirmed > max(1, self.connection_limit)
 
-    def _evidence_age_ms(self) -> float:
-        reported_at_ms = self.endpoint.reported_at_ms
-        return float("inf") if reported_at_ms is None else self.clock.now_ms() - reported_at_ms
-
     def _give_up(self, attempt: Attempt) -> None:
         """Take a cancelled attempt out of the queue."""
         self.waiting.remove(attempt)
@@ -385,20 +385,7 @@
 
     def _wake_all(self) -> None:
         if self.prober_waker is not None:
-            _wake(self.prober_waker)
+            wake(self.prober_waker)
             self.prober_waker = None
         while self.wakers:
-            _wake(self.wakers.popleft())
-
-
-def _was_silent(attempt: Attempt, failure: Failure) -> bool:
-    """Tell whether the exchange passed its progress limit, rather than the deadline."""
-    if failure.code is not Code.TIMED_OUT or attempt.sent_at_ms is None:
-        return False
-    lasted_ms = (attempt.ended_at_ms or attempt.sent_at_ms) - attempt.sent_at_ms
-    return lasted_ms >= attempt.progress_limit_ms - TIMER_SLACK_MS
-
-
-def _wake(waker: asyncio.Future[None]) -> None:
-    if not waker.done():
-        waker.set_result(None)
+            wake(self.wakers.popleft())
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -17,6 +17,7 @@
 from radishmount.endpoints._holders import connections_of_holder, holders_of
 from radishmount.endpoints._limit import InFlightLimit
 from radishmount.endpoints._link import Link
+from radishmount.endpoints._waker import wake
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 from radishmount.publication import EMPTY_PUBLICATION, EndpointSpec, Publication
 
@@ -92,7 +93,7 @@
         loop = asyncio.get_running_loop()
         waiter = loop.create_future()
         self.evidence_waiters.append(waiter)
-        timer = loop.call_later(timeout_ms / 1000.0, _wake, waiter)
+        timer = loop.call_later(timeout_ms / 1000.0, wake, waiter)
         try:
             await waiter
         finally:
@@ -179,9 +180,4 @@
 
     def _evidence_came(self) -> None:
         while self.evidence_waiters:
-            _wake(self.evidence_waiters.pop())
-
-
-def _wake(waiter: asyncio.Future[None]) -> None:
-    if not waiter.done():
-        waiter.set_result(None)
+            wake(self.evidence_waiters.pop())
