--- a/src/radishmount/control.py
+++ b/src/radishmount/control/_control.py
@@ -3,14 +3,14 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
-from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 from result import Result
 
 from radishmount.audit import AuditTrail
-from radishmount.clock import Clock
 from radishmount.codes import Refusal
+from radishmount.control._parts import ControlParts
+from radishmount.control._start_up import StartUp
 from radishmount.counters import Counters
 from radishmount.fleet import (
     ADDRESSES_VALID_FOR_MS,
@@ -20,61 +20,28 @@
     Heartbeat,
     HeldVersions,
     InstanceList,
-    InstanceListSource,
     ListSpread,
     ListWatch,
     Members,
     Membership,
     MemberState,
     MemberUpdate,
-    OpenPeer,
     Peers,
     PlatformWatch,
     first_incarnation,
     make_freshness,
 )
 from radishmount.publication import (
-    ConfigurationSource,
     Distribution,
     InForce,
     Publication,
-    ReadBundle,
 )
 
 
-__all__ = ["LEAVING_GRACE_MS", "Control", "ControlParts", "OpenPeerFor", "Platform", "make_control"]
+__all__ = ["LEAVING_GRACE_MS", "Control", "make_control"]
 
-START_LIMIT_MS = 5_000.0
-SEED_INTERVAL_MS = 1_000.0
 LEAVING_GRACE_MS = ADDRESSES_VALID_FOR_MS + 1_000.0
 
-OpenPeerFor = Callable[[Members, Counters], OpenPeer]
-
-
-class Platform(ConfigurationSource, InstanceListSource, Protocol):
-    """The platform, which can only be read and watched."""
-
-    async def close(self) -> None:
-        """Close the connections."""
-
-
-@dataclass(frozen=True, slots=True)
-class ControlParts:
-    """What the control of an instance is handed from outside.
-
-    `seeds` are peer addresses to ask while no instance list is known; `forget` drops what the
-    rest of the instance believes of endpoints.
-    """
-
-    name: str
-    data_centre: str
-    clock: Clock
-    random: Random
-    platform: Platform
-    read_bundle: ReadBundle
-    open_peer_for: OpenPeerFor
-    seeds: tuple[str, ...] = ()
-
 
 @dataclass(slots=True)
 class Control:
@@ -93,12 +60,17 @@
     bundle_reader: PlatformWatch
     list_reader: PlatformWatch
     freshness: Freshness
+    start_up: StartUp
     on_forget: list[Callable[[], None]] = field(default_factory=list)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
     reader_tasks: list[asyncio.Task[None]] = field(default_factory=list)
-    has_started: bool = False
     takes_requests_until_ms: float | None = None
 
+    @property
+    def has_started(self) -> bool:
+        """Tell whether platform and peers were asked since the start."""
+        return self.start_up.has_started
+
     def start(self) -> None:
         """Start the watches at the platform, the streams to peers and the tick."""
         self.membership.start()
@@ -106,8 +78,8 @@
         self.list_spread.start()
         self._start_readers()
         self._start_task("tick", self.freshness.run())
-        self._start_task("start up", self._start_up())
-        self._start_task("seeds", self._ask_seeds())
+        self._start_task("start up", self.start_up.run())
+        self._start_task("seeds", self.start_up.ask_seeds())
         self._start_task("probe random", self.membership.probe_random())
         self._start_task("close idle", self.membership.close_idle())
 
@@ -195,42 +167,6 @@
         for name, reading in work.items():
             self.reader_tasks.append(asyncio.create_task(reading, name=name))
 
-    async def _start_up(self) -> None:
-        """Be ready only with the highest version that the platform and the peers hold."""
-        await self.list_reader.was_read.wait()
-        await self.bundle_reader.was_read.wait()
-        await self._wait_for(lambda: self.fleet.list_version > 0)
-        try:
-            async with asyncio.timeout(START_LIMIT_MS / 1000.0):
-                await self._wait_for(self.membership.all_tried)
-                await self._end_fetch()
-        except TimeoutError:
-            self.counters.add("starts_without_all_peers")
-        await self._wait_for(lambda: self.in_force.current.version > 0)
-        self.has_started = True
-        version = self.in_force.current.version
-        self.audit.record(
-            "instance", "ready", cause="platform and peers were asked", version=version
-        )
-
-    async def _wait_for(self, condition: Callable[[], bool]) -> None:
-        while not condition():
-            self.membership.progress.clear()
-            await self.membership.progress.wait()
-
-    async def _end_fetch(self) -> None:
-        for fetching in (self.list_spread.fetching, self.distribution.fetching):
-            if fetching is not None:
-                await asyncio.wait([fetching])
-
-    async def _ask_seeds(self) -> None:
-        """Ask the addresses of the settings for a list while the platform gives none."""
-        await self.list_reader.was_read.wait()
-        while self.fleet.list_version == 0 and self.parts.seeds:
-            for address in self.parts.seeds:
-                await self.peers.open_address(address)
-            await self.parts.clock.sleep_ms(SEED_INTERVAL_MS)
-
     def _start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         self.tasks.append(asyncio.create_task(work, name=name))
 
@@ -271,7 +207,7 @@
             self.list_reader.was_read.wait(),
             self.bundle_reader.was_read.wait(),
         )
-        await self._end_fetch()
+        await self.start_up.end_fetches()
 
 
 async def _end(tasks: list[asyncio.Task[None]]) -> None:
@@ -290,6 +226,13 @@
     in_force = InForce(parts.read_bundle, audit, counters, clock)
     list_watch = ListWatch(fleet, audit, counters, clock)
     peers = Peers(fleet, parts.open_peer_for(members, counters), clock, counters)
+    membership = Membership(
+        fleet, peers, clock, random, audit, counters, held=lambda: control.held()
+    )
+    distribution = Distribution(in_force, peers, clock, counters)
+    list_spread = ListSpread(list_watch, peers, counters)
+    bundle_reader = PlatformWatch(fleet, clock, random, counters, "bundle")
+    list_reader = PlatformWatch(fleet, clock, random, counters, "instances")
     control = Control(
         parts=parts,
         audit=audit,
@@ -298,18 +241,27 @@
         in_force=in_force,
         list_watch=list_watch,
         peers=peers,
-        membership=Membership(
-            fleet, peers, clock, random, audit, counters, held=lambda: control.held()
-        ),
-        distribution=Distribution(in_force, peers, clock, counters),
-        list_spread=ListSpread(list_watch, peers, counters),
-        bundle_reader=PlatformWatch(fleet, clock, random, counters, "bundle"),
-        list_reader=PlatformWatch(fleet, clock, random, counters, "instances"),
+        membership=membership,
+        distribution=distribution,
+        list_spread=list_spread,
+        bundle_reader=bundle_reader,
+        list_reader=list_reader,
         freshness=make_freshness(
             clock, audit, counters, lambda: control.forget(), lambda: control.renew()
         ),
+        start_up=StartUp(
+            clock=clock,
+            audit=audit,
+            counters=counters,
+            membership=membership,
+            distribution=distribution,
+            list_spread=list_spread,
+            bundle_reader=bundle_reader,
+            list_reader=list_reader,
+            seeds=parts.seeds,
+        ),
     )
-    control.membership.on_heartbeat.append(control.see_heartbeat)
+    membership.on_heartbeat.append(control.see_heartbeat)
     in_force.on_change.append(control.take_publication)
     list_watch.on_change.append(control.take_list)
     return control
--- a/src/radishmount/publication/_in_force.py
+++ b/src/radishmount/publication/_in_force.py
@@ -26,6 +26,8 @@
 class InForce:
     """The publication in force. It never goes back; `on_change` is told of each new one.
 
+    What is told must not suspend: a renewal after a pause may cancel the task that tells.
+
     `refusals` holds what was refused, so that one fault is recorded once for each source, however
     often it is offered.
     """
