--- a/tests/fleet/test_distribution.py
+++ b/tests/fleet/test_distribution.py
@@ -7,6 +7,7 @@
 from fakes import FakePlatform
 from fleet_world import make_world
 from radishmount.codes import Code
+from radishmount.fleet import is_watcher
 
 
 pytestmark = pytest.mark.looptime
@@ -69,6 +70,33 @@
         assert reads_by_size[6] <= 2.0
         assert reads_by_size[30] <= 2.0
 
+    async def test_the_duty_to_watch_moves_when_the_watchers_die(self) -> None:
+        world = make_world()
+        await world.start_all(NAMES, ("milano",))
+        watchers = [n for n, c in world.controls_by_name.items() if is_watcher(c.fleet)]
+        for name in watchers:
+            await world.kill(name)
+        await asyncio.sleep(5.0)
+        world.platform.publish_bundle(2, b"2 two")
+        await asyncio.sleep(IN_FORCE_LIMIT_S)
+
+        assert len(watchers) == 2
+        assert set(world.versions().values()) == {2}
+        await world.stop()
+
+    async def test_watchers_that_cannot_read_are_made_up_for(self) -> None:
+        world = make_world()
+        await world.start_all(NAMES, ("milano",))
+        for name, control in world.controls_by_name.items():
+            if is_watcher(control.fleet):
+                world.platforms_by_name[name].platform = FakePlatform(down=True)
+        await asyncio.sleep(12.0)
+        world.platform.publish_bundle(2, b"2 two")
+        await asyncio.sleep(16.0)
+
+        assert set(world.versions().values()) == {2}
+        await world.stop()
+
     async def test_rubbish_is_refused_whole_and_harms_nothing(self) -> None:
         world = make_world()
         await world.start_all(NAMES, CENTRES)
