--- a/src/radishmount/border/_quantities.py
+++ b/src/radishmount/border/_quantities.py
@@ -2,7 +2,6 @@
 
 import re
 from collections.abc import Callable
-from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated
 
 from pydantic import AfterValidator, BeforeValidator, Field
@@ -26,6 +25,8 @@
 MAX_PORT = 65_535
 MS_BY_UNIT = {"ms": 1.0, "s": 1_000.0, "min": 60_000.0}
 PER_S_BY_UNIT = {"/s": 1.0, "/min": 1.0 / 60.0}
+OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+ADDRESS_PATTERN = re.compile(rf"{OCTET}(?:\.{OCTET}){{3}}:([0-9]{{1,5}})")
 QUANTITY_PATTERN = re.compile(r"^([0-9]{1,15}(?:\.[0-9]{1,15})?) ?([a-z/]*)$")
 
 
@@ -54,12 +55,10 @@
 
 def _address_with(least_port: int) -> Callable[[str], str]:
     def check(value: str) -> str:
-        host, _, port = value.rpartition(":")
-        try:
-            IPv4Address(host)
-        except AddressValueError as error:
-            raise PydanticCustomError("address", "must be an IP number and a port") from error
-        if not (port.isascii() and port.isdigit() and least_port <= int(port[:6]) <= MAX_PORT):
+        match = ADDRESS_PATTERN.fullmatch(value)
+        if match is None:
+            raise PydanticCustomError("address", "must be an IP number and a port")
+        if not least_port <= int(match[1]) <= MAX_PORT:
             raise PydanticCustomError("address", f"must have a port from {least_port} to 65535")
         return value
 
