--- a/src/radishmount/programs/_ask_command.py
+++ b/src/radishmount/programs/_ask_command.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +18,7 @@
 __all__ = ["PROGRAM", "AskCommand", "Asked"]
 
 PROGRAM = "radishmount-ask"
+NUMBER_PATTERN = re.compile(r"[0-9]{1,15}")
 
 Asked = Result[AskAnswer, Refusal]
 
@@ -72,7 +74,7 @@
         text = self.option(name)
         if text is None:
             return Ok(None)
-        if not (text.isascii() and text.isdigit()):
+        if NUMBER_PATTERN.fullmatch(text) is None:
             return Err(Refusal(Code.BAD_FIELD, detail=f"--{name} takes a number, not {text!r}"))
         return Ok(int(text))
 
--- a/src/radishmount/programs/ask.py
+++ b/src/radishmount/programs/ask.py
@@ -183,13 +183,21 @@
     name = "explain"
     description = "Prints why a request was slow, partial or refused, with each attempt."
     arguments = [argument("request-id", "The request id that the answer had.")]
-    options = [OPERATORS, JSON]
+    options = [
+        option("at", None, "Operators' addresses of instances.", flag=False, multiple=True),
+        JSON,
+    ]
     needs = ("at",)
     to_text = staticmethod(explain_text)
 
     async def fetch(self, client: AskClient) -> Asked:
-        """Read the record of the request."""
-        return await client.get(self.option("at"), f"/explain/{self.argument('request-id')}")
+        """Ask one instance after the other, until one of them keeps the record."""
+        last: Asked = Err(Refusal(Code.NOT_CONNECTED))
+        for address in self.option("at"):
+            last = await client.get(address, f"/explain/{self.argument('request-id')}")
+            if isinstance(last, Ok) and last.ok_value.error is None:
+                return last
+        return last
 
 
 async def _enquire(client: AskClient, caller: str, ticket: str) -> Asked:
--- a/src/radishmount/programs/check.py
+++ b/src/radishmount/programs/check.py
@@ -1,6 +1,7 @@
 """`radishmount-check`: checks a folder of published objects as one, and writes the bundle."""
 
 import json
+import re
 from pathlib import Path
 from typing import Any
 
@@ -26,6 +27,7 @@
 __all__ = ["main"]
 
 PROGRAM = "radishmount-check"
+VERSION_PATTERN = re.compile(r"[0-9]{1,15}")
 
 
 class CheckCommand(Command):
@@ -120,7 +122,7 @@
 def _read_version(text: str | None, old: Publication) -> Result[int, Refusal]:
     if text is None:
         return Ok(old.version + 1)
-    if not (text.isascii() and text.isdigit() and int(text) > 0):
+    if not (VERSION_PATTERN.fullmatch(text) and int(text) > 0):
         return Err(Refusal(Code.BAD_FIELD, detail=f"{text!r} is not a version, which is 1 or more"))
     if int(text) <= old.version:
         return Err(Refusal(Code.VERSION_NOT_GROWING, detail=f"{text} after {old.version}"))
--- a/tests/border/test_fuzz.py
+++ b/tests/border/test_fuzz.py
@@ -67,6 +67,14 @@
         {"name": "e", "role": "entry", "data_centre": "m", "state": "live", "caller_address": "x"}
     ],
 }
+MANIFEST = {
+    "manifest": {
+        "version": 7,
+        "total_bytes": 20,
+        "sha256": "0" * 64,
+        "pieces": ["radishmount/bundle/7/0"],
+    }
+}
 SETTINGS = {
     "name": "entry-a",
     "data_centre": "milano",
@@ -235,7 +243,7 @@
         run(lambda: answer_with(content, ask))
 
     @FUZZ
-    @given(content=responses(LIST))
+    @given(content=responses(LIST) | responses(MANIFEST))
     def test_platform_answers(self, content: bytes) -> None:
         async def ask(address: str) -> None:
             platform = HttpPlatform(address)
--- a/tests/programs/test_ask.py
+++ b/tests/programs/test_ask.py
@@ -156,8 +156,11 @@
             attempts=(attempt,),
             code=Code.PARTIAL,
         )
-        with running(FakeService(record=record), operators) as address:
-            assert run("explain", "--at", address, "r1") == 0
+        with (
+            running(FakeService(), operators) as other,
+            running(FakeService(record=record), operators) as address,
+        ):
+            assert run("explain", "--at", other, "--at", address, "r1") == 0
 
         out = capsys.readouterr().out
         assert "partial after 9.0 of 10 ms" in out
--- a/tests/programs/test_check.py
+++ b/tests/programs/test_check.py
@@ -80,7 +80,9 @@
 
         assert "5010 VERSION_NOT_GROWING" in capsys.readouterr().err
 
-    @pytest.mark.parametrize("argv", [(), (PADANA, "--bogus"), (PADANA, "--as", "x")])
+    @pytest.mark.parametrize(
+        "argv", [(), (PADANA, "--bogus"), (PADANA, "--as", "x"), (PADANA, "--as", "9" * 5000)]
+    )
     def test_wrong_usage_has_an_exit_code_of_its_own(self, argv: tuple[str, ...]) -> None:
         assert run(*argv) == 2
 
