--- a/src/radishmount/border/_http.py
+++ b/src/radishmount/border/_http.py
@@ -4,6 +4,7 @@
 import re
 import traceback
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Protocol
 
 from aiohttp import web
@@ -99,7 +100,7 @@
                 response = await _handle(request, handler, service)
             else:
                 response = await kept.run(_handle(request, handler, service))
-            result_name = response.get(RESULT_NAME, "OK")
+            result_name = response.get(RESULT_NAME, _status_name(response.status))
             if service.is_leaving():
                 response.force_close()
             await _send(request, response, service)
@@ -188,6 +189,11 @@
             request.transport.abort()
 
 
+def _status_name(status: int) -> str:
+    """Return how metrics name an answer that tells no code."""
+    return "OK" if status < HTTPStatus.BAD_REQUEST else f"HTTP_{status}"
+
+
 def _path_of(request: web.Request) -> str:
     """Return the path as it was registered, so that metrics know few of them."""
     resource = request.match_info.route.resource
