--- a/tests/border/test_callers.py
+++ b/tests/border/test_callers.py
@@ -1,6 +1,7 @@
 """The callers' HTTP, with a fake instance behind it."""
 
 import asyncio
+import gzip
 import json
 
 import aiohttp
@@ -64,6 +65,15 @@
         assert 400 <= status < 600
         assert service.calls == []
 
+    async def test_a_compressed_body_is_not_expanded(self) -> None:
+        service = FakeService()
+        body = gzip.compress(b" " * 10_000_000 + json.dumps(SEARCH).encode())
+        async with serving(service) as address:
+            _, content = await post(address, body, **{"Content-Encoding": "gzip"})
+
+        assert content["error"]["name"] == "BAD_BODY"
+        assert service.calls == []
+
     async def test_a_slow_body_is_refused(self, monkeypatch: pytest.MonkeyPatch) -> None:
         monkeypatch.setattr(_http, "BODY_TIMEOUT_S", 0.05)
         monkeypatch.setattr(_serve, "HANDLER_OPTIONS", {"lingering_time": 0.05})
