--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -14,6 +14,7 @@
 from radishmount.border._peer_codec import add_peer_models, pack_frame, unpack_frame
 from radishmount.border._peer_hello import PeerKey
 from radishmount.border._peer_models import PeerModel
+from radishmount.border._peer_orders import ORDER_PEER_MODELS
 from radishmount.border._peer_stream import PeerServer, make_open_peer, serve_peers
 from radishmount.border._platform_client import HttpPlatform
 from radishmount.border._refusals import status_of
@@ -35,6 +36,7 @@
     "EndpointChannel",
     "EntrySettings",
     "HttpPlatform",
+    "ORDER_PEER_MODELS",
     "Listen",
     "MAX_VALUE_BYTES",
     "ObjectFolder",
--- a/src/radishmount/border/_callers.py
+++ b/src/radishmount/border/_callers.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from radishmount.border._answers import address_response, answer_response
+from radishmount.border._caller_orders import OrderService, add_order_routes
 from radishmount.border._http import (
     HttpService,
     elapsed_ms,
@@ -45,6 +46,10 @@
     async def search(self, request_id: str, call: SearchCall) -> Result[Answer, Refusal]:
         """Answer a search."""
 
+    @property
+    def orders(self) -> OrderService:
+        """Return what takes orders."""
+
 
 class KeysModel(BorderModel):
     """The keys that a search is narrowed to."""
@@ -128,4 +133,5 @@
     )
     app.router.add_get("/v1/addresses", addresses)
     app.router.add_post(SEARCH_PATH, search, expect_handler=expect_continue)
+    add_order_routes(app, lambda: service.orders)
     return app
--- a/src/radishmount/border/_endpoint_client.py
+++ b/src/radishmount/border/_endpoint_client.py
@@ -10,9 +10,21 @@
 from yarl import URL
 
 from radishmount.border._endpoint_connection import EndpointConnection
+from radishmount.border._endpoint_orders import place_order
+from radishmount.border._load_model import LoadModel
 from radishmount.border._models import BorderModel, describe_fault
 from radishmount.codes import Code, Ran
-from radishmount.endpoints import Channel, Failure, LoadReport, Outcome, Row, SubReply, SubRequest
+from radishmount.endpoints import (
+    Channel,
+    Failure,
+    LoadReport,
+    OrderExchange,
+    OrderRequest,
+    Outcome,
+    Row,
+    SubReply,
+    SubRequest,
+)
 
 
 __all__ = ["EndpointChannel", "open_endpoint_channel"]
@@ -26,22 +38,6 @@
 }
 
 
-class LoadModel(BorderModel):
-    """The load report in every reply."""
-
-    slots: int = 0
-    in_flight: int = 0
-    queued: int = 0
-    draining: bool = False
-    versions: list[int]
-
-    def to_data(self) -> LoadReport:
-        """Return the report as a data class."""
-        return LoadReport(
-            self.slots, self.in_flight, self.queued, self.draining, frozenset(self.versions)
-        )
-
-
 class ReplyModel(BorderModel):
     """A reply of an endpoint to a sub-request."""
 
@@ -61,6 +57,7 @@
 
     def __init__(self, address: str) -> None:
         self._search_url = URL(f"http://{address}/v1/search")
+        self._orders_url = URL(f"http://{address}/v1/orders")
         self._state_url = URL(f"http://{address}/v1/state")
         self._connection = EndpointConnection()
 
@@ -77,6 +74,12 @@
             return Err(Failure(Code.CONNECTION_LOST, Ran.UNKNOWN, detail=repr(error)))
         return _outcome_of(content, request)
 
+    async def place(self, request: OrderRequest, remaining_ms: float) -> OrderExchange:
+        """Send an order, whose body leaves only when the endpoint is ready for it."""
+        return await place_order(
+            self._connection.session(), self._orders_url, request, remaining_ms
+        )
+
     async def probe(self) -> Result[LoadReport, Failure]:
         """Ask for the endpoint's state."""
         try:
--- a/src/radishmount/endpoints/__init__.py
+++ b/src/radishmount/endpoints/__init__.py
@@ -1,6 +1,7 @@
 """Endpoints: the evidence of each, the choice among them, and the connections to them."""
 
 from radishmount.endpoints._attempt import Attempt, Purpose
+from radishmount.endpoints._carried import Carried
 from radishmount.endpoints._choice import Choose, expected_ms, make_choice
 from radishmount.endpoints._ejection import Ejection, ejectable
 from radishmount.endpoints._endpoint import EVIDENCE_MAX_AGE_MS, Endpoint
@@ -19,12 +20,19 @@
 from radishmount.endpoints._latency import LatencyEstimate, faded
 from radishmount.endpoints._limit import InFlightLimit
 from radishmount.endpoints._link import Link
+from radishmount.endpoints._order_exchange import (
+    OrderExchange,
+    OrderReply,
+    OrderRequest,
+    SendGate,
+)
 from radishmount.endpoints._pool import EndpointPool
 
 
 __all__ = [
     "EVIDENCE_MAX_AGE_MS",
     "Attempt",
+    "Carried",
     "Channel",
     "Choose",
     "Ejection",
@@ -36,10 +44,14 @@
     "Link",
     "LoadReport",
     "OpenChannel",
+    "OrderExchange",
+    "OrderReply",
+    "OrderRequest",
     "Outcome",
     "Purpose",
     "Row",
     "SearchTerms",
+    "SendGate",
     "SubReply",
     "SubRequest",
     "connections_of_holder",
--- a/src/radishmount/endpoints/_attempt.py
+++ b/src/radishmount/endpoints/_attempt.py
@@ -7,15 +7,13 @@
 
 from result import Err
 
-from radishmount.codes import Code
 from radishmount.endpoints._endpoint import Endpoint
-from radishmount.endpoints._exchange import Outcome, SubRequest
+from radishmount.endpoints._exchange import Channel, Outcome, SubRequest
 
 
 __all__ = ["Attempt", "Purpose"]
 
 RESULT_OK = "OK"
-ROUNDING_MS = 0.01
 
 
 class Purpose(StrEnum):
@@ -46,6 +44,20 @@
     cancelled: bool = False
     interrupt: Callable[[], None] | None = None
 
+    @property
+    def deadline_at_ms(self) -> float:
+        """Return the time after which the exchange is broken off."""
+        return self.request.deadline_at_ms
+
+    @property
+    def index_version(self) -> int | None:
+        """Return the index version that is asked for."""
+        return self.request.index_version
+
+    async def send(self, channel: Channel, remaining_ms: float) -> Outcome:
+        """Make the exchange over `channel`."""
+        return await channel.exchange(self.request, remaining_ms)
+
     def cancel(self) -> None:
         """Give the attempt up: it is not sent, or its connection is closed."""
         if self.cancelled or self.ended_at_ms is not None:
@@ -54,12 +66,6 @@
         if self.interrupt is not None:
             self.interrupt()
 
-    def was_silent(self, code: Code) -> bool:
-        """Tell whether the exchange ended with `code` by its progress limit, not the deadline."""
-        if code is not Code.TIMED_OUT or self.sent_at_ms is None or self.ended_at_ms is None:
-            return False
-        return self.ended_at_ms - self.sent_at_ms >= self.progress_limit_ms - ROUNDING_MS
-
     def finish(self, outcome: Outcome, now_ms: float) -> None:
         """Deliver `outcome`. Later outcomes of the same attempt are dropped."""
         if self.ended_at_ms is not None:
--- a/src/radishmount/endpoints/_link.py
+++ b/src/radishmount/endpoints/_link.py
@@ -5,15 +5,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import Any
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from radishmount.clock import Clock
 from radishmount.codes import Code, Ran
 from radishmount.counters import Counters
-from radishmount.endpoints._attempt import Attempt
+from radishmount.endpoints._carried import Carried, was_silent
 from radishmount.endpoints._endpoint import Endpoint
-from radishmount.endpoints._exchange import Channel, Failure, OpenChannel, Outcome
+from radishmount.endpoints._exchange import Channel, Failure, OpenChannel
 from radishmount.endpoints._waker import wake
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 
@@ -58,7 +59,7 @@
     connection_limit: int
     policy: QueryPolicy = EVERY_MECHANISM
     on_evidence: Callable[[], None] = lambda: None
-    waiting: deque[Attempt] = field(default_factory=deque)
+    waiting: deque[Carried] = field(default_factory=deque)
     wakers: deque[asyncio.Future[None]] = field(default_factory=deque)
     timer: asyncio.TimerHandle | None = None
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -74,7 +75,7 @@
             return
         self.prober = self._add_connection(probes=True)
 
-    def submit(self, attempt: Attempt) -> None:
+    def submit(self, attempt: Carried) -> None:
         """Hand over one attempt; it is sent by the next free connection."""
         attempt.endpoint.took_request()
         if self.retired or self.connection_limit < 1:
@@ -156,12 +157,12 @@
                         return
                     case Turn.PROBE:
                         await self._probe(channel)
-                    case Attempt() as attempt:
+                    case attempt:
                         await self._carry(channel, attempt)
         finally:
             await self._close(channel)
 
-    async def _next(self, probes: bool) -> Attempt | Turn:
+    async def _next(self, probes: bool) -> Carried | Turn:
         """Return the next attempt, or what to do when there is none in time."""
         idle_since_ms = self.clock.now_ms()
         while True:
@@ -176,7 +177,7 @@
                 return Turn.PROBE if probes else Turn.END
             await self._sleep(probes)
 
-    def _take_waiting(self, probes: bool) -> Attempt | None:
+    def _take_waiting(self, probes: bool) -> Carried | None:
         """Return the attempt that has waited longest, if one more may be sent.
 
         The probing connection leaves long exchanges to the others, so that probes are not kept
@@ -189,7 +190,7 @@
         self.endpoint.sent += 1
         return self.waiting.popleft()
 
-    def _suits_prober(self, attempt: Attempt) -> bool:
+    def _suits_prober(self, attempt: Carried) -> bool:
         return attempt.progress_limit_ms <= LONGEST_FOR_PROBER_MS or self.connection_limit == 1
 
     async def _sleep(self, probes: bool) -> None:
@@ -227,9 +228,9 @@
             return
         self._wake_all()
 
-    async def _carry(self, channel: Channel, attempt: Attempt) -> None:
+    async def _carry(self, channel: Channel, attempt: Carried) -> None:
         """Send one attempt that was taken, and deliver its outcome whatever happens."""
-        outcome: Outcome = Err(Failure(Code.CANCELLED, Ran.UNKNOWN))
+        outcome: Result[Any, Failure] = Err(Failure(Code.CANCELLED, Ran.UNKNOWN))
         try:
             outcome = await self._exchange(channel, attempt)
         finally:
@@ -239,12 +240,12 @@
             await self._mend(channel, outcome.err_value, attempt)
         self._put_to_work()
 
-    async def _exchange(self, channel: Channel, attempt: Attempt) -> Outcome:
+    async def _exchange(self, channel: Channel, attempt: Carried) -> Result[Any, Failure]:
         refused = await self._reason_not_to_send(channel, attempt)
         if refused is not None:
             return Err(refused)
         now_ms = self.clock.now_ms()
-        remaining_ms = self.clock.remaining_ms(attempt.request.deadline_at_ms)
+        remaining_ms = self.clock.remaining_ms(attempt.deadline_at_ms)
         if remaining_ms <= 0.0:
             return Err(Failure(Code.DEADLINE_PASSED))
         attempt.sent_at_ms = now_ms
@@ -254,7 +255,7 @@
         try:
             async with asyncio.timeout(limit_ms / 1000.0) as timeout:
                 attempt.interrupt = lambda: timeout.reschedule(0.0)
-                outcome = await channel.exchange(attempt.request, remaining_ms)
+                outcome = await attempt.send(channel, remaining_ms)
         except TimeoutError:
             code = Code.CANCELLED if attempt.cancelled else Code.TIMED_OUT
             return Err(Failure(code, Ran.UNKNOWN))
@@ -264,7 +265,7 @@
             return Err(Failure(Code.BAD_REPLY, Ran.RAN, detail="to another request"))
         return outcome
 
-    async def _reason_not_to_send(self, channel: Channel, attempt: Attempt) -> Failure | None:
+    async def _reason_not_to_send(self, channel: Channel, attempt: Carried) -> Failure | None:
         """Return why the attempt is not sent; old evidence is renewed by a probe first."""
         attempt.interrupt = None
         if not self.endpoint.is_known(self.clock.now_ms()):
@@ -278,7 +279,7 @@
             return Failure(Code.NOT_CONNECTED, detail="a probe was not answered")
         return None
 
-    def _finish(self, attempt: Attempt, outcome: Outcome) -> None:
+    def _finish(self, attempt: Carried, outcome: Result[Any, Failure]) -> None:
         now_ms = self.clock.now_ms()
         self.endpoint.ended_request()
         match outcome:
@@ -292,11 +293,11 @@
                 self.endpoint.failed(failure, attempt.sent_at_ms, now_ms)
                 if failure.code is Code.NOT_CONNECTED and attempt.sent_at_ms is not None:
                     self.endpoint.blame(failure, now_ms)
-                if failure.code in DENYING_CODES:
-                    self.endpoint.denied(attempt.request.index_version, now_ms)
+                if failure.code in DENYING_CODES and attempt.index_version is not None:
+                    self.endpoint.denied(attempt.index_version, now_ms)
         attempt.finish(outcome, now_ms)
 
-    async def _mend(self, channel: Channel, failure: Failure, attempt: Attempt) -> None:
+    async def _mend(self, channel: Channel, failure: Failure, attempt: Carried) -> None:
         """Close a connection that cannot be used again; the endpoint is blamed only with proof.
 
         A connection that was cut, lost or silent says little of its endpoint. So a new one is
@@ -305,7 +306,7 @@
         await self._close(channel)
         if failure.code is Code.NOT_CONNECTED:
             return
-        is_suspect = failure.code is Code.CONNECTION_LOST or attempt.was_silent(failure.code)
+        is_suspect = failure.code is Code.CONNECTION_LOST or was_silent(attempt, failure.code)
         if is_suspect:
             self.counters.add("broken_connections", failure.code.name)
             self.endpoint.suspect(failure, self.clock.now_ms())
@@ -374,7 +375,7 @@
             return self.connection_limit < 1
         return len(self.tasks) + self.unconfirmed > max(1, self.connection_limit)
 
-    def _give_up(self, attempt: Attempt) -> None:
+    def _give_up(self, attempt: Carried) -> None:
         """Take a cancelled attempt out of the queue."""
         self.waiting.remove(attempt)
         self._finish(attempt, Err(Failure(Code.CANCELLED)))
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -10,7 +10,7 @@
 from radishmount.clock import Clock
 from radishmount.codes import Code
 from radishmount.counters import Counters
-from radishmount.endpoints._attempt import Attempt
+from radishmount.endpoints._carried import Carried
 from radishmount.endpoints._ejection import Ejection, ejectable
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._exchange import Failure, OpenChannel
@@ -47,7 +47,7 @@
         """Return the endpoints of `service`."""
         return self.endpoints_by_service.get(service, ())
 
-    def submit(self, attempt: Attempt) -> None:
+    def submit(self, attempt: Carried) -> None:
         """Send `attempt` over the link of its endpoint, if that is still published."""
         link = self.links_by_name.get(attempt.endpoint.name)
         if link is None or link.endpoint is not attempt.endpoint:
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from radishmount.admission import Admission
+from radishmount.admission import Admission, Permit
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.codes import Code, Refusal
@@ -30,19 +30,26 @@
     Peers,
     choose_addresses,
 )
+from radishmount.node_admission import join_admission
+from radishmount.node_orders import OrderWiring, join_orders
+from radishmount.orders import OrderCall, OrderDesk, OrderTools, new_start_number
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
-from radishmount.publication import InForce, Publication, ReadBundle, Shard
+from radishmount.publication import InForce, Publication, ReadBundle, Rule, Shard
 from radishmount.queries import Answer, QueryTools, RequestRecord, Search, SearchCall, run_search
 
 
 __all__ = ["Node", "NodeParts", "Platform", "make_node"]
 
 LOAD_INTERVAL_MS = 1_000.0
+SECRET_BYTES = 32
 
 
 @dataclass(frozen=True, slots=True)
 class NodeParts:
-    """What an instance is handed from outside; `seeds` are peer addresses of its settings."""
+    """What an instance is handed from outside; `seeds` are peer addresses of its settings.
+
+    `secret` is the same for the whole fleet; without one, tickets are good at one instance only.
+    """
 
     name: str
     data_centre: str
@@ -54,6 +61,7 @@
     open_peer_for: OpenPeerFor
     policy: QueryPolicy = EVERY_MECHANISM
     seeds: tuple[str, ...] = ()
+    secret: bytes = b""
 
 
 @dataclass(slots=True)
@@ -64,9 +72,10 @@
     control: Control
     pool: EndpointPool
     tools: QueryTools
+    orders: OrderDesk
     audit: AuditTrail
     counters: Counters
-    admission: Admission = field(default_factory=Admission)
+    admission: Admission
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     @property
@@ -90,7 +99,8 @@
         self._start_task("load", self._tell_load())
 
     async def stop(self) -> None:
-        """End every task and close every connection."""
+        """Finish the orders in flight, end every task and close every connection."""
+        await self.orders.runner.drain()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -130,25 +140,41 @@
         if isinstance(found, Err):
             return found
         rule = found.ok_value
-        admitted = self.admission.admit(call.caller, rule, self.parts.clock.now_ms())
+        deadline_ms = min(call.deadline_ms or rule.deadline_ms, rule.deadline_ms)
+        deadline_at_ms = arrived_at_ms + deadline_ms
+        admitted = await self.admission.enter(call.caller, rule, deadline_at_ms)
         if isinstance(admitted, Err):
             return admitted
-        deadline_ms = min(call.deadline_ms or rule.deadline_ms, rule.deadline_ms)
         search = Search(
             request_id=request_id,
             caller=call.caller,
             collection=collection,
             rule=rule,
             terms=call.terms,
-            deadline_at_ms=arrived_at_ms + deadline_ms,
+            deadline_at_ms=deadline_at_ms,
             deadline_ms=deadline_ms,
         )
-        return await run_search(search, self._shards_of(collection.name), self.tools)
+        answer: Result[Answer, Refusal] | None = None
+        try:
+            answer = await run_search(search, self._shards_of(collection.name), self.tools)
+        finally:
+            admitted.ok_value.release(answered=answer is not None and _is_complete(answer))
+        return answer
 
     def _shards_of(self, collection: str) -> Callable[[], Sequence[Shard]]:
         """Return a function that reads the shards of a collection from what is in force."""
         return lambda: self.in_force.current.shards_by_collection.get(collection, ())
 
+    async def admit_order(
+        self, call: OrderCall, rule: Rule, deadline_at_ms: float
+    ) -> Result[Permit, Refusal]:
+        """Admit an order at the instance that runs it."""
+        clock = self.parts.clock
+        taken = await self.may_take_request(clock.remaining_ms(deadline_at_ms))
+        if isinstance(taken, Err):
+            return taken
+        return await self.admission.enter(call.caller, rule, deadline_at_ms)
+
     async def may_take_request(self, deadline_ms: float | None) -> Result[None, Refusal]:
         """Tell whether a new request is taken; after a pause it waits for a renewed view."""
         if not self.control.has_started:
@@ -198,7 +224,8 @@
     async def take_list(self, instance_list: InstanceList) -> None:
         """Hand a new instance list to the parts that follow it."""
         names = self.fleet.listed_names
-        self.admission.instances = len(names)
+        self.admission.take_instances(len(names))
+        self.orders.keys.ownership.take_list(names, self.parts.clock.now_ms())
         await self.pool.take_publication(self.in_force.current, names)
         self.pool.take_leaving(instance_list.leaving_endpoints)
 
@@ -215,6 +242,10 @@
         self.tasks.append(asyncio.create_task(work, name=name))
 
 
+def _is_complete(answer: Result[Answer, Refusal]) -> bool:
+    return isinstance(answer, Ok) and answer.ok_value.coverage.complete
+
+
 def load_of(pool: EndpointPool, now_ms: float) -> float:
     """Return the load of an instance: in flight over slots, or 1.0 when most endpoints are lost.
 
@@ -247,13 +278,26 @@
         open_peer_for=parts.open_peer_for,
         seeds=parts.seeds,
     )
+    control = make_control(control_parts, audit, counters)
+    tools = QueryTools(pool, parts.clock, choose, counters, parts.policy)
+    wiring = OrderWiring(
+        own_name=parts.name,
+        start_number=new_start_number(parts.clock, parts.random),
+        secret=parts.secret or parts.random.randbytes(SECRET_BYTES),
+        clock=parts.clock,
+        in_force=control.in_force,
+        peers=control.peers,
+        admit=lambda call, rule, deadline_at_ms: node.admit_order(call, rule, deadline_at_ms),
+    )
     node = Node(
         parts=parts,
-        control=make_control(control_parts, audit, counters),
+        control=control,
         pool=pool,
-        tools=QueryTools(pool, parts.clock, choose, counters, parts.policy),
+        tools=tools,
+        orders=join_orders(wiring, OrderTools(pool, parts.clock, choose, counters)),
         audit=audit,
         counters=counters,
+        admission=join_admission(parts.clock, counters, pool, control.fleet, control.in_force),
     )
     node.in_force.on_change.append(node.take_publication)
     node.control.list_watch.on_change.append(node.take_list)
--- /dev/null
+++ b/src/radishmount/node_orders.py
@@ -0,0 +1,118 @@
+"""The orders of one instance, joined to its other aggregates and to its peers."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+from radishmount.clock import Clock
+from radishmount.codes import Code, Ran, Refusal
+from radishmount.fleet import Peers
+from radishmount.orders import (
+    Admit,
+    KeyAgreement,
+    KeyClaim,
+    OrderAnswer,
+    OrderCall,
+    OrderDesk,
+    OrderParts,
+    OrderQuestion,
+    OrderReport,
+    OrderTools,
+    make_order_desk,
+)
+from radishmount.publication import InForce, Rule
+
+
+__all__ = ["OrderWiring", "join_orders"]
+
+HOP_ALLOWANCE_MS = 200.0
+AGREEMENT_TIMEOUT_MS = 500.0
+
+
+@dataclass(frozen=True, slots=True)
+class OrderWiring:
+    """What the orders of an instance need of it. `secret` is the same in the whole fleet."""
+
+    own_name: str
+    start_number: int
+    secret: bytes
+    clock: Clock
+    in_force: InForce
+    peers: Peers
+    admit: Admit
+
+
+def join_orders(wiring: OrderWiring, tools: OrderTools) -> OrderDesk:
+    """Return the desk of an instance, and have it answer its peers."""
+    desk = make_order_desk(
+        OrderParts(
+            own_name=wiring.own_name,
+            start_number=wiring.start_number,
+            secret=wiring.secret,
+            tools=tools,
+            bind=_make_bind(wiring.in_force),
+            admit=wiring.admit,
+            forward=_make_forward(wiring.peers),
+            ask_agreement=_make_ask_agreement(wiring.peers),
+        )
+    )
+    wiring.peers.answer(OrderQuestion, _answer_questions(desk))
+    wiring.peers.answer(KeyClaim, _answer_claims(desk))
+    return desk
+
+
+def _make_bind(in_force: InForce) -> Callable[[OrderCall], Result[Rule, Refusal]]:
+    def bind(call: OrderCall) -> Result[Rule, Refusal]:
+        publication = in_force.current
+        if publication.version == 0:
+            return Err(Refusal(Code.NOT_READY))
+        if call.service not in publication.services_by_name:
+            return Err(Refusal(Code.UNKNOWN_SERVICE, detail=call.service))
+        return publication.rule_for(call.caller, call.service)
+
+    return bind
+
+
+def _make_forward(
+    peers: Peers,
+) -> Callable[[str, OrderQuestion], Awaitable[Result[OrderAnswer, Refusal]]]:
+    async def forward(instance: str, question: OrderQuestion) -> Result[OrderAnswer, Refusal]:
+        limit_ms = question.remaining_ms + HOP_ALLOWANCE_MS
+        answered = await peers.ask(instance, question, limit_ms)
+        if isinstance(answered, Err):
+            return answered
+        report = answered.ok_value
+        if not isinstance(report, OrderReport):
+            return Err(Refusal(Code.BAD_FRAME, detail=instance, ran=Ran.UNKNOWN))
+        return Ok(report.answer)
+
+    return forward
+
+
+def _make_ask_agreement(
+    peers: Peers,
+) -> Callable[[str, KeyClaim], Awaitable[KeyAgreement | None]]:
+    async def ask_agreement(instance: str, claim: KeyClaim) -> KeyAgreement | None:
+        answered = await peers.ask(instance, claim, AGREEMENT_TIMEOUT_MS)
+        agreement = answered.ok()
+        return agreement if isinstance(agreement, KeyAgreement) else None
+
+    return ask_agreement
+
+
+def _answer_questions(desk: OrderDesk) -> Callable[[str, Any], Awaitable[Result[Any, Refusal]]]:
+    async def answer(peer: str, question: OrderQuestion) -> Result[Any, Refusal]:
+        return Ok(OrderReport(await desk.take_forwarded(question)))
+
+    return answer
+
+
+def _answer_claims(desk: OrderDesk) -> Callable[[str, Any], Awaitable[Result[Any, Refusal]]]:
+    async def answer(peer: str, claim: KeyClaim) -> Result[Any, Refusal]:
+        if claim.owner != peer:
+            return Err(Refusal(Code.STRANGER, detail=f"{peer} claims for {claim.owner}"))
+        return Ok(desk.keys.answer_claim(claim))
+
+    return answer
--- /dev/null
+++ b/src/radishmount/orders/_tools.py
@@ -0,0 +1,22 @@
+"""What an order needs from outside: endpoints, clock, budget and counters."""
+
+from dataclasses import dataclass, field
+
+from radishmount.clock import Clock
+from radishmount.counters import Counters
+from radishmount.endpoints import Choose, EndpointPool
+from radishmount.orders._budget import RetryBudget
+
+
+__all__ = ["OrderTools"]
+
+
+@dataclass(slots=True)
+class OrderTools:
+    """Handed to every order of one instance."""
+
+    pool: EndpointPool
+    clock: Clock
+    choose: Choose
+    counters: Counters
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -73,6 +73,7 @@
     async def stop(self) -> None:
         """Finish the requests in flight and stop."""
         await self.callers.stop()
+        await self.node.orders.runner.drain()
         await self.peers.stop()
         await self.node.stop()
         await self.operators.stop()
@@ -107,6 +108,7 @@
             open_peer_for=open_peer_for,
             policy=policy,
             seeds=settings.seeds,
+            secret=key,
         ),
         audit,
         counters,
--- a/src/radishmount/standins/__init__.py
+++ b/src/radishmount/standins/__init__.py
@@ -6,6 +6,12 @@
 from radishmount.standins._endpoint import EndpointStandIn
 from radishmount.standins._faults import ENTRY_FAULTS, run_fault
 from radishmount.standins._network import delayed_channels, link_delay
+from radishmount.standins._orders import (
+    OrderBehaviour,
+    OrderRecord,
+    OrderStandIn,
+    runs_by_request_id,
+)
 from radishmount.standins._platform import ListedInstance, PlatformStandIn
 from radishmount.standins._relay import Relay, start_relay
 from radishmount.standins._serve import StandInServer, serve_stand_in
@@ -21,6 +27,9 @@
     "EndpointRecord",
     "EndpointStandIn",
     "ListedInstance",
+    "OrderBehaviour",
+    "OrderRecord",
+    "OrderStandIn",
     "PlatformStandIn",
     "PlatformView",
     "Stage",
@@ -33,6 +42,7 @@
     "link_delay",
     "read_trial_file",
     "run_fault",
+    "runs_by_request_id",
     "serve_stand_in",
     "start_relay",
     "start_stage",
--- a/src/radishmount/standins/_endpoint.py
+++ b/src/radishmount/standins/_endpoint.py
@@ -12,6 +12,7 @@
 
 from radishmount.publication import Shard
 from radishmount.standins._behaviour import EndpointBehaviour
+from radishmount.standins._orders import OrderStandIn
 from radishmount.standins._serve import StandInServer
 from radishmount.trial import EndpointRecord
 
@@ -41,6 +42,7 @@
     shards_by_name: Mapping[str, Shard] = field(default_factory=dict)
     behaviour: EndpointBehaviour = field(default_factory=EndpointBehaviour)
     records: list[EndpointRecord] = field(default_factory=list)
+    orders: OrderStandIn = field(default_factory=OrderStandIn)
     in_flight: int = 0
     queued: int = 0
     probes: int = 0
@@ -59,6 +61,7 @@
         app.router.add_post("/v1/search", self._search)
         app.router.add_post("/v1/cancel", self._cancel)
         app.router.add_get("/v1/state", self._state)
+        self.orders.add_routes(app, self)
         return app
 
     def now_ms(self) -> float:
