--- a/src/radishmount/programs/_trial_run.py
+++ b/src/radishmount/programs/_trial_run.py
@@ -41,6 +41,7 @@
 __all__ = ["TrialOutcome", "run_trial"]
 
 BASELINE_ENTRY = "baseline"
+START_INTERVAL_S = 0.3
 
 RunFault = Callable[[FaultPlan], Awaitable[None]]
 
@@ -78,7 +79,10 @@
     fleet = EntryFleet(stage)
     callers = Callers(plan, clock, fleet.addresses)
     try:
-        await asyncio.gather(*(fleet.start(name) for name in names))
+        # All share one interpreter: together they would hold up each other's first connections.
+        for name in names:
+            await fleet.start(name)
+            await asyncio.sleep(START_INTERVAL_S)
         await wait_until_ready(plan, callers)
         control_cpu_ratio = await _idle_cpu_ratio(fleet, plan.idle_ms)
         await drive(warm_up(plan), callers.ask, clock, WARM_UP_PREFIX)
--- a/src/radishmount/standins/_caller.py
+++ b/src/radishmount/standins/_caller.py
@@ -90,6 +90,7 @@
             return True
         record.told = Told.REFUSED
         record.code = str(error["name"])
+        record.detail = str(error.get("detail", ""))
         record.ran = str(error["ran"])
         self._tried(record, target, refused_as=record.code, ran=record.ran)
         return record.code not in MOVE_ON_CODES
--- a/src/radishmount/trial/_records.py
+++ b/src/radishmount/trial/_records.py
@@ -79,6 +79,7 @@
     request_id: str = ""
     echoed_request_id: str = ""
     code: str = ""
+    detail: str = ""
     ran: str = ""
     index_version: int = 0
     complete: bool = False
--- a/src/radishmount/trial/_violations.py
+++ b/src/radishmount/trial/_violations.py
@@ -13,6 +13,7 @@
 
 LEAVING_GRACE_MS = 3_000.0
 KEPT_EXAMPLES = 20
+INTERNAL_ERROR = "INTERNAL"
 
 RecordsById = Mapping[str, Sequence[EndpointRecord]]
 
@@ -113,6 +114,8 @@
 
 def _check_lost(call: CallRecord, stopped: frozenset[str], violations: Violations) -> None:
     """Count a call that was lost, for which no entry but one asked to stop can be blamed."""
+    if call.code == INTERNAL_ERROR:
+        violations.note(f"{call.code}: {call.call_id} at {call.at_ms:.0f} ms, {call.detail}")
     if call.told is not Told.LOST:
         return
     tries = ", ".join(f"{t.instance}{' cut' if t.cut else ''}" for t in call.tries)
