--- a/src/radishmount/border/_metrics.py
+++ b/src/radishmount/border/_metrics.py
@@ -1,6 +1,7 @@
 """Metrics in the text format of Prometheus: counters, gauges and the latency of requests."""
 
 import re
+import time
 from typing import Protocol
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -56,7 +57,11 @@
         if metric not in collectors:
             collectors[metric] = Counter(metric, f"Events: {name}.", registry=registry)
         collectors[metric].set({"label": label} if label else {}, value)
-    gauges = {**service.gauges(), "requests_in_flight": float(requests.in_flight)}
+    gauges = {
+        **service.gauges(),
+        "requests_in_flight": float(requests.in_flight),
+        "process_cpu_seconds": time.process_time(),
+    }
     for name, value in sorted(gauges.items()):
         Gauge(f"{PREFIX}_{name}", f"Present value: {name}.", registry=registry).set({}, value)
     body, headers = render(registry, [])
--- a/src/radishmount/programs/_trial_processes.py
+++ b/src/radishmount/programs/_trial_processes.py
@@ -25,9 +25,11 @@
 )
 from radishmount.programs._trial_fleet import entry_settings
 from radishmount.standins import (
+    EntryUsage,
     ListedInstance,
     StageControl,
     StageReader,
+    read_usage,
     serve_stand_in,
     start_stage,
 )
@@ -55,6 +57,7 @@
 
     control: Listen
     callers: list[str]
+    operators: list[str]
 
 
 async def serve_standins(plan: TrialPlan, folder: Path) -> None:
@@ -82,25 +85,57 @@
     callers = Callers(plan, clock, lambda: found.callers)
     try:
         await wait_until_ready(plan, callers)
+        control = await _idle_usage(found.operators, plan.idle_ms)
         await drive(warm_up(plan), callers.ask, clock, WARM_UP_PREFIX)
         await reader.begin()
         arrivals = arrivals_of(plan.loads, plan.duration_ms, plan.seed)
+        before = await read_usage(found.operators)
         calls = await drive(arrivals, callers.ask, clock, LOAD_PREFIX)
+        after = await read_usage(found.operators)
         recorded = await reader.records()
     finally:
         await callers.close()
     reads_per_s = recorded.platform_reads * 1000.0 / plan.duration_ms
-    cost = ControlCost(platform_reads_per_s=reads_per_s)
+    cost = ControlCost(
+        cpu_us_per_subrequest=_cpu_us(before, after, len(recorded.records)),
+        control_cpu_ratio=control.cpu_s,
+        control_bytes_per_s=control.control_bytes,
+        platform_reads_per_s=reads_per_s,
+    )
     figures = judge_run(plan, calls, recorded.records, cost, recorded.connections_over_cap)
     return Ok(Summary(plan, figures, None, check_bounds(plan.bounds, figures, None)))
 
 
+async def _idle_usage(operators: Sequence[str], idle_ms: float) -> EntryUsage:
+    """Return what one entry uses each second without load, on average."""
+    before = await read_usage(operators)
+    await asyncio.sleep(idle_ms / 1000.0)
+    after = await read_usage(operators)
+    share = 1000.0 / idle_ms / max(1, after.entries)
+    return EntryUsage(
+        entries=1,
+        cpu_s=(after.cpu_s - before.cpu_s) * share,
+        control_bytes=(after.control_bytes - before.control_bytes) * share,
+    )
+
+
+def _cpu_us(before: EntryUsage, after: EntryUsage, sub_requests: int) -> float | None:
+    """Return the processor time of a sub-request; none when an entry ended meanwhile."""
+    if before.entries != after.entries or not sub_requests:
+        return None
+    return (after.cpu_s - before.cpu_s) * 1e6 / sub_requests
+
+
 def _read_standins_file(path: Path) -> Result[StandInsFile, Refusal]:
     match read_jsonc(path):
         case Err(refusal):
             return Err(refusal)
         case Ok(content):
-            return Ok(StandInsFile(split_address(content["control"]), content["callers"]))
+            return Ok(
+                StandInsFile(
+                    split_address(content["control"]), content["callers"], content["operators"]
+                )
+            )
 
 
 def _write_settings(folder: Path, settings: Sequence[EntrySettings], control: Listen) -> None:
@@ -109,7 +144,9 @@
         text = json.dumps(_settings_content(one), indent=2)
         (folder / f"{one.name}.jsonc").write_text(text, encoding="utf-8")
     callers = [str(one.caller_listen) for one in settings]
-    text = json.dumps({"control": str(control), "callers": callers}, indent=2)
+    operators = [str(one.operator_listen) for one in settings]
+    content = {"control": str(control), "callers": callers, "operators": operators}
+    text = json.dumps(content, indent=2)
     (folder / CONTROL_FILE).write_text(text, encoding="utf-8")
 
 
--- a/src/radishmount/standins/__init__.py
+++ b/src/radishmount/standins/__init__.py
@@ -5,6 +5,7 @@
 from radishmount.standins._control import StageControl, StageReader, StageRecords
 from radishmount.standins._endpoint import EndpointStandIn
 from radishmount.standins._faults import ENTRY_FAULTS, run_fault
+from radishmount.standins._metrics import EntryUsage, read_usage
 from radishmount.standins._network import delayed_channels, link_delay
 from radishmount.standins._platform import ListedInstance, PlatformStandIn
 from radishmount.standins._relay import Relay, start_relay
@@ -20,6 +21,7 @@
     "EndpointBehaviour",
     "EndpointRecord",
     "EndpointStandIn",
+    "EntryUsage",
     "ListedInstance",
     "PlatformStandIn",
     "PlatformView",
@@ -32,6 +34,7 @@
     "delayed_channels",
     "link_delay",
     "read_trial_file",
+    "read_usage",
     "run_fault",
     "serve_stand_in",
     "start_relay",
