--- a/src/radishmount/queries/_fan_out.py
+++ b/src/radishmount/queries/_fan_out.py
@@ -30,6 +30,8 @@
 
 ANSWER_MARGIN_RATIO = 0.02
 TIMER_SLACK_MS = 0.01
+LATE_WAKE_MS = 5.0
+MIN_SHARDS_TO_COMPARE = 4
 MIN_RESTART_MS = 10.0
 RESTART_CHECK_INTERVAL_MS = 10.0
 
@@ -65,20 +67,23 @@
         self.collect_until_ms = now_ms + remaining_ms * (1.0 - ANSWER_MARGIN_RATIO)
         try:
             self._send_first(now_ms)
-            while True:
-                while self.inbox:
-                    self._take(*self.inbox.popleft())
-                if not self.unanswered or self.must_restart:
-                    break
-                now_ms = self.tools.clock.now_ms()
-                if now_ms >= self.collect_until_ms - TIMER_SLACK_MS or self._has_no_hope(now_ms):
-                    break
-                if self._act_when_due(now_ms):
-                    continue
-                await self._sleep_until(min(self.collect_until_ms, self._next_due_ms()), now_ms)
+            await self._collect()
         finally:
             # Also when the caller has gone and the search is cancelled.
-            self._cancel_open()
+            self._end_open()
+
+    async def _collect(self) -> None:
+        while True:
+            while self.inbox:
+                self._take(*self.inbox.popleft())
+            if not self.unanswered or self.must_restart:
+                return
+            now_ms = self.tools.clock.now_ms()
+            if now_ms >= self.collect_until_ms - TIMER_SLACK_MS or self._has_no_hope(now_ms):
+                return
+            if self._act_when_due(now_ms):
+                continue
+            await self._sleep_until(min(self.collect_until_ms, self._next_due_ms()), now_ms)
 
     @property
     def replies(self) -> list[SubReply]:
@@ -128,16 +133,36 @@
         """Act for the shard that is due; tell whether there was one."""
         if self._next_due_ms() > now_ms + TIMER_SLACK_MS:
             return False
-        progress = heapq.heappop(self.due)[2]
+        due_at_ms, _, progress = heapq.heappop(self.due)
         progress.act_at_ms = float("inf")
         if not progress.open_attempts:
             self._send(progress)
         elif not progress.hedged:
+            hold_ms = self._hold_ms(progress, now_ms - due_at_ms)
+            if hold_ms:
+                progress.held_back = True
+                self._plan(progress, now_ms + hold_ms)
+                return True
             self._hedge(progress, now_ms)
         else:
             self._move_on(progress, now_ms)
         return True
 
+    def _hold_ms(self, progress: ShardProgress, late_ms: float) -> float:
+        """Return how long to hold a hedge back, once: only one among many is a straggler.
+
+        While most shards are unanswered the delay is everywhere, and after a late wake-up replies
+        may lie unread: hedges would only add to it.
+        """
+        if progress.held_back:
+            return 0.0
+        if late_ms > LATE_WAKE_MS:
+            return LATE_WAKE_MS
+        shards = len(self.progress_by_shard)
+        if shards >= MIN_SHARDS_TO_COMPARE and 2 * self.unanswered > shards:
+            return hedge_delay_ms(progress.service.window, self.search.rule.prefer)
+        return 0.0
+
     def _send(self, progress: ShardProgress) -> None:
         """Send to the best replica; with none, or no budget for it, try again after a pause."""
         now_ms = self.tools.clock.now_ms()
@@ -269,7 +294,14 @@
             return False
         return all(p.is_lost for p in self.progress_by_shard.values() if p.reply is None)
 
-    def _cancel_open(self) -> None:
+    def _end_open(self) -> None:
+        """Take back what is still open.
+
+        An exchange that has been sent and is out of time is left to its link: the endpoint knows
+        the deadline, and its late reply saves the connection. If the search starts again the
+        exchange is cancelled, so that it takes no slot of the endpoint.
+        """
         for progress in self.progress_by_shard.values():
             for attempt in list(progress.open_attempts):
-                attempt.cancel()
+                if self.must_restart or attempt.sent_at_ms is None:
+                    attempt.cancel()
