--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -12,10 +12,24 @@
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.codes import Code, Refusal
-from radishmount.control import Control, ControlParts, OpenPeerFor, Platform, make_control
+from radishmount.control import (
+    LEAVING_GRACE_MS,
+    Control,
+    ControlParts,
+    OpenPeerFor,
+    Platform,
+    make_control,
+)
 from radishmount.counters import Counters
 from radishmount.endpoints import EndpointPool, OpenChannel, make_choice
-from radishmount.fleet import AddressAnswer, Fleet, InstanceList, Peers, choose_addresses
+from radishmount.fleet import (
+    AddressAnswer,
+    EndpointNews,
+    Fleet,
+    InstanceList,
+    Peers,
+    choose_addresses,
+)
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 from radishmount.publication import InForce, Publication, ReadBundle, Shard
 from radishmount.queries import Answer, QueryTools, RequestRecord, Search, SearchCall, run_search
@@ -83,9 +97,9 @@
         await self.control.stop()
         await self.pool.stop()
 
-    def leave(self) -> None:
-        """Begin a graceful stop: callers are sent elsewhere, requests still answered a while."""
-        self.control.leave()
+    def leave(self, grace_ms: float = LEAVING_GRACE_MS) -> None:
+        """Begin a graceful stop: callers are sent elsewhere, requests answered for `grace_ms`."""
+        self.control.leave(grace_ms)
 
     def is_leaving(self) -> bool:
         """Tell whether callers are to be moved to other instances."""
@@ -245,4 +259,12 @@
     node.control.list_watch.on_change.append(node.take_list)
     node.control.on_forget.append(pool.forget_evidence)
     node.control.membership.load = node.load
+    news = EndpointNews(
+        node.peers,
+        counters,
+        users_of=lambda name: pool.users_of(name, node.fleet.listed_names),
+        take_hint=pool.take_leaving_hint,
+    )
+    news.start()
+    pool.on_leaving = news.tell_leaving
     return node
--- a/src/radishmount/programs/_trial_run.py
+++ b/src/radishmount/programs/_trial_run.py
@@ -1,6 +1,7 @@
 """One trial from end to end: the system under its load and faults, then the baseline."""
 
 import asyncio
+import gc
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
@@ -187,6 +188,8 @@
 
     tasks = [asyncio.create_task(at_its_time(fault)) for fault in plan.faults]
     arrivals = arrivals_of(plan.loads, plan.duration_ms, plan.seed)
+    # What stands by now stays to the end: the collector need not look at it during the load.
+    gc.freeze()
     calls = await drive(arrivals, ask, clock, LOAD_PREFIX)
     for task in tasks:
         task.cancel()
