--- a/src/radishmount/programs/_trial_run.py
+++ b/src/radishmount/programs/_trial_run.py
@@ -1,6 +1,7 @@
 """One trial from end to end: the system under its load and faults, then the baseline."""
 
 import asyncio
+import gc
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
@@ -41,6 +42,7 @@
 __all__ = ["TrialOutcome", "run_trial"]
 
 BASELINE_ENTRY = "baseline"
+START_INTERVAL_S = 0.3
 
 RunFault = Callable[[FaultPlan], Awaitable[None]]
 
@@ -78,7 +80,10 @@
     fleet = EntryFleet(stage)
     callers = Callers(plan, clock, fleet.addresses)
     try:
-        await asyncio.gather(*(fleet.start(name) for name in names))
+        # All share one interpreter: together they would hold up each other's first connections.
+        for name in names:
+            await fleet.start(name)
+            await asyncio.sleep(START_INTERVAL_S)
         await wait_until_ready(plan, callers)
         control_cpu_ratio = await _idle_cpu_ratio(fleet, plan.idle_ms)
         await drive(warm_up(plan), callers.ask, clock, WARM_UP_PREFIX)
@@ -183,6 +188,8 @@
 
     tasks = [asyncio.create_task(at_its_time(fault)) for fault in plan.faults]
     arrivals = arrivals_of(plan.loads, plan.duration_ms, plan.seed)
+    # What stands by now stays to the end: the collector need not look at it during the load.
+    gc.freeze()
     calls = await drive(arrivals, ask, clock, LOAD_PREFIX)
     for task in tasks:
         task.cancel()
--- a/src/radishmount/standins/__init__.py
+++ b/src/radishmount/standins/__init__.py
@@ -5,6 +5,7 @@
 from radishmount.standins._control import StageControl, StageReader, StageRecords
 from radishmount.standins._endpoint import EndpointStandIn
 from radishmount.standins._faults import ENTRY_FAULTS, run_fault
+from radishmount.standins._metrics import EntryUsage, read_usage
 from radishmount.standins._network import delayed_channels, link_delay
 from radishmount.standins._orders import (
     OrderBehaviour,
@@ -26,6 +27,7 @@
     "EndpointBehaviour",
     "EndpointRecord",
     "EndpointStandIn",
+    "EntryUsage",
     "ListedInstance",
     "OrderBehaviour",
     "OrderRecord",
@@ -41,6 +43,7 @@
     "delayed_channels",
     "link_delay",
     "read_trial_file",
+    "read_usage",
     "run_fault",
     "runs_by_request_id",
     "serve_stand_in",
