--- a/src/radishmount/endpoints/_carried.py
+++ b/src/radishmount/endpoints/_carried.py
@@ -5,11 +5,14 @@
 
 from result import Result
 
+from radishmount.codes import Code
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._exchange import Channel, Failure
 
 
-__all__ = ["Carried"]
+__all__ = ["Carried", "was_silent"]
+
+ROUNDING_MS = 0.01
 
 
 class Carried(Protocol):
@@ -40,3 +43,10 @@
 
     def finish(self, outcome: Result[Any, Failure], now_ms: float) -> None:
         """Take the outcome."""
+
+
+def was_silent(attempt: Carried, code: Code) -> bool:
+    """Tell whether the exchange ended with `code` by its progress limit, not the deadline."""
+    if code is not Code.TIMED_OUT or attempt.sent_at_ms is None or attempt.ended_at_ms is None:
+        return False
+    return attempt.ended_at_ms - attempt.sent_at_ms >= attempt.progress_limit_ms - ROUNDING_MS
--- a/tests/standins/test_endpoint.py
+++ b/tests/standins/test_endpoint.py
@@ -124,8 +124,9 @@
         await bench.until(lambda: bench.endpoint.in_flight == 1)
 
         running.cancel()
-        await bench.until(lambda: bench.endpoint.in_flight == 0)
+        await bench.until(lambda: bench.endpoint.records[0].outcome != "open")
 
+        assert bench.endpoint.in_flight == 0
         assert bench.endpoint.records[0].outcome == "cancelled"
 
     async def test_work_whose_deadline_passed_in_the_queue_does_not_run(self, bench: Bench) -> None:
