Follow the holders of endpoints through changes of the list

Change: HolderBook keeps the holders, weighs only instances that came, and ranks anew only the endpoints that lost one. A property test compares it with a new ranking after every change.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -18,16 +18,17 @@
 
 import msgpack
 
+from radishmount.audit import AuditTrail
 from radishmount.border import object_from, publication_from, read_bundle, write_bundle
 from radishmount.clock import loop_clock
 from radishmount.counters import Counters
 from radishmount.endpoints import (
     Endpoint,
     EndpointPool,
+    HolderBook,
     LoadReport,
     Row,
     SubReply,
-    holders_of,
     make_choice,
 )
 from radishmount.publication import EndpointSpec, Publication
@@ -135,7 +136,7 @@
 def live_endpoint(name: str) -> Endpoint:
     """Return an endpoint with young evidence."""
     endpoint = Endpoint(EndpointSpec(name, "dc", "127.0.0.1:80"), slots=2)
-    endpoint.reported(LoadReport(2, 0, 0, False, frozenset({1})), now_ms=0.0)
+    endpoint.reported(LoadReport(2, 0, 0, False, frozenset({1})), 0.0, 0.0)
     return endpoint
 
 
@@ -190,14 +191,14 @@
     async def probe(self):  # type: ignore[no-untyped-def]
         await asyncio.Event().wait()
 
-    async def close(self) -> None:
-        return None
+    async def close(self) -> bool:
+        return True
 
 
 async def _links_kib(endpoints: int) -> float:
     publication = publication_of(endpoints)
     clock = loop_clock(asyncio.get_running_loop())
-    pool = EndpointPool("entry-0", lambda address: _StillChannel(), clock, Counters())
+    pool = EndpointPool("entry-0", lambda address: _StillChannel(), clock, Counters(), AuditTrail(clock))
     gc.collect()
     tracemalloc.start()
     await pool.take_publication(publication, ["entry-0"])
@@ -212,7 +213,7 @@
 def query_lines() -> list[Line]:
     """Measure the decisions of one search by its number of shards."""
     sizes = (10, 100, 1300)
-    choose = make_choice("dc")
+    choose = make_choice("dc", Random(1))
     by_service = {
         f"service-{n}": [live_endpoint(f"{n}-{i}") for i in range(3)] for n in range(1300)
     }
@@ -263,11 +264,32 @@
     """Measure the division of one endpoint's connections by the number of instances."""
     sizes = (9, 100, 500)
     names_by_size = {size: [f"entry-{n}" for n in range(size)] for size in sizes}
-    costs = [
-        least_us(lambda s=s: [holders_of(f"e-{n}", names_by_size[s], CAP) for n in range(100)])
-        for s in sizes
+
+    def ranked(size: int) -> HolderBook:
+        book = HolderBook()
+        book.take_instances(names_by_size[size])
+        for n in range(100):
+            book.holders_of(f"e-{n}", CAP)
+        return book
+
+    def one_joins(book: HolderBook) -> None:
+        book.take_instances([*book.instances, f"entry-{len(book.instances)}"])
+
+    books = {size: ranked(size) for size in sizes}
+    return [
+        Line(
+            "holders of 100 endpoints, first ranking, us by instances",
+            "us",
+            sizes,
+            [least_us(lambda s=s: ranked(s)) for s in sizes],
+        ),
+        Line(
+            "holders of 100 endpoints when one instance joins, us by instances",
+            "us",
+            sizes,
+            [least_us(lambda s=s: one_joins(books[s])) for s in sizes],
+        ),
     ]
-    return [Line("holders of 100 endpoints, us by instances", "us", sizes, costs)]
 
 
 def frame_lines() -> list[Line]:
--- a/src/radishmount/endpoints/__init__.py
+++ b/src/radishmount/endpoints/__init__.py
@@ -16,7 +16,7 @@
     SubReply,
     SubRequest,
 )
-from radishmount.endpoints._holders import connections_of_holder, holders_of
+from radishmount.endpoints._holders import HolderBook, holder_count, share_of_holder
 from radishmount.endpoints._latency import LatencyEstimate, faded
 from radishmount.endpoints._limit import InFlightLimit
 from radishmount.endpoints._link import Link
@@ -39,6 +39,7 @@
     "Endpoint",
     "EndpointPool",
     "Failure",
+    "HolderBook",
     "InFlightLimit",
     "LatencyEstimate",
     "Link",
@@ -54,10 +55,10 @@
     "SendGate",
     "SubReply",
     "SubRequest",
-    "connections_of_holder",
     "ejectable",
     "expected_ms",
     "faded",
-    "holders_of",
+    "holder_count",
     "make_choice",
+    "share_of_holder",
 ]
--- a/src/radishmount/endpoints/_holders.py
+++ b/src/radishmount/endpoints/_holders.py
@@ -1,29 +1,76 @@
 """The division of an endpoint's connection cap among the instances that may connect to it."""
 
-from collections.abc import Sequence
+from bisect import insort
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 
-from radishmount.rendezvous import rank
+from radishmount.rendezvous import weight
 
 
-__all__ = ["connections_of_holder", "holders_of"]
+__all__ = ["HolderBook", "holder_count", "share_of_holder"]
 
 CONNECTIONS_PER_HOLDER = 2
 JOINING_INSTANCES = 1
 
+Ranked = list[tuple[int, str]]
 
-def holders_of(endpoint: str, instances: Sequence[str], cap: int) -> list[str]:
-    """Return the instances that may connect to `endpoint`, of all that are listed."""
-    count = max(1, cap // CONNECTIONS_PER_HOLDER - JOINING_INSTANCES)
-    return rank(endpoint, instances)[:count]
 
+def holder_count(cap: int) -> int:
+    """Return how many instances may connect to an endpoint with `cap` connections."""
+    return max(1, cap // CONNECTIONS_PER_HOLDER - JOINING_INSTANCES)
 
-def connections_of_holder(endpoint: str, instance: str, instances: Sequence[str], cap: int) -> int:
-    """Return how many connections `instance` may hold to `endpoint`, zero if it is no holder.
+
+def share_of_holder(holders: int, cap: int) -> int:
+    """Return how many connections each of `holders` instances may hold.
 
     The shares of all holders together never pass `cap`, whichever of them are reachable. Room is
     left for one instance more, which knows that it joined before the others' lists say so.
     """
-    holders = holders_of(endpoint, instances, cap)
-    if instance not in holders:
-        return 0
-    return max(1, cap // (len(holders) + JOINING_INSTANCES))
+    return max(1, cap // (holders + JOINING_INSTANCES))
+
+
+@dataclass(slots=True)
+class HolderBook:
+    """The holders of each endpoint, by rendezvous over the listed instances.
+
+    A change of the list costs one weight for each endpoint and instance that came, and a full
+    ranking only for the endpoints that lost a holder: ranking all of them anew takes seconds when
+    hundreds of instances share thousands of endpoints.
+
+        book.take_instances(["entry-a", "entry-b"])
+        book.holders_of("catalogue-01-a", cap=25)
+    """
+
+    instances: frozenset[str] = frozenset()
+    ranked_by_endpoint: dict[tuple[str, int], Ranked] = field(default_factory=dict)
+
+    def take_instances(self, names: Iterable[str]) -> None:
+        """Bring the holders of every known endpoint up to date with the listed instances."""
+        listed = frozenset(names)
+        joined = listed - self.instances
+        left = self.instances - listed
+        self.instances = listed
+        if not joined and not left:
+            return
+        for (endpoint, cap), ranked in list(self.ranked_by_endpoint.items()):
+            if any(name in left for _, name in ranked):
+                del self.ranked_by_endpoint[endpoint, cap]
+                continue
+            for name in joined:
+                insort(ranked, (-weight(endpoint, name), name))
+            del ranked[holder_count(cap) :]
+
+    def keep_only(self, endpoints: Iterable[str]) -> None:
+        """Forget the endpoints that are no longer published."""
+        published = set(endpoints)
+        for key in [key for key in self.ranked_by_endpoint if key[0] not in published]:
+            del self.ranked_by_endpoint[key]
+
+    def holders_of(self, endpoint: str, cap: int) -> list[str]:
+        """Return the instances that may connect to `endpoint`, of all that are listed."""
+        ranked = self.ranked_by_endpoint.get((endpoint, cap))
+        if ranked is None:
+            ranked = sorted((-weight(endpoint, name), name) for name in self.instances)
+            del ranked[holder_count(cap) :]
+            self.ranked_by_endpoint[endpoint, cap] = ranked
+        return [name for _, name in ranked]
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -14,7 +14,7 @@
 from radishmount.endpoints._ejection import Ejection, ejectable
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._exchange import Failure, OpenChannel
-from radishmount.endpoints._holders import connections_of_holder, holders_of
+from radishmount.endpoints._holders import HolderBook, share_of_holder
 from radishmount.endpoints._limit import InFlightLimit
 from radishmount.endpoints._link import Link
 from radishmount.endpoints._waker import wake
@@ -36,6 +36,7 @@
     audit: AuditTrail
     policy: QueryPolicy = EVERY_MECHANISM
     publication: Publication = EMPTY_PUBLICATION
+    holders: HolderBook = field(default_factory=HolderBook)
     links_by_name: dict[str, Link] = field(default_factory=dict)
     endpoints_by_service: dict[str, list[Endpoint]] = field(default_factory=dict)
     retiring: list[Link] = field(default_factory=list)
@@ -62,13 +63,14 @@
         Exchanges over a retired link end on their own, so no request in flight is cut.
         """
         self.publication = publication
-        names = sorted(instances)
+        self.holders.take_instances(instances)
+        self.holders.keep_only(publication.endpoints_by_name)
         for name, link in list(self.links_by_name.items()):
             spec = publication.endpoints_by_name.get(name)
             if spec is None or spec.address != link.endpoint.spec.address:
                 self._retire(self.links_by_name.pop(name))
         for name in publication.endpoints_by_name:
-            self._link_to(name, publication, names)
+            self._link_to(name, publication)
         self.endpoints_by_service = {
             service.name: [self.links_by_name[spec.name].endpoint for spec in service.endpoints]
             for service in publication.services_by_name.values()
@@ -91,12 +93,12 @@
                 link.endpoint.take_leaving_hint(now_ms)
                 link.probe_now()
 
-    def users_of(self, name: str, instances: Iterable[str]) -> list[str]:
+    def users_of(self, name: str) -> list[str]:
         """Return the other instances that may connect to the endpoint `name`."""
         service = self.publication.services_by_endpoint.get(name)
         if service is None:
             return []
-        holders = holders_of(name, sorted(instances), service.connections)
+        holders = self.holders.holders_of(name, service.connections)
         return [holder for holder in holders if holder != self.own_name]
 
     def forget_evidence(self) -> None:
@@ -124,20 +126,20 @@
         links = [*self.links_by_name.values(), *self.retiring]
         await asyncio.gather(*(link.stop() for link in links))
 
-    def _link_to(self, name: str, publication: Publication, instances: list[str]) -> None:
+    def _link_to(self, name: str, publication: Publication) -> None:
         service = publication.services_by_endpoint[name]
         spec = publication.endpoints_by_name[name]
+        holders = self.holders.holders_of(name, service.connections)
         limit = service.connections
         if self.policy.holders:
-            limit = connections_of_holder(name, self.own_name, instances, service.connections)
+            limit = share_of_holder(len(holders), limit) if self.own_name in holders else 0
         link = self.links_by_name.get(name) or self._revived(spec)
         if link is None:
             link = self._new_link(spec, limit)
         endpoint = link.endpoint
         endpoint.spec = spec
         endpoint.slots = service.slots
-        holders = len(holders_of(name, instances, service.connections))
-        endpoint.limit.least = max(1, -(-service.slots // holders))
+        endpoint.limit.least = max(1, -(-service.slots // max(1, len(holders))))
         self.links_by_name[name] = link
         link.set_limit(limit)
 
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -306,7 +306,7 @@
     news = EndpointNews(
         node.peers,
         counters,
-        users_of=lambda name: pool.users_of(name, node.fleet.listed_names),
+        users_of=pool.users_of,
         take_hint=pool.take_leaving_hint,
     )
     news.start()
--- a/tests/endpoints/test_pool.py
+++ b/tests/endpoints/test_pool.py
@@ -4,9 +4,11 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from fakes import World, start_world
-from radishmount.endpoints import connections_of_holder, holders_of
+from radishmount.endpoints import HolderBook, share_of_holder
 from support import objects_for
 
 
@@ -102,10 +104,32 @@
     @pytest.mark.parametrize("cap", [1, 2, 3, 25, 40, 110])
     @pytest.mark.parametrize("instances", [1, 2, 6, 9, 50])
     def test_shares_leave_room_for_one_more_instance(self, cap: int, instances: int) -> None:
-        names = [f"entry-{n}" for n in range(instances)]
-        holders = holders_of("e", names, cap)
-        share = connections_of_holder("e", holders[0], names, cap)
+        book = HolderBook()
+        book.take_instances(f"entry-{n}" for n in range(instances))
+        holders = book.holders_of("e", cap)
+        share = share_of_holder(len(holders), cap)
 
         assert len(holders) * share <= cap
         if cap > 3:
             assert (len(holders) + 1) * share <= cap
+
+    @given(st.lists(st.frozensets(st.sampled_from("abcdefghijklmnop"), min_size=1), min_size=1))
+    @settings(derandomize=True, deadline=None)
+    def test_a_book_that_follows_changes_agrees_with_a_new_one(
+        self, lists: list[frozenset[str]]
+    ) -> None:
+        followed = HolderBook()
+        for names in lists:
+            followed.take_instances(names)
+            new = HolderBook()
+            new.take_instances(names)
+            for endpoint in ("e-1", "e-2", "e-3"):
+                assert followed.holders_of(endpoint, 9) == new.holders_of(endpoint, 9)
+
+    def test_forgets_endpoints_that_are_gone(self) -> None:
+        book = HolderBook()
+        book.take_instances(["a", "b"])
+        book.holders_of("e-1", 9)
+        book.keep_only(["e-2"])
+
+        assert not book.ranked_by_endpoint
