--- a/src/radishmount/endpoints/_link.py
+++ b/src/radishmount/endpoints/_link.py
@@ -21,7 +21,7 @@
 
 __all__ = ["Link"]
 
-PROBE_INTERVAL_MS = 1_000.0
+PROBE_INTERVAL_MS = 1_500.0
 PROBE_TIMEOUT_MS = 500.0
 IDLE_CLOSE_MS = 30_000.0
 TIMER_SLACK_MS = 0.01
--- a/tests/endpoints/test_link.py
+++ b/tests/endpoints/test_link.py
@@ -269,7 +269,7 @@
         await asyncio.sleep(10.0)
 
         assert world.endpoint.is_known(world.clock.now_ms())
-        assert 9 <= world.fake.probes <= 12
+        assert 6 <= world.fake.probes <= 8
         await world.link.stop()
 
     async def test_probes_keep_evidence_young_while_every_exchange_is_long(self) -> None:
