--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -198,7 +198,9 @@
 async def _links_kib(endpoints: int) -> float:
     publication = publication_of(endpoints)
     clock = loop_clock(asyncio.get_running_loop())
-    pool = EndpointPool("entry-0", lambda address: _StillChannel(), clock, Counters(), AuditTrail(clock))
+    pool = EndpointPool(
+        "entry-0", lambda address: _StillChannel(), clock, Counters(), AuditTrail(clock)
+    )
     gc.collect()
     tracemalloc.start()
     await pool.take_publication(publication, ["entry-0"])
