--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -23,6 +23,7 @@
     EntrySettings,
     Listen,
     read_entry_settings,
+    read_settings,
     split_address,
 )
 
@@ -62,6 +63,7 @@
     "read_folder",
     "read_json",
     "read_jsonc",
+    "read_settings",
     "serve",
     "serve_peers",
     "split_address",
--- a/src/radishmount/border/_settings.py
+++ b/src/radishmount/border/_settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 from pydantic import Field, ValidationError
 from result import Err, Ok, Result
@@ -13,7 +13,9 @@
 from radishmount.codes import Code, Refusal
 
 
-__all__ = ["EntrySettings", "Listen", "read_entry_settings", "split_address"]
+__all__ = ["EntrySettings", "Listen", "read_entry_settings", "split_address", "read_settings"]
+
+Model = TypeVar("Model", bound=BorderModel)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,17 +67,25 @@
     return Listen(host, int(port))
 
 
-def read_entry_settings(path: Path) -> Result[EntrySettings, Refusal]:
-    """Return the settings in `path`, or a refusal that names file and field."""
+def read_settings(model: type[Model], path: Path) -> Result[Model, Refusal]:
+    """Return what `path` holds as `model`, or a refusal that names file and every wrong field."""
     match read_jsonc(path):
         case Err(refusal):
             return Err(refusal)
         case Ok(value):
             pass
     try:
-        model = EntrySettingsModel.model_validate(value)
+        return Ok(model.model_validate(value))
     except ValidationError as error:
         return Err(Refusal(Code.BAD_SETTING, detail=f"{path}: {describe_faults(error)}"))
+
+
+def read_entry_settings(path: Path) -> Result[EntrySettings, Refusal]:
+    """Return the settings in `path`, or a refusal that names file and field."""
+    read = read_settings(EntrySettingsModel, path)
+    if isinstance(read, Err):
+        return read
+    model = read.ok_value
     return Ok(
         EntrySettings(
             name=model.name,
--- a/src/radishmount/endpoints/__init__.py
+++ b/src/radishmount/endpoints/__init__.py
@@ -16,7 +16,7 @@
     SubReply,
     SubRequest,
 )
-from radishmount.endpoints._holders import HolderBook, holder_count, share_of_holder
+from radishmount.endpoints._holders import HolderBook, share_of_holder
 from radishmount.endpoints._latency import LatencyEstimate, faded
 from radishmount.endpoints._limit import InFlightLimit
 from radishmount.endpoints._link import Link
@@ -58,7 +58,6 @@
     "ejectable",
     "expected_ms",
     "faded",
-    "holder_count",
     "make_choice",
     "share_of_holder",
 ]
--- a/src/radishmount/endpoints/_holders.py
+++ b/src/radishmount/endpoints/_holders.py
@@ -7,7 +7,7 @@
 from radishmount.rendezvous import weight
 
 
-__all__ = ["HolderBook", "holder_count", "share_of_holder"]
+__all__ = ["HolderBook", "share_of_holder"]
 
 CONNECTIONS_PER_HOLDER = 2
 JOINING_INSTANCES = 1
@@ -15,7 +15,7 @@
 Ranked = list[tuple[int, str]]
 
 
-def holder_count(cap: int) -> int:
+def _holder_count(cap: int) -> int:
     """Return how many instances may connect to an endpoint with `cap` connections."""
     return max(1, cap // CONNECTIONS_PER_HOLDER - JOINING_INSTANCES)
 
@@ -58,7 +58,7 @@
                 continue
             for name in joined:
                 insort(ranked, (-weight(endpoint, name), name))
-            del ranked[holder_count(cap) :]
+            del ranked[_holder_count(cap) :]
 
     def keep_only(self, endpoints: Iterable[str]) -> None:
         """Forget the endpoints that are no longer published."""
@@ -71,6 +71,6 @@
         ranked = self.ranked_by_endpoint.get((endpoint, cap))
         if ranked is None:
             ranked = sorted((-weight(endpoint, name), name) for name in self.instances)
-            del ranked[holder_count(cap) :]
+            del ranked[_holder_count(cap) :]
             self.ranked_by_endpoint[endpoint, cap] = ranked
         return [name for _, name in ranked]
--- a/src/radishmount/standins/_trial_file.py
+++ b/src/radishmount/standins/_trial_file.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import BeforeValidator, Field, ValidationError
+from pydantic import BeforeValidator, Field
 from result import Err, Ok, Result
 
-from radishmount.border import BorderModel, describe_fault, read_jsonc
+from radishmount.border import BorderModel, read_settings
 from radishmount.codes import Code, Refusal
 from radishmount.policy import QueryPolicy
 from radishmount.trial import (
@@ -244,15 +244,10 @@
 
 def read_trial_file(path: Path) -> Result[TrialPlan, Refusal]:
     """Return the plan in `path`, or a refusal that names file and field."""
-    match read_jsonc(path):
-        case Err(refusal):
-            return Err(refusal)
-        case Ok(value):
-            pass
-    try:
-        plan = TrialModel.model_validate(value).to_data()
-    except ValidationError as error:
-        return Err(Refusal(Code.BAD_SETTING, detail=f"{path}: {describe_fault(error)}"))
+    read = read_settings(TrialModel, path)
+    if isinstance(read, Err):
+        return read
+    plan = read.ok_value.to_data()
     fault = _dangling(plan)
     if fault:
         return Err(Refusal(Code.BAD_SETTING, detail=f"{path}: {fault}"))
