Find the other instances through seeds, share connections, stop without cutting requests

Ruled out: the store for a list of instances, as it can only be read and does not list them.

Change: a roster built from what instances tell of themselves, over the product's peer streams and membership; listed endpoints and configuration travel between instances that the store turns away; a stop answers on for two fifths of the grace time, then lets the HTTP server finish. Two lost updates were found by the new tests: news that came in one turn of the loop overwrote each other, and the return of the store was seen only when a long watch ended.

--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -13,6 +13,7 @@
 from radishmount.border._objects import object_from, publication_from
 from radishmount.border._operators import OperatorService, make_operator_app
 from radishmount.border._peer_codec import add_peer_models, pack_frame, unpack_frame
+from radishmount.border._peer_endpoints import ENDPOINT_PEER_MODELS
 from radishmount.border._peer_hello import PeerKey
 from radishmount.border._peer_models import PeerModel
 from radishmount.border._peer_orders import ORDER_PEER_MODELS
@@ -35,6 +36,7 @@
     "BorderModel",
     "CONFIGURATION_KEY",
     "CallerService",
+    "ENDPOINT_PEER_MODELS",
     "EndpointChannel",
     "EntrySettings",
     "HttpPlatform",
--- /dev/null
+++ b/src/radishmount/border/_peer_endpoints.py
@@ -0,0 +1,51 @@
+"""The validated models of what instances say to each other of listed endpoints."""
+
+from typing import Annotated, Any
+
+from pydantic import Field
+
+from radishmount.border._peer_models import Address, Number, PeerModel, PeerName
+from radishmount.discovery import EndpointPage, EndpointPageRequest, ListedEndpoint
+
+
+__all__ = ["ENDPOINT_PEER_MODELS"]
+
+MAX_PAGE_LENGTH = 1_000
+
+
+class EndpointPageRequestModel(PeerModel):
+    """Asks for endpoints by name."""
+
+    data_type = EndpointPageRequest
+    after: Annotated[str, Field(max_length=200)]
+
+
+class ListedEndpointModel(PeerModel):
+    """One listed endpoint."""
+
+    data_type = ListedEndpoint
+    name: Annotated[str, Field(min_length=1, max_length=200)]
+    service: Annotated[str, Field(min_length=1, max_length=200)]
+    address: Address
+    data_centre: PeerName
+    slots: Number
+    is_draining: bool
+    cold_for_ms: Annotated[float, Field(ge=0.0)]
+    started_at_ms: int
+
+
+class EndpointPageModel(PeerModel):
+    """Some of the endpoints."""
+
+    data_type = EndpointPage
+    revision: Number
+    endpoints: Annotated[list[Any], Field(max_length=MAX_PAGE_LENGTH)]
+    has_more: bool
+
+    def to_data(self) -> EndpointPage:
+        """Return the message as a data class."""
+        endpoints = tuple(ListedEndpointModel.from_values(e).to_data() for e in self.endpoints)
+        return EndpointPage(self.revision, endpoints, self.has_more)
+
+
+ENDPOINT_PEER_MODELS: tuple[type[PeerModel], ...] = (EndpointPageRequestModel, EndpointPageModel)
--- a/src/radishmount/border/_peer_models.py
+++ b/src/radishmount/border/_peer_models.py
@@ -23,6 +23,7 @@
     Ping,
     ProbeReply,
     ProbeRequest,
+    RosterNews,
 )
 
 
@@ -164,6 +165,17 @@
         return ListReply(self.version, instances, tuple(self.leaving_endpoints))
 
 
+class RosterNewsModel(PeerModel):
+    """Instances that the receiver may not know yet."""
+
+    data_type = RosterNews
+    instances: Annotated[list[Any], Field(max_length=MAX_INSTANCES)]
+
+    def to_data(self) -> RosterNews:
+        """Return the message as a data class."""
+        return RosterNews(tuple(InstanceModel.from_values(i).to_data() for i in self.instances))
+
+
 class EndpointChangesModel(PeerModel):
     """Endpoints that said that they are leaving."""
 
@@ -185,6 +197,7 @@
     ListRequestModel,
     ListReplyModel,
     EndpointChangesModel,
+    RosterNewsModel,
 )
 
 
--- a/src/radishmount/control/__init__.py
+++ b/src/radishmount/control/__init__.py
@@ -2,6 +2,7 @@
 
 from radishmount.control._control import LEAVING_GRACE_MS, Control, make_control
 from radishmount.control._parts import ControlParts, OpenPeerFor, Platform
+from radishmount.control._seeded import SeededControl, SeededParts, make_seeded_control
 
 
 __all__ = [
@@ -10,5 +11,8 @@
     "ControlParts",
     "OpenPeerFor",
     "Platform",
+    "SeededControl",
+    "SeededParts",
     "make_control",
+    "make_seeded_control",
 ]
--- /dev/null
+++ b/src/radishmount/control/_seeded.py
@@ -0,0 +1,138 @@
+"""What keeps an instance in step with a fleet that no platform lists."""
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from radishmount.audit import AuditTrail
+from radishmount.clock import Clock
+from radishmount.control._parts import OpenPeerFor
+from radishmount.counters import Counters
+from radishmount.discovery import EndpointSpread, StoreFollower
+from radishmount.fleet import (
+    Fleet,
+    Heartbeat,
+    HeldVersions,
+    Instance,
+    Members,
+    Membership,
+    MemberState,
+    MemberUpdate,
+    Peers,
+    Roster,
+    first_incarnation,
+)
+from radishmount.publication import Distribution, InForce, Publication
+
+
+__all__ = ["SeededControl", "SeededParts", "make_seeded_control"]
+
+
+@dataclass(frozen=True, slots=True)
+class SeededParts:
+    """What the control is handed: `own` as others are told of it, and where some others may be."""
+
+    own: Instance
+    seeds: tuple[str, ...]
+    clock: Clock
+    random: Random
+    open_peer_for: OpenPeerFor
+
+
+@dataclass(slots=True)
+class SeededControl:
+    """The roster, the streams to the neighbours, and what travels over them."""
+
+    fleet: Fleet
+    peers: Peers
+    membership: Membership
+    distribution: Distribution
+    roster: Roster
+    spread: EndpointSpread
+    in_force: InForce
+    follower: StoreFollower
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Start to look for the others and to answer them."""
+        self.membership.start()
+        self.distribution.start()
+        self.spread.start()
+        self.roster.start()
+        self._start_task("seeds", self.roster.run())
+        self._start_task("forget", self.roster.run_forgetting())
+        self._start_task("probe random", self.membership.probe_random())
+        self._start_task("close idle", self.membership.close_idle())
+
+    async def stop(self) -> None:
+        """End every task and stream."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.distribution.stop()
+        await self.spread.stop()
+        await self.membership.stop()
+        await self.peers.stop()
+
+    def leave(self) -> None:
+        """Say that this instance leaves."""
+        self.fleet.members.say(MemberState.LEAVING, "asked to stop")
+
+    def tell_held(self) -> None:
+        """Tell the neighbours at once what this instance holds."""
+        self.membership.beat()
+
+    def held(self) -> HeldVersions:
+        """Return the versions that this instance holds."""
+        current = self.in_force.current
+        return HeldVersions(current.version, current.digest, self.follower.held_revision)
+
+    def see_heartbeat(self, peer: str, beat: Heartbeat) -> None:
+        """Compare the versions that a peer holds with those here."""
+        self.spread.see(peer, beat)
+        self.distribution.see(peer, beat.bundle_version, beat.bundle_digest)
+
+    async def take_roster(self) -> None:
+        """Keep streams to the neighbours of the new roster."""
+        self.membership.take_list()
+
+    async def take_publication(self, publication: Publication) -> None:
+        """Tell the neighbours of a new version."""
+        self.membership.beat()
+
+    def _start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        self.tasks.append(asyncio.create_task(work, name=name))
+
+
+def make_seeded_control(
+    parts: SeededParts,
+    in_force: InForce,
+    follower: StoreFollower,
+    audit: AuditTrail,
+    counters: Counters,
+) -> SeededControl:
+    """Return the control of an instance, not started yet."""
+    clock, random, own = parts.clock, parts.random, parts.own
+    incarnation = first_incarnation(clock.wall_ms(), random)
+    members = Members(MemberUpdate(own.name, incarnation, 0, MemberState.LIVE), own.data_centre)
+    fleet = Fleet(own.name, own.data_centre, members)
+    peers = Peers(fleet, parts.open_peer_for(members, counters), clock, counters)
+    membership = Membership(
+        fleet, peers, clock, random, audit, counters, held=lambda: control.held()
+    )
+    control = SeededControl(
+        fleet=fleet,
+        peers=peers,
+        membership=membership,
+        distribution=Distribution(in_force, peers, clock, counters),
+        roster=Roster(own, parts.seeds, fleet, peers, clock, random, audit, counters),
+        spread=EndpointSpread(follower, peers, clock, counters),
+        in_force=in_force,
+        follower=follower,
+    )
+    membership.on_heartbeat.append(control.see_heartbeat)
+    in_force.on_change.append(control.take_publication)
+    control.roster.on_change.append(control.take_roster)
+    return control
--- a/src/radishmount/discovery/__init__.py
+++ b/src/radishmount/discovery/__init__.py
@@ -3,6 +3,8 @@
 from radishmount.discovery._endpoint_list import EndpointList
 from radishmount.discovery._follower import StoreFollower
 from radishmount.discovery._listed import ListedEndpoint
+from radishmount.discovery._messages import EndpointPage, EndpointPageRequest
+from radishmount.discovery._spread import EndpointSpread
 from radishmount.discovery._store import (
     ConfigurationEntry,
     EndpointEntry,
@@ -19,6 +21,9 @@
     "ConfigurationEntry",
     "EndpointEntry",
     "EndpointList",
+    "EndpointPage",
+    "EndpointPageRequest",
+    "EndpointSpread",
     "ListedEndpoint",
     "Removal",
     "Store",
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -1,15 +1,16 @@
 """The task that follows the store: a full reading, then one watch after the other."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
-from result import Err
+from result import Err, Result
 
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.counters import Counters
 from radishmount.discovery._endpoint_list import EndpointList
+from radishmount.discovery._listed import ListedEndpoint
 from radishmount.discovery._store import (
     ConfigurationEntry,
     EndpointEntry,
@@ -36,7 +37,8 @@
 class StoreFollower:
     """Keeps configuration and endpoints in step with the store for as long as the instance runs.
 
-    `on_change` is told after each group of changes of the endpoints.
+    `on_change` is told after each group of changes of the endpoints. `revision` is where the next
+    watch goes on, `held_revision` that of the endpoints here, which peers may have brought further.
     """
 
     store: Store
@@ -48,6 +50,7 @@
     counters: Counters
     on_change: OnChange
     revision: int | None = None
+    held_revision: int = 0
     is_reached: bool = True
     backoff: Backoff = field(init=False)
 
@@ -74,12 +77,25 @@
             if self.endpoints.expire(self.clock.now_ms()):
                 await self.on_change()
 
-    async def _call(self):  # type: ignore[no-untyped-def]
+    async def take_from_peer(
+        self, peer: str, revision: int, listed: Iterable[ListedEndpoint]
+    ) -> None:
+        """Take the endpoints that a peer holds, where they are newer than those here."""
+        if revision <= self.held_revision:
+            return
+        self.held_revision = revision
+        by_name: dict[str, ListedEndpoint | None] = {entry.name: entry for entry in listed}
+        self.endpoints.replace_all(by_name, self.clock.now_ms())
+        self.audit.record("endpoints", "taken", cause=f"peer {peer}", version=revision)
+        await self.on_change()
+
+    async def _call(self) -> Result[StoreAnswer, StoreFailure]:
         if self.revision is None:
             self.counters.add("store_calls", "range")
             return await self.store.read_all()
         self.counters.add("store_calls", "watch")
-        return await self.store.watch(self.revision, WATCH_WAIT_MS)
+        wait_ms = WATCH_WAIT_MS if self.is_reached else 0  # whether it is back is known at once
+        return await self.store.watch(self.revision, wait_ms)
 
     async def _failed(self, failure: StoreFailure) -> None:
         self.counters.add("store_failures", failure.refusal.code.name)
@@ -103,12 +119,14 @@
     async def _take(self, answer: StoreAnswer, *, is_full: bool) -> None:
         now_ms = self.clock.now_ms()
         self.revision = answer.revision
-        listed_by_name = {}
+        listed_by_name: dict[str, ListedEndpoint | None] = {}
         changed = False
         for entry in answer.entries:
             if isinstance(entry, ConfigurationEntry):
                 await self.in_force.take(entry.body, source="store")
                 continue
+            if answer.revision < self.held_revision:
+                continue  # a peer has brought later ones
             changed = True
             listed = entry.listed if isinstance(entry, EndpointEntry) else None
             if is_full:
@@ -117,7 +135,9 @@
                 self.endpoints.put(entry.name, listed, now_ms)
             else:
                 self.endpoints.remove(entry.name, now_ms)
-        if is_full:
+        if is_full and answer.revision >= self.held_revision:
             self.endpoints.replace_all(listed_by_name, now_ms)
-        if changed or is_full:
+            changed = True
+        self.held_revision = max(self.held_revision, answer.revision)
+        if changed:
             await self.on_change()
--- /dev/null
+++ b/src/radishmount/discovery/_messages.py
@@ -0,0 +1,24 @@
+"""What instances say to each other of listed endpoints."""
+
+from dataclasses import dataclass
+
+from radishmount.discovery._listed import ListedEndpoint
+
+
+__all__ = ["EndpointPage", "EndpointPageRequest"]
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointPageRequest:
+    """Asks for the endpoints whose names come after `after`."""
+
+    after: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointPage:
+    """Some of the endpoints that the sender holds, by name, at a revision of the store."""
+
+    revision: int
+    endpoints: tuple[ListedEndpoint, ...]
+    has_more: bool
--- a/src/radishmount/fleet/__init__.py
+++ b/src/radishmount/fleet/__init__.py
@@ -1,6 +1,11 @@
 """The instances of the fleet, and the addresses that callers are given."""
 
-from radishmount.fleet._addresses import ADDRESSES_VALID_FOR_MS, AddressAnswer, choose_addresses
+from radishmount.fleet._addresses import (
+    ADDRESSES_VALID_FOR_MS,
+    AddressAnswer,
+    choose_addresses,
+    choose_nearest,
+)
 from radishmount.fleet._backoff import Backoff
 from radishmount.fleet._cost import ControlCost
 from radishmount.fleet._duty import fallback_interval_ms, is_watcher
@@ -30,9 +35,11 @@
     ProbeRequest,
     Request,
     Response,
+    RosterNews,
 )
 from radishmount.fleet._neighbours import NEIGHBOUR_LIMIT, neighbours_of
 from radishmount.fleet._peers import AnswerPeer, Peers
+from radishmount.fleet._roster import Roster
 from radishmount.fleet._session import PeerSession
 from radishmount.fleet._stream import OpenPeer, PeerStream
 from radishmount.fleet._watch import InstanceListSource, ListWatch, PlatformWatch, Taken
@@ -81,8 +88,11 @@
     "RENEWAL_LIMIT_MS",
     "Request",
     "Response",
+    "Roster",
+    "RosterNews",
     "Taken",
     "choose_addresses",
+    "choose_nearest",
     "fallback_interval_ms",
     "first_incarnation",
     "is_watcher",
--- a/src/radishmount/fleet/_messages.py
+++ b/src/radishmount/fleet/_messages.py
@@ -26,6 +26,7 @@
     "ProbeRequest",
     "Request",
     "Response",
+    "RosterNews",
 ]
 
 Message = Any
@@ -133,6 +134,13 @@
     leaving_endpoints: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RosterNews:
+    """Instances that the receiver may not know yet, as each tells of itself."""
+
+    instances: tuple[Instance, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointChanges:
     """Endpoints that have just told the sender that they are leaving."""
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -11,9 +11,11 @@
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.codes import Code, Refusal
+from radishmount.control import OpenPeerFor, SeededControl, SeededParts, make_seeded_control
 from radishmount.counters import Counters
 from radishmount.discovery import EndpointList, Store, StoreFollower
 from radishmount.endpoints import EndpointPool, ForwardCall, OpenChannel, make_choice
+from radishmount.fleet import Instance, choose_nearest
 from radishmount.forwarding import (
     ForwardBudget,
     Forwarded,
@@ -29,21 +31,25 @@
 __all__ = ["Gateway", "GatewayParts", "make_gateway"]
 
 FORWARD_POLICY = QueryPolicy(probes=False, adaptive_limits=False)
+ASSUMED_INSTANCES = 8  # the usual fleet, for the shares of connections until the roster is known
+ADDRESSES_VALID_MS = 2_000.0  # callers leave an instance that is lost within this time
+MAX_ADDRESSES = 64  # as many as callers read
+SETTLE_CHECK_MS = 100.0  # a fraction of the time in which a fleet finds itself
 
 
 @dataclass(frozen=True, slots=True)
 class GatewayParts:
     """What an instance is handed from outside."""
 
-    name: str
-    data_centre: str
+    own: Instance
+    seeds: tuple[str, ...]
     clock: Clock
     random: Random
     store: Store
     open_channel: OpenChannel
+    open_peer_for: OpenPeerFor
     read_bundle: ReadBundle
     bounds: RepeatBounds
-    own_address: str
     addresses_valid_for_ms: float
 
 
@@ -60,6 +66,7 @@
     """The state of one instance. Every front end forwards its callers' requests through it."""
 
     parts: GatewayParts
+    control: SeededControl
     in_force: InForce
     endpoints: EndpointList
     follower: StoreFollower
@@ -73,7 +80,9 @@
 
     def start(self) -> None:
         """Start the tasks that keep the instance in step."""
+        self.control.start()
         self._start_task("follow store", self.follower.run())
+        self._start_task("settle roster", self._settle())
         self._start_task("expire endpoints", self.follower.run_expiry())
 
     async def stop(self) -> None:
@@ -81,6 +90,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.control.stop()
         await self.pool.stop()
         await self.parts.store.close()
 
@@ -92,10 +102,11 @@
     def leave(self) -> None:
         """Begin a graceful stop: callers are sent elsewhere, requests in flight go on."""
         self.leaving = True
+        self.control.leave()
 
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
-        return not self.leaving and self.publication.version > 0
+        return not self.leaving and self.publication.version > 0 and bool(self.endpoints.by_name)
 
     async def handle(
         self, call: ForwardCall, host: str, arrived_at_ms: float, time_left_ms: float | None
@@ -116,15 +127,36 @@
 
     def addresses(self, data_centre: str) -> ConnectAnswer:
         """Return the addresses for a caller in `data_centre`."""
-        addresses = () if self.leaving else (self.parts.own_address,)
-        return ConnectAnswer(addresses, self.parts.addresses_valid_for_ms)
+        nearest = choose_nearest(self.control.fleet, data_centre, MAX_ADDRESSES)
+        addresses = tuple(instance.caller_address for instance in nearest)
+        valid_for_ms = min(ADDRESSES_VALID_MS, self.parts.addresses_valid_for_ms)
+        return ConnectAnswer(addresses, valid_for_ms)
 
     async def renew_endpoints(self) -> None:
-        """Bring the links in step with the configuration and the listed endpoints."""
+        """Bring the links in step with the configuration, the endpoints and the instances."""
         joined = self.endpoints.join(self.publication)
-        await self.pool.take_publication(joined, [self.parts.name])
+        await self.pool.take_publication(joined, self._sharing_instances())
         self.pool.take_leaving(self.endpoints.draining_names)
 
+    async def take_roster(self) -> None:
+        """Divide connections and repeats anew over the instances that are known."""
+        if self.control.roster.is_settled():
+            self.tools.budget.take_instances(len(self.control.fleet.listed_names))
+        await self.renew_endpoints()
+
+    def _sharing_instances(self) -> list[str]:
+        """Return the names over which connections are divided, assumed ones while few are known."""
+        names = self.control.fleet.listed_names
+        if self.control.roster.is_settled():
+            return names
+        return names + [f"assumed {n}" for n in range(len(names), ASSUMED_INSTANCES)]
+
+    async def _settle(self) -> None:
+        """Take the roster as it is once nobody else is to be expected."""
+        while not self.control.roster.is_settled():
+            await self.parts.clock.sleep_ms(SETTLE_CHECK_MS)
+        await self.take_roster()
+
     def _start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         self.tasks.append(asyncio.create_task(work, name=name))
 
@@ -135,14 +167,16 @@
     """Return an instance that is not started yet."""
     counters = counters or Counters()
     clock, random = parts.clock, parts.random
-    pool = EndpointPool(parts.name, parts.open_channel, clock, counters, audit, FORWARD_POLICY)
+    own = parts.own
+    pool = EndpointPool(own.name, parts.open_channel, clock, counters, audit, FORWARD_POLICY)
     in_force = InForce(parts.read_bundle, audit, counters, clock)
     endpoints = EndpointList()
-    choose = make_choice(parts.data_centre, Random(random.random()), FORWARD_POLICY)
+    choose = make_choice(own.data_centre, Random(random.random()), FORWARD_POLICY)
     tools = ForwardTools(pool, clock, random, choose, counters, ForwardBudget(parts.bounds))
 
     async def renew() -> None:
         await gateway.renew_endpoints()
+        gateway.control.tell_held()
 
     async def take_publication(publication: Publication) -> None:
         await gateway.renew_endpoints()
@@ -157,6 +191,9 @@
         counters=counters,
         on_change=renew,
     )
-    gateway = Gateway(parts, in_force, endpoints, follower, pool, tools, audit, counters)
+    seeded = SeededParts(own, parts.seeds, clock, random, parts.open_peer_for)
+    control = make_seeded_control(seeded, in_force, follower, audit, counters)
+    gateway = Gateway(parts, control, in_force, endpoints, follower, pool, tools, audit, counters)
     in_force.on_change.append(take_publication)
+    control.roster.on_change.append(gateway.take_roster)
     return gateway
--- a/src/radishmount/platform/__init__.py
+++ b/src/radishmount/platform/__init__.py
@@ -1,6 +1,19 @@
 """The adapter to the users' platform: names, formats and calls, and nothing that decides."""
 
-from radishmount.platform._program import main
+from radishmount.platform._backend_channel import BackendChannel
+from radishmount.platform._configuration import read_configuration
+from radishmount.platform._program import RunningInstance, main, start_instance
+from radishmount.platform._settings import DeploymentSettings, read_deployment_settings
+from radishmount.platform._store import read_listed
 
 
-__all__ = ["main"]
+__all__ = [
+    "BackendChannel",
+    "DeploymentSettings",
+    "RunningInstance",
+    "main",
+    "read_configuration",
+    "read_deployment_settings",
+    "read_listed",
+    "start_instance",
+]
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -14,9 +14,21 @@
 from result import Err, Ok, Result
 
 from radishmount.audit import AuditTrail
-from radishmount.border import Listen, Server, serve_manager
+from radishmount.border import (
+    ENDPOINT_PEER_MODELS,
+    Listen,
+    PeerKey,
+    PeerServer,
+    Server,
+    add_peer_models,
+    make_open_peer,
+    serve_manager,
+    serve_peers,
+)
 from radishmount.clock import Clock, loop_clock
 from radishmount.codes import Refusal
+from radishmount.counters import Counters
+from radishmount.fleet import Instance
 from radishmount.gateway import Gateway, GatewayParts, make_gateway
 from radishmount.platform._backend_channel import open_backend_channel
 from radishmount.platform._configuration import read_configuration
@@ -41,8 +53,9 @@
 __all__ = ["main"]
 
 PROGRAM = "radishmount-platform"
-STOP_MARGIN_MS = 700.0  # kept of the platform's time of grace, for closing
-CALLERS_MOVE_MS = 1_500.0  # callers that ask again within the time of grace have moved by then
+PEER_KEY = b"radishmount "  # the platform hands out no secret; this only tells fleets apart
+CALLERS_MOVE_SHARE = 0.4  # of the time of grace; callers that ask for addresses again have moved
+FINISH_SHARE = 0.4  # of the time of grace, for requests that came last; the rest is for closing
 
 
 @dataclass(slots=True)
@@ -51,17 +64,14 @@
 
     gateway: Gateway
     servers: list[Server]
+    peers: PeerServer
 
     async def leave(self, grace_ms: float) -> None:
         """Stop gracefully: nothing new is named here, and what is in flight is finished."""
         self.gateway.leave()
-        clock = self.gateway.parts.clock
-        stop_at_ms = clock.now_ms() + grace_ms - STOP_MARGIN_MS
-        await clock.sleep_ms(CALLERS_MOVE_MS)
-        while self.gateway.in_flight and clock.now_ms() < stop_at_ms:
-            await clock.sleep_ms(50.0)
-        for server in self.servers:
-            server.abort()
+        await self.gateway.parts.clock.sleep_ms(CALLERS_MOVE_SHARE * grace_ms)
+        await asyncio.gather(*(server.stop() for server in self.servers))
+        await self.peers.stop()
         await self.gateway.stop()
 
 
@@ -69,33 +79,50 @@
     settings: DeploymentSettings, clock: Clock, random: Random, audit: AuditTrail
 ) -> Result[RunningInstance, Refusal]:
     """Start an instance from its settings."""
+    add_peer_models(*ENDPOINT_PEER_MODELS)
+    counters = Counters()
+    key = PEER_KEY + settings.store_address.encode()
     parts = GatewayParts(
-        name=settings.name,
-        data_centre=settings.data_centre,
+        own=Instance(
+            settings.name,
+            settings.data_centre,
+            str(settings.caller_listen),
+            str(settings.peer_listen),
+        ),
+        seeds=settings.seeds,
         clock=clock,
         random=random,
         store=PlatformStore(settings.store_address),
         open_channel=open_backend_channel,
+        open_peer_for=lambda members, counters: make_open_peer(
+            PeerKey(key, members, clock.cpu_ms), counters
+        ),
         read_bundle=read_configuration,
         bounds=settings.repeats,
-        own_address=str(settings.caller_listen),
         addresses_valid_for_ms=settings.addresses_valid_for_ms,
     )
-    gateway = make_gateway(parts, audit)
+    gateway = make_gateway(parts, audit, counters)
     served: list[tuple[web.Server, Listen]] = [
         (make_caller_server(gateway), settings.caller_listen),
         (make_readiness_server(gateway), settings.readiness_listen),
         (make_directory_server(gateway), settings.directory_listen),
     ]
+    finish_s = FINISH_SHARE * settings.stop_grace_ms / 1000.0
     servers = []
     for manager, listen in served:
-        match await serve_manager(manager, listen):
+        match await serve_manager(manager, listen, shutdown_timeout_s=finish_s):
             case Err(refusal):
                 return Err(refusal)
             case Ok(server):
                 servers.append(server)
-    gateway.start()
-    return Ok(RunningInstance(gateway, servers))
+    own = PeerKey(key, gateway.control.fleet.members, clock.cpu_ms)
+    accept = gateway.control.peers.accept
+    match await serve_peers(settings.peer_listen, own, counters, accept):
+        case Err(refusal):
+            return Err(refusal)
+        case Ok(peers):
+            gateway.start()
+            return Ok(RunningInstance(gateway, servers, peers))
 
 
 class RunCommand(Command):
--- a/src/radishmount/platform/_store.py
+++ b/src/radishmount/platform/_store.py
@@ -41,7 +41,7 @@
     version: Annotated[str, Field(strict=True)]  # of its software, nothing that is acted on
     slots: Annotated[int, Field(strict=True, ge=1)]
     state: Literal["ready", "draining"]
-    cold_left_ms: Annotated[float, Field(ge=0.0)] = Field(alias="coldLeftMs")
+    cold_left_ms: Annotated[float, Field(strict=True, ge=0.0)] = Field(alias="coldLeftMs")
     # Unix milliseconds of its start.
     born: Annotated[int, Field(strict=True)] = 0
     seq: Annotated[int, Field(strict=True)]
--- a/src/radishmount/standins/__init__.py
+++ b/src/radishmount/standins/__init__.py
@@ -1,5 +1,6 @@
 """Small stand-ins of the platform, of endpoints and of callers, for tests and trials."""
 
+from radishmount.standins._back_end import BackEndStandIn, SeenRequest
 from radishmount.standins._behaviour import EndpointBehaviour
 from radishmount.standins._caller import CallerStandIn
 from radishmount.standins._control import StageControl, StageReader, StageRecords
@@ -17,11 +18,15 @@
 from radishmount.standins._relay import Relay, start_relay
 from radishmount.standins._serve import StandInServer, serve_stand_in
 from radishmount.standins._stage import PlatformView, Stage, start_stage
+from radishmount.standins._store import StoreStandIn
 from radishmount.standins._trial_file import read_trial_file
 from radishmount.trial import EndpointRecord
 
 
 __all__ = [
+    "BackEndStandIn",
+    "SeenRequest",
+    "StoreStandIn",
     "ENTRY_FAULTS",
     "CallerStandIn",
     "EndpointBehaviour",
--- /dev/null
+++ b/tests/discovery/test_follower.py
@@ -0,0 +1,196 @@
+"""Tests of following the store, on virtual time."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+from result import Err, Ok, Result
+
+from fakes import virtual_clock
+from fleet_world import read_small_bundle
+from radishmount.audit import AuditTrail
+from radishmount.codes import Code, Refusal
+from radishmount.counters import Counters
+from radishmount.discovery import (
+    ConfigurationEntry,
+    EndpointEntry,
+    EndpointList,
+    ListedEndpoint,
+    Removal,
+    StoreAnswer,
+    StoreEntry,
+    StoreFailure,
+    StoreFault,
+    StoreFollower,
+)
+from radishmount.publication import InForce
+
+
+pytestmark = pytest.mark.looptime
+
+
+def entry(name: str) -> EndpointEntry:
+    """Return the entry of an endpoint."""
+    return EndpointEntry(name, ListedEndpoint(name, "s", "10.0.0.1:1", "milano", 2))
+
+
+@dataclass
+class FakeStore:
+    """A store in memory; `fault` is what every call is answered with while it is set."""
+
+    entries: list[StoreEntry] = field(default_factory=list)
+    events: list[tuple[int, StoreEntry]] = field(default_factory=list)
+    revision: int = 1
+    fault: StoreFault | None = None
+    calls: list[str] = field(default_factory=list)
+    news: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def tell(self, *entries: StoreEntry) -> None:
+        """Change something."""
+        for item in entries:
+            self.revision += 1
+            self.events.append((self.revision, item))
+        self.news.set()
+
+    async def read_all(self) -> Result[StoreAnswer, StoreFailure]:
+        """Return every entry."""
+        self.calls.append("range")
+        if self.fault is not None:
+            return self._failure()
+        return Ok(StoreAnswer(tuple(self.entries), self.revision))
+
+    async def watch(self, after: int, wait_ms: int) -> Result[StoreAnswer, StoreFailure]:
+        """Return what changed."""
+        self.calls.append("watch")
+        if self.fault is None and not [e for r, e in self.events if r > after]:
+            self.news.clear()
+            try:
+                async with asyncio.timeout(wait_ms / 1000.0):
+                    await self.news.wait()
+            except TimeoutError:
+                pass
+        if self.fault is not None:
+            return self._failure()
+        changed = tuple(e for r, e in self.events if r > after)
+        return Ok(StoreAnswer(changed, self.revision))
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+    def _failure(self) -> Err[StoreFailure]:
+        fault = self.fault or StoreFault.UNAVAILABLE
+        if fault is StoreFault.HISTORY_LOST:
+            self.fault = None
+        return Err(StoreFailure(fault, Refusal(Code.PLATFORM_DOWN)))
+
+
+@dataclass
+class FollowWorld:
+    """A follower and its store."""
+
+    store: FakeStore
+    follower: StoreFollower
+    audit: AuditTrail
+    changes: list[frozenset[str]]
+
+
+@asynccontextmanager
+async def following(*entries: StoreEntry) -> AsyncIterator[FollowWorld]:
+    """Follow a store that begins with `entries`."""
+    clock, counters = virtual_clock(), Counters()
+    audit = AuditTrail(clock)
+    store = FakeStore(list(entries))
+    endpoints = EndpointList()
+    changes: list[frozenset[str]] = []
+
+    async def note() -> None:
+        changes.append(frozenset(endpoints.by_name))
+
+    in_force = InForce(read_small_bundle, audit, counters, clock)
+    follower = StoreFollower(
+        store, endpoints, in_force, clock, Random(1), audit, counters, on_change=note
+    )
+    tasks = [asyncio.create_task(follower.run()), asyncio.create_task(follower.run_expiry())]
+    await asyncio.sleep(1.0)
+    yield FollowWorld(store, follower, audit, changes)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class TestStoreFollower:
+    """Configuration and endpoints follow the store, which may fail in many ways."""
+
+    async def test_the_first_reading_is_taken(self) -> None:
+        async with following(ConfigurationEntry(b"7 seven"), entry("a")) as world:
+            assert world.follower.in_force.current.version == 7
+            assert world.changes[-1] == {"a"}
+
+    async def test_changes_are_taken_within_half_a_second(self) -> None:
+        async with following(ConfigurationEntry(b"7 seven"), entry("a")) as world:
+            world.store.tell(entry("b"), Removal("a"), ConfigurationEntry(b"9 nine"))
+            await asyncio.sleep(0.5)
+
+            assert world.changes[-1] == {"b"}
+            assert world.follower.in_force.current.version == 9
+
+    async def test_an_older_version_does_not_come_back(self) -> None:
+        async with following(ConfigurationEntry(b"7 seven")) as world:
+            world.store.tell(ConfigurationEntry(b"3 three"))
+            await asyncio.sleep(0.5)
+
+            assert world.follower.in_force.current.version == 7
+
+    async def test_lost_history_is_read_anew_with_its_removals(self) -> None:
+        async with following(entry("a"), entry("b")) as world:
+            world.store.entries = [entry("b"), entry("c")]
+            world.store.fault = StoreFault.HISTORY_LOST
+            world.store.news.set()
+            await asyncio.sleep(1.0)
+
+            assert world.changes[-1] == {"b", "c"}
+
+    async def test_an_outage_keeps_what_is_known_and_is_logged_once_each_way(self) -> None:
+        async with following(ConfigurationEntry(b"7 seven"), entry("a")) as world:
+            world.store.fault = StoreFault.UNAVAILABLE
+            world.store.news.set()
+            await asyncio.sleep(20.0)
+            kept = set(world.follower.endpoints.by_name)
+            world.store.fault = None
+            await asyncio.sleep(2.0)
+
+            changes = [line.change for line in world.audit.lines if line.subject == "store"]
+            assert kept == {"a"}
+            assert changes == ["lost", "regained"]
+
+    async def test_a_store_that_refuses_is_not_asked_without_pause(self) -> None:
+        async with following(entry("a")) as world:
+            world.store.fault = StoreFault.UNAVAILABLE
+            world.store.news.set()
+            await asyncio.sleep(30.0)
+
+            assert len(world.store.calls) < 60
+
+    async def test_a_calm_store_is_asked_rarely(self) -> None:
+        async with following(entry("a")) as world:
+            await asyncio.sleep(60.0)
+
+            assert len(world.store.calls) <= 6
+
+    async def test_a_peer_brings_what_the_store_does_not(self) -> None:
+        async with following(entry("a")) as world:
+            newer = ListedEndpoint("b", "s", "10.0.0.1:1", "milano", 2)
+
+            await world.follower.take_from_peer("entry-b", 9, [newer])
+
+            assert world.changes[-1] == {"b"}
+            assert world.follower.held_revision == 9
+
+    async def test_older_news_of_a_peer_are_left(self) -> None:
+        async with following(entry("a")) as world:
+            await world.follower.take_from_peer("entry-b", 1, [])
+
+            assert world.changes[-1] == {"a"}
--- /dev/null
+++ b/tests/platform/test_backend_channel.py
@@ -0,0 +1,192 @@
+"""Tests of the connection to a back end, against stand-ins that misbehave to the byte."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+from result import Err, Result
+
+from radishmount.codes import Code, Ran
+from radishmount.endpoints import Failure, ForwardCall, ForwardReply, ForwardRequest
+from radishmount.platform import BackendChannel
+from radishmount.standins import BackEndStandIn, SeenRequest
+
+
+WHOLE = (
+    "HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {id}\r\nRadishmount-Server-Stamp: s.{id}\r\n"
+    "Content-Length: 2\r\n\r\nok"
+)
+
+
+def answering(*texts: str) -> Callable[[SeenRequest, str], bytes | None]:
+    """Return an answer function that sends `texts` in turn, the last one for ever."""
+    left = list(texts)
+
+    def answer(request: SeenRequest, name: str) -> bytes | None:
+        text = left.pop(0) if len(left) > 1 else left[0]
+        return text.replace("{id}", request.request_id).encode()
+
+    return answer
+
+
+@asynccontextmanager
+async def channel_to(back_end: BackEndStandIn) -> AsyncIterator[BackendChannel]:
+    """Return a channel to a back end that is being served."""
+    await back_end.start()
+    channel = BackendChannel(back_end.address)
+    try:
+        yield channel
+    finally:
+        await channel.close()
+        await back_end.stop()
+
+
+async def send(
+    channel: BackendChannel, request_id: str = "q1", **fields: object
+) -> Result[ForwardReply, Failure]:
+    """Send a request over `channel`."""
+    call = ForwardCall(request_id, **{"method": "GET", "target": "/a/b?c=d", **fields})
+    return await channel.exchange(ForwardRequest(call, "s", "i-1", 0.0), 900.0)
+
+
+class TestWholeAnswers:
+    """What is passed on, and what is sent."""
+
+    async def test_the_request_is_sent_unchanged(self) -> None:
+        back_end = BackEndStandIn("b")
+        async with channel_to(back_end) as channel:
+            await send(
+                channel,
+                method="POST",
+                target="/a/%2e%2e//b?x=%41&y",
+                headers=(("Host", "h.example"), ("X-Own", "1")),
+                body=b"\x00body",
+            )
+
+        seen = back_end.seen[0]
+        assert seen.line == "POST /a/%2e%2e//b?x=%41&y HTTP/1.1"
+        assert seen.body == b"\x00body"
+        assert seen.headers["host"] == "h.example"
+        assert seen.headers["x-own"] == "1"
+        assert seen.headers["radishmount-request-id"] == "q1"
+        assert seen.headers["radishmount-time-left-ms"] == "900"
+        assert seen.headers["radishmount-expect-instance"] == "i-1"
+
+    async def test_the_answer_is_the_back_ends_own(self) -> None:
+        async with channel_to(BackEndStandIn("b", answering(WHOLE))) as channel:
+            reply = (await send(channel)).ok_value
+
+        assert (reply.status, reply.body, reply.signature) == (200, b"ok", "s.q1")
+
+    async def test_a_connection_serves_one_request_after_the_other(self) -> None:
+        back_end = BackEndStandIn("b")
+        async with channel_to(back_end) as channel:
+            for number in range(3):
+                assert (await send(channel, f"q{number}")).is_ok()
+
+        assert back_end.connections == 1
+
+    async def test_a_chunked_body_is_whole(self) -> None:
+        text = (
+            "HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        )
+        async with channel_to(BackEndStandIn("b", answering(text))) as channel:
+            assert (await send(channel)).ok_value.body == b"abc"
+
+    async def test_a_body_without_a_length_ends_with_its_connection(self) -> None:
+        text = "HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {id}\r\n\r\nabc"
+        async with channel_to(BackEndStandIn("b", answering(text), closes=True)) as channel:
+            assert (await send(channel)).ok_value.body == b"abc"
+
+    async def test_connection_close_is_followed(self) -> None:
+        closing = WHOLE.replace("Content-Length", "Connection: close\r\nContent-Length")
+        back_end = BackEndStandIn("b", answering(closing, WHOLE))
+        async with channel_to(back_end) as channel:
+            await send(channel, "q1")
+            assert (await send(channel, "q2")).is_ok()
+
+        assert back_end.connections == 2
+
+
+class TestFaultyAnswers:
+    """What is no answer, and what it says of the request."""
+
+    async def outcome_of(self, *texts: str, **fields: bool) -> Failure:
+        """Return the failure that a back end's bytes lead to."""
+        async with channel_to(BackEndStandIn("b", answering(*texts), **fields)) as channel:
+            outcome = await send(channel)
+        assert isinstance(outcome, Err)
+        return outcome.err_value
+
+    async def test_a_cut_body_may_have_run(self) -> None:
+        failure = await self.outcome_of(WHOLE.replace("Length: 2", "Length: 9"), closes=True)
+
+        assert (failure.code, failure.ran) == (Code.CONNECTION_LOST, Ran.UNKNOWN)
+
+    async def test_a_body_without_a_length_that_ends_with_a_reset_is_cut(self) -> None:
+        text = "HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {id}\r\n\r\nabc"
+        failure = await self.outcome_of(text, resets=True)
+
+        assert (failure.code, failure.ran) == (Code.CONNECTION_LOST, Ran.UNKNOWN)
+
+    async def test_bytes_that_are_no_answer_may_have_run(self) -> None:
+        failure = await self.outcome_of("no answer at all\r\n\r\n")
+
+        assert failure.ran is Ran.UNKNOWN
+
+    async def test_the_answer_to_another_request_is_none(self) -> None:
+        failure = await self.outcome_of(WHOLE.replace("{id}", "q0"))
+
+        assert (failure.code, failure.ran) == (Code.BAD_REPLY, Ran.UNKNOWN)
+
+    async def test_a_second_answer_is_never_taken_for_the_next_request(self) -> None:
+        back_end = BackEndStandIn("b", answering(WHOLE + WHOLE, WHOLE))
+        async with channel_to(back_end) as channel:
+            await send(channel, "q1")
+            second = await send(channel, "q2")
+
+        assert second.ok_value.signature == "s.q2"
+        assert back_end.connections == 2
+
+    async def test_half_of_a_second_answer_ends_the_connection_too(self) -> None:
+        back_end = BackEndStandIn("b", answering(WHOLE + WHOLE[:20], WHOLE))
+        async with channel_to(back_end) as channel:
+            await send(channel, "q1")
+            second = await send(channel, "q2")
+
+        assert second.is_err() or second.ok_value.signature == "s.q2"
+
+
+class TestNotRun:
+    """What says that a request did not run."""
+
+    async def test_a_back_end_that_sheds(self) -> None:
+        text = "HTTP/1.1 503 No\r\nRadishmount-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        async with channel_to(BackEndStandIn("b", answering(text))) as channel:
+            failure = (await send(channel)).err_value
+
+        assert (failure.code, failure.ran) == (Code.SHED, Ran.NOT_RUN)
+
+    async def test_another_back_end_at_the_address(self) -> None:
+        text = "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"
+        async with channel_to(BackEndStandIn("b", answering(text))) as channel:
+            failure = (await send(channel)).err_value
+
+        assert (failure.code, failure.ran) == (Code.OTHER_ENDPOINT, Ran.NOT_RUN)
+
+    async def test_nobody_listens(self) -> None:
+        back_end = await BackEndStandIn("b").start()
+        await back_end.stop()
+        channel = BackendChannel(back_end.address)
+
+        failure = (await send(channel)).err_value
+
+        assert (failure.code, failure.ran) == (Code.NOT_CONNECTED, Ran.NOT_RUN)
+
+    async def test_an_error_of_its_own_has_run(self) -> None:
+        text = (
+            "HTTP/1.1 503 No\r\nRadishmount-Request-Id: {id}\r\n"
+            "Radishmount-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n"
+        )
+        async with channel_to(BackEndStandIn("b", answering(text))) as channel:
+            assert (await send(channel)).ok_value.status == 503
--- /dev/null
+++ b/tests/platform/test_formats.py
@@ -0,0 +1,148 @@
+"""Tests of the formats that are read: settings, the store's entries, the configuration."""
+
+import base64
+from pathlib import Path
+
+import orjson
+import pytest
+
+from platform_world import configuration, gather_route, single_route
+from radishmount.codes import Code
+from radishmount.platform import read_configuration, read_deployment_settings, read_listed
+
+
+BACK_END = {
+    "service": "s",
+    "address": "10.128.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "born": 1_785_000_000_000,
+    "seq": 4,
+}
+SETTINGS = """
+nodeName = "front-1"
+role = "entry"
+zone = "z1"
+region = "r1"
+seeds = ["10.1.0.39:8224"]
+unknown = 3
+[zones]
+z1 = "r1"
+[listen]
+front = "10.1.0.39:8226"
+ready = "10.1.0.39:8227"
+control = "10.1.0.39:8224"
+directory = "10.1.0.39:8225"
+[bounds]
+graceS = 6
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetSlack = 58
+ttl_max_s = 5
+[platform]
+address = "10.200.1.7:8229"
+"""
+
+
+def encoded(value: object) -> str:
+    """Return a value as it lies in the store."""
+    return base64.b64encode(orjson.dumps(value)).decode()
+
+
+class TestListed:
+    """The entries of back ends."""
+
+    def test_every_field_has_its_meaning(self) -> None:
+        listed = read_listed("i-1", encoded({**BACK_END, "state": "draining", "coldLeftMs": 700}))
+
+        assert listed is not None
+        assert (listed.name, listed.service, listed.data_centre) == ("i-1", "s", "z1")
+        assert listed.is_draining
+        assert listed.cold_for_ms == 700
+
+    @pytest.mark.parametrize("name", ["service", "address", "zone", "slots", "state", "seq"])
+    def test_a_missing_field_names_no_endpoint(self, name: str) -> None:
+        fields = {key: value for key, value in BACK_END.items() if key != name}
+
+        assert read_listed("i-1", encoded(fields)) is None
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            ("slots", "2"),
+            ("slots", 2.5),
+            ("slots", True),
+            ("service", 7),
+            ("address", "nowhere"),
+            ("address", 8080),
+            ("state", "sleeping"),
+            ("seq", "4"),
+            ("coldLeftMs", "0"),
+            ("coldLeftMs", None),
+            ("born", 1.5),
+        ],
+    )
+    def test_a_field_of_the_wrong_type_names_no_endpoint(self, name: str, value: object) -> None:
+        assert read_listed("i-1", encoded({**BACK_END, name: value})) is None
+
+    @pytest.mark.parametrize("value", ["%%%", "", encoded([1]), encoded("x"), "AAAA"])
+    def test_unreadable_bytes_name_no_endpoint(self, value: str) -> None:
+        assert read_listed("i-1", value) is None
+
+
+class TestConfiguration:
+    """The operator's configuration."""
+
+    def test_routes_and_services(self) -> None:
+        routes = [single_route(routeType="unsafe"), gather_route(["s1", "s2"])]
+        publication = read_configuration(orjson.dumps(configuration(7, routes))).unwrap()
+
+        single = publication.routes.find("shop.example", "/orders/1")
+        gather = publication.routes.find("shop.example", "/stock/1")
+        assert publication.version == 7
+        assert single is not None and not single.idempotent
+        assert gather is not None and gather.idempotent
+        assert gather.shards == ("s1", "s2")
+        assert publication.services_by_name["s1"].connections == 40
+
+    def test_a_split_keeps_its_weights(self) -> None:
+        route = single_route(split=[{"service": "a", "weight": 3}, {"service": "b", "weight": 1}])
+        del route["service"]
+        publication = read_configuration(orjson.dumps(configuration(7, [route]))).unwrap()
+
+        found = publication.routes.find("shop.example", "/orders/1")
+        assert found is not None
+        assert [(part.service, part.weight) for part in found.services] == [("a", 3.0), ("b", 1.0)]
+
+    @pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"version":"x"}', b"\xff"])
+    def test_what_cannot_be_read_is_a_fault(self, body: bytes) -> None:
+        assert read_configuration(body).is_err()
+
+
+class TestSettings:
+    """The settings file."""
+
+    def test_every_field_has_its_meaning(self, tmp_path: Path) -> None:
+        path = tmp_path / "boot.toml"
+        path.write_text(SETTINGS)
+
+        settings = read_deployment_settings(path).unwrap()
+
+        assert (settings.name, settings.data_centre) == ("front-1", "z1")
+        assert str(settings.caller_listen) == "10.1.0.39:8226"
+        assert str(settings.peer_listen) == "10.1.0.39:8224"
+        assert settings.stop_grace_ms == 6_000.0
+        assert (settings.repeats.ratio, settings.repeats.slack) == (0.2, 58.0)
+
+    @pytest.mark.parametrize("text", ["", "a = ", SETTINGS.replace(":8226", ":x")])
+    def test_bad_settings_are_told_with_a_number(self, tmp_path: Path, text: str) -> None:
+        path = tmp_path / "boot.toml"
+        path.write_text(text)
+
+        refusal = read_deployment_settings(path).err_value
+
+        assert refusal.code is Code.BAD_SETTING
+        assert str(path) in refusal.detail
--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,156 @@
+"""One instance on the users' platform, over loopback: a store, back ends and the instance."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import aiohttp
+
+from radishmount.audit import AuditTrail
+from radishmount.border import Listen
+from radishmount.clock import loop_clock
+from radishmount.forwarding import RepeatBounds
+from radishmount.platform import DeploymentSettings, RunningInstance, start_instance
+from radishmount.standins import BackEndStandIn, StoreStandIn, serve_stand_in
+
+
+FREE = Listen("127.0.0.1", 0)
+HOST = "shop.example"
+GRACE_MS = 500.0
+
+
+def entry_of(back_end: BackEndStandIn, service: str, **fields: Any) -> dict[str, Any]:
+    """Return what a back end writes of itself."""
+    return {
+        "service": service,
+        "address": back_end.address,
+        "zone": "z1",
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "born": 1_785_000_000_000,
+        "seq": 1,
+        **fields,
+    }
+
+
+def configuration(version: int, routes: list[dict[str, Any]], **limits: Any) -> dict[str, Any]:
+    """Return a configuration with `routes` and the services that they name."""
+    names = {name for route in routes for name in route.get("shardServices", [])}
+    names |= {route["service"] for route in routes if "service" in route}
+    services = [{"name": name, "healthPath": "/health", "maxConns": 40} for name in sorted(names)]
+    return {"version": version, "routes": routes, "services": services, "limits": limits}
+
+
+def single_route(**fields: Any) -> dict[str, Any]:
+    """Return a route to the service `orders`."""
+    return {
+        "name": "r-single",
+        "host": HOST,
+        "prefix": "/orders/",
+        "routeType": "safe",
+        "timeoutMs": 2_000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "maxAttempts": 2,
+        "service": "orders",
+        **fields,
+    }
+
+
+def gather_route(shards: list[str], **fields: Any) -> dict[str, Any]:
+    """Return a route to all of `shards`."""
+    route = single_route(name="r-gather", prefix="/stock/", **fields)
+    del route["service"]
+    return {**route, "shardServices": shards, "topK": 3, "minPartShare": 0.5}
+
+
+@dataclass
+class PlatformWorld:
+    """What a test of the adapter needs."""
+
+    store: StoreStandIn
+    store_server: Any
+    instance: RunningInstance
+    http: aiohttp.ClientSession
+    back_ends: list[BackEndStandIn] = field(default_factory=list)
+
+    async def add(self, service: str, name: str, **fields: Any) -> BackEndStandIn:
+        """Start a back end and have it register itself."""
+        back_end = await BackEndStandIn(name, **fields).start()
+        self.back_ends.append(back_end)
+        await self.store.put(f"servers/{name}", entry_of(back_end, service))
+        return back_end
+
+    async def publish(self, version: int, *routes: dict[str, Any], **limits: Any) -> None:
+        """Write a configuration and wait until it and every endpoint are known."""
+        await self.store.put("op/config", configuration(version, list(routes), **limits))
+        await self.until(lambda: self.instance.gateway.publication.version == version)
+        held = self.instance.gateway.follower
+        await self.until(lambda: held.held_revision == self.store.revision)
+
+    async def until(self, condition: Any) -> None:
+        """Wait for a condition; the time-out of the test run bounds it."""
+        while not condition():
+            await asyncio.sleep(0.01)
+
+    async def ask(
+        self, path: str, method: str = "GET", request_id: str = "q1", **fields: Any
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a request as a client and return status, headers and body."""
+        headers = {
+            "Host": HOST,
+            "Radishmount-Request-Id": request_id,
+            "Radishmount-Time-Left-Ms": "2000",
+            **fields.pop("headers", {}),
+        }
+        async with self.http.request(
+            method, self.url(0, path), headers=headers, **fields
+        ) as response:
+            return response.status, dict(response.headers), await response.read()
+
+    async def get(self, server: int, path: str) -> tuple[int, bytes]:
+        """Ask the readiness (1) or the directory (2) server."""
+        async with self.http.get(self.url(server, path)) as response:
+            return response.status, await response.read()
+
+    def url(self, server: int, path: str) -> str:
+        """Return the URL of `path` at one of the instance's servers."""
+        return f"http://{self.instance.servers[server].address}{path}"
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self.http.close()
+        for server in self.instance.servers:
+            server.abort()
+        await self.instance.peers.stop()
+        await self.instance.gateway.stop()
+        for back_end in self.back_ends:
+            await back_end.stop()
+        await self.store_server.stop()
+
+
+async def start_platform_world() -> PlatformWorld:
+    """Start an instance that knows no configuration yet."""
+    store = StoreStandIn()
+    store_server = await serve_stand_in(store.app())
+    settings = DeploymentSettings(
+        name="front-1",
+        data_centre="z1",
+        region="r1",
+        region_by_data_centre={"z1": "r1"},
+        caller_listen=FREE,
+        readiness_listen=FREE,
+        peer_listen=FREE,
+        directory_listen=FREE,
+        store_address=str(store_server.address),
+        seeds=(),
+        stop_grace_ms=GRACE_MS,
+        addresses_valid_for_ms=5_000.0,
+        repeats=RepeatBounds(0.2, 100.0),
+    )
+    clock = loop_clock(asyncio.get_running_loop())
+    started = await start_instance(settings, clock, Random(1), AuditTrail(clock))
+    return PlatformWorld(store, store_server, started.unwrap(), aiohttp.ClientSession())
