--- /dev/null
+++ b/src/radishmount/_lazy.py
@@ -0,0 +1,28 @@
+"""Names of a package that are imported when they are first used."""
+
+import sys
+from collections.abc import Callable, Mapping
+from importlib import import_module
+from typing import Any
+
+
+__all__ = ["lazy_names"]
+
+
+def lazy_names(package: str, modules_by_name: Mapping[str, str]) -> Callable[[str], Any]:
+    """Return a `__getattr__` for `package` that imports the module of a name on its first use.
+
+    A program then pays at its start only for the parts of a large package that it uses:
+
+        __getattr__ = lazy_names(__name__, {"serve": "_serve"})
+    """
+
+    def get(name: str) -> Any:
+        module = modules_by_name.get(name)
+        if module is None:
+            raise AttributeError(f"module {package!r} has no attribute {name!r}")
+        value = getattr(import_module(f"{package}.{module}"), name)
+        setattr(sys.modules[package], name, value)
+        return value
+
+    return get
--- a/src/radishmount/border/_peer_orders.py
+++ b/src/radishmount/border/_peer_orders.py
@@ -4,7 +4,6 @@
 
 from pydantic import Field
 
-from radishmount.border._peer_codec import add_peer_models
 from radishmount.border._peer_models import PeerModel
 from radishmount.codes import Code, Ran
 from radishmount.orders import (
@@ -116,4 +115,3 @@
     KeyClaimModel,
     KeyAgreementModel,
 )
-add_peer_models(*ORDER_PEER_MODELS)
--- a/src/radishmount/endpoints/__init__.py
+++ b/src/radishmount/endpoints/__init__.py
@@ -2,7 +2,12 @@
 
 from radishmount.endpoints._attempt import Attempt, Purpose
 from radishmount.endpoints._carried import Carried
-from radishmount.endpoints._choice import Choose, expected_ms, make_choice
+from radishmount.endpoints._choice import (
+    Choose,
+    expected_ms,
+    make_choice,
+    make_weighted_choice,
+)
 from radishmount.endpoints._ejection import Ejection, ejectable
 from radishmount.endpoints._endpoint import EVIDENCE_MAX_AGE_MS, Endpoint
 from radishmount.endpoints._exchange import (
@@ -71,5 +76,6 @@
     "expected_ms",
     "faded",
     "make_choice",
+    "make_weighted_choice",
     "share_of_holder",
 ]
--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -8,7 +8,7 @@
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 
 
-__all__ = ["Choose", "expected_ms", "make_choice"]
+__all__ = ["Choose", "expected_ms", "make_choice", "make_weighted_choice"]
 
 OTHER_DATA_CENTRE_MS = 8.0
 UNKNOWN_LATENCY_MS = 5.0
@@ -20,6 +20,8 @@
 SHED_HALF_LIFE_MS = 250.0
 SHED_WEIGHT = 8.0
 FAILURE_WEIGHT = 2.0
+MIN_EXPECTED_MS = 0.1  # below the resolution of the clock
+WEIGHT_EXPONENT = 3.0  # a replica that is four times slower gets one request in sixty-five
 
 Choose = Callable[[Iterable[Endpoint], Collection[str], float], Endpoint | None]
 
@@ -57,6 +59,33 @@
     return choose
 
 
+def make_weighted_choice(
+    own_data_centre: str, random: Random, policy: QueryPolicy = EVERY_MECHANISM
+) -> Choose:
+    """Return a function that picks quick replicas far more often than slow ones.
+
+    Many instances that know the same do not all run to the same replica, and a slow one is tried
+    now and then, so that its recovery is seen.
+    """
+
+    def choose(
+        replicas: Iterable[Endpoint], excluded: Collection[str], now_ms: float
+    ) -> Endpoint | None:
+        live = [e for e in replicas if e.name not in excluded and e.is_live(now_ms)]
+        fit = [e for e in live if e.ejection.since_ms is None] or live
+        if len(fit) <= 1:
+            return fit[0] if fit else None
+        least_ms = _least_ms(fit)
+        weights = []
+        for endpoint in fit:
+            cost_ms = expected_ms(endpoint, own_data_centre, least_ms, now_ms, policy)
+            weight = ramp_weight(endpoint, now_ms) if policy.ramp else 1.0
+            weights.append(weight * max(cost_ms, MIN_EXPECTED_MS) ** -WEIGHT_EXPONENT)
+        return random.choices(fit, weights)[0]
+
+    return choose
+
+
 def expected_ms(
     endpoint: Endpoint,
     own_data_centre: str,
@@ -72,7 +101,7 @@
     if policy.reports and endpoint.reported_at_ms is not None:
         believed = min(endpoint.load_of_others, REPORTED_ROUNDS_BELIEVED * endpoint.slots)
         load += believed * faded(now_ms - endpoint.reported_at_ms, REPORT_HALF_LIFE_MS)
-    service_ms = endpoint.latency.seen_from(least_ms, now_ms)
+    service_ms = endpoint.pace_ms(least_ms, now_ms)
     expected = service_ms * (1.0 + load / max(1, endpoint.usable_slots))
     expected *= 1.0 + SHED_WEIGHT * faded(now_ms - endpoint.shed_at_ms, SHED_HALF_LIFE_MS)
     expected *= 1.0 + FAILURE_WEIGHT * endpoint.ejection.failures_in_row
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -53,6 +53,7 @@
     refused_as_leaving_at_ms: float = NEVER_MS
     was_leaving: bool = False
     denied_until_by_version: dict[int, float] = field(default_factory=dict)
+    sent_at_ms_by_exchange: dict[int, float] = field(default_factory=dict)
 
     @property
     def name(self) -> str:
@@ -112,6 +113,20 @@
         """Tell whether its evidence is merely old: no probe has failed since."""
         return not self.is_known(now_ms) and self.ejection.failures_in_row == 0
 
+    def open_for_ms(self, now_ms: float) -> float:
+        """Return for how long the oldest exchange has been open, zero when there is none."""
+        for sent_at_ms in self.sent_at_ms_by_exchange.values():
+            return now_ms - sent_at_ms
+        return 0.0
+
+    def pace_ms(self, least_ms: float, now_ms: float) -> float:
+        """Return the latency to expect, at least the age of an exchange that is still open.
+
+        So an endpoint that has just stopped answering is known before any time-out. `least_ms` is
+        the latency of the quickest replica, which old evidence falls back to.
+        """
+        return max(self.latency.seen_from(least_ms, now_ms), self.open_for_ms(now_ms))
+
     def took_request(self) -> None:
         """Count a request that was handed over."""
         self.in_flight += 1
--- a/src/radishmount/endpoints/_latency.py
+++ b/src/radishmount/endpoints/_latency.py
@@ -18,17 +18,23 @@
 
 @dataclass(slots=True)
 class LatencyEstimate:
-    """A moving average of exchanges, in milliseconds. It is unknown until the first one."""
+    """A moving average of exchanges, in milliseconds. It is unknown until the first one.
+
+    `rise_weight` is the weight of a latency above the average: where requests are few, one slow
+    exchange must tell more than a quick one.
+    """
 
     value_ms: float | None = None
     taken_at_ms: float = 0.0
+    rise_weight: float = SAMPLE_WEIGHT
 
     def add(self, latency_ms: float, now_ms: float) -> None:
         """Take the latency of an exchange that was answered."""
         if self.value_ms is None:
             self.value_ms = latency_ms
         else:
-            self.value_ms += SAMPLE_WEIGHT * (latency_ms - self.value_ms)
+            weight = self.rise_weight if latency_ms > self.value_ms else SAMPLE_WEIGHT
+            self.value_ms += weight * (latency_ms - self.value_ms)
         self.taken_at_ms = now_ms
 
     def add_at_least(self, elapsed_ms: float, now_ms: float) -> None:
--- a/src/radishmount/endpoints/_link.py
+++ b/src/radishmount/endpoints/_link.py
@@ -251,6 +251,7 @@
         if remaining_ms <= 0.0:
             return Err(Failure(Code.DEADLINE_PASSED))
         attempt.sent_at_ms = now_ms
+        self.endpoint.sent_at_ms_by_exchange[id(attempt)] = now_ms
         limit_ms = remaining_ms + LATE_REPLY_WAIT_MS
         if self.policy.progress_limits:
             limit_ms = min(limit_ms, attempt.progress_limit_ms)
@@ -263,6 +264,7 @@
             return Err(Failure(code, Ran.UNKNOWN))
         finally:
             attempt.interrupt = None
+            self.endpoint.sent_at_ms_by_exchange.pop(id(attempt), None)
         if isinstance(outcome, Ok) and not outcome.ok_value.answers(attempt.request):
             return Err(Failure(Code.BAD_REPLY, Ran.RAN, detail="to another request"))
         return outcome
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -24,6 +24,8 @@
 
 __all__ = ["EndpointPool"]
 
+FEW_REQUESTS_RISE_WEIGHT = 0.5  # two slow exchanges in a row tell three quarters of the change
+
 
 @dataclass(slots=True)
 class EndpointPool:
@@ -155,6 +157,7 @@
         if not self.policy.probes:
             endpoint.is_vouched_for = True
             endpoint.live_since_ms = self.clock.now_ms()
+            endpoint.latency.rise_weight = FEW_REQUESTS_RISE_WEIGHT
         endpoint.list_as_leaving(spec.name in self.leaving_names, self.clock.now_ms())
         return Link(
             endpoint=endpoint,
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -14,7 +14,7 @@
 from radishmount.control import OpenPeerFor, SeededControl, SeededParts, make_seeded_control
 from radishmount.counters import Counters
 from radishmount.discovery import EndpointList, Store, StoreFollower
-from radishmount.endpoints import EndpointPool, ForwardCall, OpenChannel, make_choice
+from radishmount.endpoints import EndpointPool, ForwardCall, OpenChannel, make_weighted_choice
 from radishmount.fleet import Instance, choose_nearest
 from radishmount.forwarding import (
     ForwardBudget,
@@ -171,7 +171,7 @@
     pool = EndpointPool(own.name, parts.open_channel, clock, counters, audit, FORWARD_POLICY)
     in_force = InForce(parts.read_bundle, audit, counters, clock)
     endpoints = EndpointList()
-    choose = make_choice(own.data_centre, Random(random.random()), FORWARD_POLICY)
+    choose = make_weighted_choice(own.data_centre, Random(random.random()), FORWARD_POLICY)
     tools = ForwardTools(pool, clock, random, choose, counters, ForwardBudget(parts.bounds))
 
     async def renew() -> None:
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -1,6 +1,7 @@
 """The program that the platform runs on each machine: one instance, from its settings."""
 
 import asyncio
+import gc
 import os
 import signal
 import sys
@@ -162,6 +163,8 @@
     if isinstance(started, Err):
         sys.stderr.write(f"{PROGRAM}: {started.err_value}\n")
         return Exit.UNREACHABLE
+    gc.freeze()  # what the start made stays; collections need not look at it again
+    gc.enable()
     log_state_change("serving", callers=str(settings.caller_listen))
     await stop.wait()
     log_state_change("leaving")
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -13,12 +13,14 @@
 
 from radishmount.audit import AuditTrail
 from radishmount.border import (
+    ORDER_PEER_MODELS,
     EntrySettings,
     HttpPlatform,
     PeerKey,
     PeerServer,
     RequestMetrics,
     Server,
+    add_peer_models,
     make_caller_app,
     make_open_peer,
     make_operator_app,
@@ -89,6 +91,7 @@
     policy: QueryPolicy = EVERY_MECHANISM,
 ) -> Result[RunningEntry, Refusal]:
     """Start an entry from its settings. Trials hand in other channels, routes and policies."""
+    add_peer_models(*ORDER_PEER_MODELS)
     key = settings.peer_key.encode()
     counters = Counters()
 
--- a/tests/peer_fakes.py
+++ b/tests/peer_fakes.py
@@ -6,12 +6,21 @@
 
 from result import Err, Ok, Result
 
-from radishmount.border import pack_frame, unpack_frame
+from radishmount.border import (
+    ENDPOINT_PEER_MODELS,
+    ORDER_PEER_MODELS,
+    add_peer_models,
+    pack_frame,
+    unpack_frame,
+)
 from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
 from radishmount.fleet import Frame, Members, OpenPeer, PeerIdentity, Peers, PeerStream
 
 
+add_peer_models(*ORDER_PEER_MODELS, *ENDPOINT_PEER_MODELS)
+
+
 class FakeStream:
     """One end of a stream between two instances."""
 
