Write a bounded log of requests to standard output, serve metrics, follow changed settings

Cause: on-call engineers have only logs and metrics, and there were none for a forwarded request.

Change: a record for each request out of the ordinary, with its attempts, the configuration's version and the age of the endpoints; so many lines of a kind in a second, the rest counted; a buffer that is never waited for. The product's operators' address is served on the metrics port one second after the start, so that it costs a start nothing. Settings are read again after SIGHUP or a changed file; a bad file is logged and left.

--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -21,7 +21,7 @@
 
 entries=()
 for settings in "$folder"/*.jsonc; do
-    "$bin/radishmount-entry" --settings "$settings" 2>"${settings%.jsonc}.log" &
+    "$bin/radishmount-entry" --settings "$settings" >"${settings%.jsonc}.log" 2>&1 &
     entries+=($!)
     pids+=($!)
 done
--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -10,7 +10,6 @@
     from radishmount.border._bundle import digest_of, read_bundle, write_bundle
     from radishmount.border._callers import CallerService, make_caller_app
     from radishmount.border._endpoint_client import EndpointChannel, open_endpoint_channel
-    from radishmount.border._http import expect_continue
     from radishmount.border._jsonc import read_jsonc
     from radishmount.border._manifest import CONFIGURATION_KEY, MAX_VALUE_BYTES, split_bundle
     from radishmount.border._metrics import RequestMetrics
@@ -26,7 +25,13 @@
     from radishmount.border._peer_stream import PeerServer, make_open_peer, serve_peers
     from radishmount.border._platform_client import HttpPlatform
     from radishmount.border._refusals import status_of
-    from radishmount.border._serve import Server, serve, serve_manager
+    from radishmount.border._serve import (
+        ConnectionLimits,
+        Server,
+        expect_continue,
+        serve,
+        serve_manager,
+    )
     from radishmount.border._settings import (
         EntrySettings,
         Listen,
@@ -42,6 +47,7 @@
     "BorderModel",
     "CONFIGURATION_KEY",
     "CallerService",
+    "ConnectionLimits",
     "ENDPOINT_PEER_MODELS",
     "EndpointChannel",
     "EntrySettings",
@@ -107,13 +113,14 @@
         "PeerModel": "_peer_models",
         "PeerServer": "_peer_stream",
         "RequestMetrics": "_metrics",
+        "ConnectionLimits": "_serve",
         "Server": "_serve",
         "add_peer_models": "_peer_codec",
         "check_folder": "_object_files",
         "describe_fault": "_models",
         "describe_faults": "_models",
         "digest_of": "_bundle",
-        "expect_continue": "_http",
+        "expect_continue": "_serve",
         "make_caller_app": "_callers",
         "make_open_peer": "_peer_stream",
         "make_operator_app": "_operators",
--- a/src/radishmount/border/_caller_orders.py
+++ b/src/radishmount/border/_caller_orders.py
@@ -7,7 +7,7 @@
 from pydantic import Field
 from result import Err, Ok, Result
 
-from radishmount.border._http import elapsed_ms, expect_continue, request_id_of
+from radishmount.border._http import elapsed_ms, request_id_of
 from radishmount.border._models import BorderModel, read_json
 from radishmount.border._refusals import (
     RESULT_NAME,
@@ -16,6 +16,7 @@
     refusal_response,
     status_of,
 )
+from radishmount.border._serve import expect_continue
 from radishmount.codes import Code, Refusal
 from radishmount.orders import OrderAnswer, OrderCall, OrderLimits, Wish
 
--- a/src/radishmount/border/_callers.py
+++ b/src/radishmount/border/_callers.py
@@ -11,13 +11,13 @@
 from radishmount.border._http import (
     HttpService,
     elapsed_ms,
-    expect_continue,
     guarded_app,
     request_id_of,
 )
 from radishmount.border._metrics import RequestMetrics
 from radishmount.border._models import BorderModel, Key, read_json, read_query
 from radishmount.border._refusals import refusal_response
+from radishmount.border._serve import expect_continue
 from radishmount.codes import Code, Refusal
 from radishmount.endpoints import SearchTerms
 from radishmount.fleet import AddressAnswer
--- a/src/radishmount/border/_http.py
+++ b/src/radishmount/border/_http.py
@@ -22,7 +22,6 @@
 __all__ = [
     "HttpService",
     "elapsed_ms",
-    "expect_continue",
     "guarded_app",
     "request_id_of",
 ]
@@ -62,13 +61,6 @@
     return clock.now_ms() - request[ARRIVED_AT_MS]
 
 
-async def expect_continue(request: web.BaseRequest) -> None:
-    """Ask for the body when the caller waits to be asked; other expectations are overlooked."""
-    is_known = request.headers.get("Expect", "").lower() == "100-continue"
-    if is_known and request.transport is not None:
-        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-
 def guarded_app(
     service: HttpService,
     metrics: RequestMetrics,
--- a/src/radishmount/border/_metrics.py
+++ b/src/radishmount/border/_metrics.py
@@ -13,6 +13,8 @@
 
 PREFIX = "radishmount"
 LATENCY_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 150, 190, 250, 500, 1_000, 2_000, 5_000, 10_000)
+MAX_PATHS = 100  # with some verdicts each, about a thousand series
+OTHER_PATHS = "other"
 NOT_IN_NAMES = re.compile(r"[^a-z0-9_]")
 
 
@@ -31,6 +33,7 @@
     def __init__(self) -> None:
         self.in_flight = 0
         self.registry = Registry()
+        self._paths: set[str] = set()
         self._latencies = Histogram(
             f"{PREFIX}_request_ms",
             "Time from the head of a request to the end of its answer, in milliseconds.",
@@ -38,6 +41,17 @@
             buckets=LATENCY_BOUNDS_MS,
         )
 
+    def observe(self, path: str, code_name: str, took_ms: float) -> None:
+        """Count a request that another border has answered, under its route.
+
+        Routes beyond the first ones share a name, so that the series stay bounded.
+        """
+        if path not in self._paths:
+            if len(self._paths) >= MAX_PATHS:
+                path = OTHER_PATHS
+            self._paths.add(path)
+        self._latencies.observe({"path": path, "code": code_name}, took_ms)
+
     def started(self) -> None:
         """Count a request whose head has arrived."""
         self.in_flight += 1
--- a/src/radishmount/border/_peer_models.py
+++ b/src/radishmount/border/_peer_models.py
@@ -4,9 +4,9 @@
 """
 
 from dataclasses import fields
-from typing import Annotated, Any, ClassVar
+from typing import Annotated, Any, ClassVar, Self
 
-from pydantic import ConfigDict, Field
+from pydantic import ConfigDict, Field, model_validator
 
 from radishmount.border._models import BorderModel
 from radishmount.fleet import (
@@ -20,6 +20,7 @@
     ListRequest,
     MemberState,
     MemberUpdate,
+    PaceNews,
     Ping,
     ProbeReply,
     ProbeRequest,
@@ -31,6 +32,7 @@
 
 MAX_PIECE_BYTES = 64 * 1024
 MAX_UPDATES = 1000
+MAX_TOLD_PACES = 500
 MAX_INSTANCES = 2000
 MAX_ENDPOINTS = 10_000
 
@@ -176,6 +178,27 @@
         return RosterNews(tuple(InstanceModel.from_values(i).to_data() for i in self.instances))
 
 
+class PaceNewsModel(PeerModel):
+    """Endpoints that an instance found slow."""
+
+    data_type = PaceNews
+    origin: PeerName
+    number: Number
+    endpoints: Annotated[list[PeerName], Field(max_length=MAX_TOLD_PACES)]
+    paces: Annotated[list[Number], Field(max_length=MAX_TOLD_PACES)]
+
+    def to_data(self) -> PaceNews:
+        """Return the message as a data class."""
+        return PaceNews(self.origin, self.number, tuple(self.endpoints), tuple(self.paces))
+
+    @model_validator(mode="after")
+    def check_lengths(self) -> Self:
+        """Refuse a message in which endpoints and paces do not go together."""
+        if len(self.endpoints) != len(self.paces):
+            raise ValueError("as many paces as endpoints are expected")
+        return self
+
+
 class EndpointChangesModel(PeerModel):
     """Endpoints that said that they are leaving."""
 
@@ -198,6 +221,7 @@
     ListReplyModel,
     EndpointChangesModel,
     RosterNewsModel,
+    PaceNewsModel,
 )
 
 
--- a/src/radishmount/border/_serve.py
+++ b/src/radishmount/border/_serve.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
 from result import Err, Ok, Result
 
 from radishmount.border._refusals import refusal_response
@@ -12,12 +14,13 @@
 from radishmount.codes import Code, Ran, Refusal
 
 
-__all__ = ["Server", "serve", "serve_manager"]
+__all__ = ["ConnectionLimits", "Server", "expect_continue", "serve", "serve_manager"]
 
 SHUTDOWN_TIMEOUT_S = 60.0
 IDLE_TIMEOUT_S = 60.0
 UNREAD_BODY_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 4_000
+MAX_HEADER_BYTES = 8_190
 HANDLER_OPTIONS: dict[str, Any] = {
     "lingering_time": UNREAD_BODY_TIMEOUT_S,
     "access_log": None,
@@ -65,13 +68,27 @@
         if request.writer.output_size > 0:
             raise ConnectionError("the answer has begun already")
         refusal = Refusal(Code.INTERNAL, detail=type(exc).__name__, ran=Ran.UNKNOWN)
-        if status < 500:
+        if isinstance(exc, LineTooLong):
+            refusal = Refusal(Code.HEADER_TOO_LARGE)
+        elif status < 500:
             refusal = Refusal(Code.BAD_HTTP, detail=type(exc).__name__)
         response = refusal_response(refusal, "")
         response.force_close()
         return response
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """What a client may do on one connection.
+
+    One that brings no whole request head within `idle_timeout_s` is closed; a line or field above
+    `max_header_bytes` is refused.
+    """
+
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+    max_header_bytes: int = MAX_HEADER_BYTES
+
+
 class CrowdedOut(asyncio.Protocol):
     """One connection above the limit, which is closed at once."""
 
@@ -80,6 +97,13 @@
         transport.close()
 
 
+async def expect_continue(request: web.BaseRequest) -> None:
+    """Ask for the body when the caller waits to be asked; other expectations are overlooked."""
+    is_known = request.headers.get("Expect", "").lower() == "100-continue"
+    if is_known and request.transport is not None:
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
 async def serve(
     app: web.Application,
     listen: Listen,
@@ -96,7 +120,7 @@
     runner = web.AppRunner(
         app, shutdown_timeout=shutdown_timeout_s, handler_cancellation=cancel_abandoned
     )
-    return await _listen(runner, listen, lambda: idle_timeout_s)
+    return await _listen(runner, listen, lambda: ConnectionLimits(idle_timeout_s))
 
 
 async def serve_manager(
@@ -104,15 +128,15 @@
     listen: Listen,
     *,
     shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
-    idle_timeout_s: Callable[[], float] = lambda: IDLE_TIMEOUT_S,
+    limits: Callable[[], ConnectionLimits] = ConnectionLimits,
 ) -> Result[Server, Refusal]:
-    """Serve what needs no routing by path. `idle_timeout_s` is asked for each new connection."""
+    """Serve what needs no routing by path. `limits` is asked for each new connection."""
     runner = web.ServerRunner(manager, shutdown_timeout=shutdown_timeout_s)
-    return await _listen(runner, listen, idle_timeout_s)
+    return await _listen(runner, listen, limits)
 
 
 async def _listen(
-    runner: web.BaseRunner, listen: Listen, idle_timeout_s: Callable[[], float]
+    runner: web.BaseRunner, listen: Listen, limits: Callable[[], ConnectionLimits]
 ) -> Result[Server, Refusal]:
     loop = asyncio.get_running_loop()
     await runner.setup()
@@ -122,10 +146,13 @@
     def connect() -> asyncio.Protocol:
         if len(manager.connections) >= MAX_CONNECTIONS:
             return CrowdedOut()
+        allowed = limits()
         return NumberedHandler(
             manager,
             loop=loop,
-            keepalive_timeout=idle_timeout_s(),
+            keepalive_timeout=allowed.idle_timeout_s,
+            max_line_size=allowed.max_header_bytes,
+            max_field_size=allowed.max_header_bytes,
             **HANDLER_OPTIONS,
         )
 
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -52,6 +52,7 @@
     revision: int | None = None
     held_revision: int = 0
     is_reached: bool = True
+    heard_at_ms: float = 0.0
     backoff: Backoff = field(init=False)
 
     def __post_init__(self) -> None:
@@ -84,6 +85,7 @@
         if revision <= self.held_revision:
             return
         self.held_revision = revision
+        self.heard_at_ms = self.clock.now_ms()
         by_name: dict[str, ListedEndpoint | None] = {entry.name: entry for entry in listed}
         self.endpoints.replace_all(by_name, self.clock.now_ms())
         self.audit.record("endpoints", "taken", cause=f"peer {peer}", version=revision)
@@ -105,11 +107,20 @@
             return
         if self.is_reached:
             self.is_reached = False
+            self.heard_at_ms = self.clock.now_ms()
             self.audit.record("store", "lost", cause=str(failure.refusal))
         await self.clock.sleep_ms(self.backoff.next_ms())
 
+    def age_ms(self) -> float:
+        """Return how long ago the endpoints here were last known to be the newest.
+
+        A watch that waits for changes keeps them young for as long as the store is reached.
+        """
+        return 0.0 if self.is_reached else self.clock.now_ms() - self.heard_at_ms
+
     def _reached(self) -> None:
         self.backoff.reset()
+        self.heard_at_ms = self.clock.now_ms()
         if self.is_reached:
             return
         self.is_reached = True
--- a/src/radishmount/forwarding/__init__.py
+++ b/src/radishmount/forwarding/__init__.py
@@ -4,16 +4,21 @@
 from radishmount.forwarding._gather import Gather
 from radishmount.forwarding._outcome import Forwarded, MergedAnswer
 from radishmount.forwarding._plan import ForwardPlan, make_plan
+from radishmount.forwarding._record import ForwardAttempt, ForwardRecord, ForwardVerdict
 from radishmount.forwarding._records import RECORD_BYTES, greatest_records
 from radishmount.forwarding._run import forward
-from radishmount.forwarding._tools import ForwardTools
+from radishmount.forwarding._tools import ForwardTools, ForwardView
 
 
 __all__ = [
     "RECORD_BYTES",
+    "ForwardAttempt",
     "ForwardBudget",
     "ForwardPlan",
+    "ForwardRecord",
     "ForwardTools",
+    "ForwardVerdict",
+    "ForwardView",
     "Forwarded",
     "Gather",
     "MergedAnswer",
--- /dev/null
+++ b/src/radishmount/forwarding/_record.py
@@ -0,0 +1,180 @@
+"""What became of one forwarded request, for logs and explanations."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from result import Err
+
+from radishmount.clock import Clock
+from radishmount.codes import Code, Ran, Refusal
+from radishmount.endpoints import Attempt, ForwardReply, Purpose
+from radishmount.forwarding._outcome import Forwarded, MergedAnswer
+from radishmount.forwarding._plan import ForwardPlan
+
+
+__all__ = ["ForwardAttempt", "ForwardRecord", "ForwardVerdict", "record_of_forward", "verdict_of"]
+
+RESULT_OK = "OK"
+
+
+class ForwardVerdict(StrEnum):
+    """How a request ended, the least usual first."""
+
+    REFUSED = "refused"
+    FAILED = "failed"
+    ABANDONED = "abandoned"
+    PARTIAL = "partial"
+    LATE = "late"
+    REPEATED = "repeated"
+    ANSWERED = "answered"
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardAttempt:
+    """One sending. Times are in milliseconds after the request came; none where it never was."""
+
+    service: str
+    endpoint: str
+    purpose: str
+    chosen_after_ms: float
+    sent_after_ms: float | None
+    ended_after_ms: float | None
+    result: str
+
+    @property
+    def is_ordinary(self) -> bool:
+        """Tell whether this was a first sending that was answered."""
+        return self.purpose == Purpose.FIRST and self.result == RESULT_OK
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardRecord:
+    """What became of one request.
+
+    `version` is that of the configuration that it was handled under, `endpoints_age_ms` how long
+    ago the list of endpoints was last known to be the newest.
+    """
+
+    request_id: str
+    route: str
+    verdict: ForwardVerdict
+    took_ms: float
+    allowed_ms: float
+    parts: int
+    missing: tuple[str, ...]
+    attempts: tuple[ForwardAttempt, ...]
+    version: int
+    endpoints_age_ms: float
+    refusal: Refusal | None = None
+    status: int | None = None
+
+    @property
+    def code(self) -> Code | None:
+        """Return the code of the refusal, none for an answer."""
+        return None if self.refusal is None else self.refusal.code
+
+    def fields(self) -> dict[str, Any]:
+        """Return the fields of a line; of the attempts those that were out of the ordinary."""
+        fields: dict[str, Any] = {
+            "request_id": self.request_id,
+            "route": self.route,
+            "took_ms": round(self.took_ms, 1),
+            "allowed_ms": round(self.allowed_ms),
+            "parts": self.parts,
+            "attempts": len(self.attempts),
+            "version": self.version,
+            "endpoints_age_ms": round(self.endpoints_age_ms),
+        }
+        if self.missing:
+            fields["missing"] = list(self.missing)
+        if self.status is not None:
+            fields["status"] = self.status
+        if self.refusal is not None:
+            fields |= {
+                "code": self.refusal.code.value,
+                "code_name": self.refusal.code.name,
+                "ran": self.refusal.ran.value,
+                "detail": self.refusal.detail,
+            }
+        unusual = [_line_of(attempt) for attempt in self.attempts if not attempt.is_ordinary]
+        if unusual:
+            fields["unusual_attempts"] = unusual
+        return fields
+
+
+def verdict_of(
+    plan: ForwardPlan, outcome: Forwarded, attempts: Iterable[Attempt], took_ms: float
+) -> ForwardVerdict:
+    """Return how a request that was not abandoned ended."""
+    if isinstance(outcome, Err):
+        is_refused = outcome.err_value.ran is Ran.NOT_RUN
+        return ForwardVerdict.REFUSED if is_refused else ForwardVerdict.FAILED
+    answer = outcome.ok_value
+    if isinstance(answer, MergedAnswer):
+        if answer.missing:
+            return ForwardVerdict.PARTIAL
+    elif answer.is_failure:
+        return ForwardVerdict.FAILED
+    if took_ms > plan.route.target_latency_ms:
+        return ForwardVerdict.LATE
+    if any(attempt.purpose is not Purpose.FIRST for attempt in attempts):
+        return ForwardVerdict.REPEATED
+    return ForwardVerdict.ANSWERED
+
+
+def record_of_forward(
+    plan: ForwardPlan,
+    verdict: ForwardVerdict,
+    outcome: Forwarded | None,
+    attempts: Iterable[Attempt],
+    missing: tuple[str, ...],
+    clock: Clock,
+    version: int,
+    endpoints_age_ms: float,
+) -> ForwardRecord:
+    """Return the record of a request that has ended; `outcome` is none where it was abandoned."""
+    refusal = outcome.err_value if isinstance(outcome, Err) else None
+    answer = None if outcome is None else outcome.ok()
+    return ForwardRecord(
+        request_id=plan.call.request_id,
+        route=plan.route.name,
+        verdict=verdict,
+        took_ms=clock.now_ms() - plan.arrived_at_ms,
+        allowed_ms=plan.deadline_at_ms - plan.arrived_at_ms,
+        parts=len(plan.services),
+        missing=missing,
+        attempts=tuple(_attempt_of(attempt, plan.arrived_at_ms) for attempt in attempts),
+        version=version,
+        endpoints_age_ms=endpoints_age_ms,
+        refusal=refusal,
+        status=answer.status if isinstance(answer, ForwardReply) else None,
+    )
+
+
+def _attempt_of(attempt: Attempt, arrived_at_ms: float) -> ForwardAttempt:
+    def after(at_ms: float | None) -> float | None:
+        return None if at_ms is None else round(at_ms - arrived_at_ms, 1)
+
+    return ForwardAttempt(
+        service=attempt.request.service,
+        endpoint=attempt.endpoint.name,
+        purpose=attempt.purpose.value,
+        chosen_after_ms=round(attempt.submitted_at_ms - arrived_at_ms, 1),
+        sent_after_ms=after(attempt.sent_at_ms),
+        ended_after_ms=after(attempt.ended_at_ms),
+        result=attempt.result or ("GIVEN_UP" if attempt.cancelled else "OPEN"),
+    )
+
+
+def _line_of(attempt: ForwardAttempt) -> dict[str, Any]:
+    return {
+        "service": attempt.service,
+        "endpoint": attempt.endpoint,
+        "purpose": attempt.purpose,
+        "chosen_after_ms": attempt.chosen_after_ms,
+        "sent_after_ms": attempt.sent_after_ms,
+        "ended_after_ms": attempt.ended_after_ms,
+        "result": attempt.result,
+    }
--- a/src/radishmount/forwarding/_run.py
+++ b/src/radishmount/forwarding/_run.py
@@ -1,25 +1,58 @@
 """A forwarded request from end to end."""
 
+import asyncio
+
 from result import Err, Ok
 
 from radishmount.codes import Code, Ran, Refusal
 from radishmount.forwarding._gather import Gather
 from radishmount.forwarding._outcome import Forwarded, MergedAnswer
 from radishmount.forwarding._plan import ForwardPlan
+from radishmount.forwarding._record import ForwardVerdict, record_of_forward, verdict_of
 from radishmount.forwarding._records import greatest_records
 from radishmount.forwarding._tools import ForwardTools
 
 
 __all__ = ["forward"]
 
+SAMPLED_SHARE = 0.05  # of the ordinary answers; counters tell of all of them
+
 
 async def forward(plan: ForwardPlan, tools: ForwardTools) -> Forwarded:
     """Answer `plan` from its endpoints, or tell why not and whether anything ran."""
     gather = Gather(plan, tools)
-    await gather.run()
-    if plan.is_gather:
-        return _merged(gather)
-    return _single(gather)
+    try:
+        await gather.run()
+    except asyncio.CancelledError:
+        _tell(gather, ForwardVerdict.ABANDONED, None)
+        raise
+    outcome = _merged(gather) if plan.is_gather else _single(gather)
+    took_ms = tools.clock.now_ms() - plan.arrived_at_ms
+    _tell(gather, verdict_of(plan, outcome, gather.attempts, took_ms), outcome)
+    return outcome
+
+
+def _tell(gather: Gather, verdict: ForwardVerdict, outcome: Forwarded | None) -> None:
+    """Count the end of a request, and hand its record to whoever keeps records."""
+    plan, tools = gather.plan, gather.tools
+    tools.counters.add("requests", verdict.value)
+    tools.observe(plan.route.name, verdict.value, tools.clock.now_ms() - plan.arrived_at_ms)
+    if verdict is ForwardVerdict.ANSWERED and tools.random.random() > SAMPLED_SHARE:
+        return
+    view = tools.view()
+    missing = tuple(part.service for part in gather.parts_by_service.values() if part.reply is None)
+    tools.tell(
+        record_of_forward(
+            plan,
+            verdict,
+            outcome,
+            gather.attempts,
+            missing,
+            tools.clock,
+            view.version,
+            view.endpoints_age_ms,
+        )
+    )
 
 
 def _single(gather: Gather) -> Forwarded:
--- a/src/radishmount/forwarding/_tools.py
+++ b/src/radishmount/forwarding/_tools.py
@@ -1,5 +1,6 @@
 """What forwarding needs from outside, and what it remembers from request to request."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -7,15 +8,28 @@
 from radishmount.counters import Counters
 from radishmount.endpoints import Choose, EndpointPool
 from radishmount.forwarding._budget import ForwardBudget
+from radishmount.forwarding._record import ForwardRecord
 from radishmount.queries import LatencyWindow
 
 
-__all__ = ["ForwardTools"]
+__all__ = ["ForwardTools", "ForwardView"]
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardView:
+    """What the instance believes: the configuration's version, and how old its endpoints are."""
+
+    version: int = 0
+    endpoints_age_ms: float = 0.0
 
 
 @dataclass(slots=True)
 class ForwardTools:
-    """Handed to every forwarded request of one instance."""
+    """Handed to every forwarded request of one instance.
+
+    `observe` takes route, verdict and milliseconds of each request that has ended, `tell` the
+    record of those that are out of the ordinary and of some others.
+    """
 
     pool: EndpointPool
     clock: Clock
@@ -23,6 +37,9 @@
     choose: Choose
     counters: Counters
     budget: ForwardBudget = field(default_factory=ForwardBudget)
+    view: Callable[[], ForwardView] = ForwardView
+    observe: Callable[[str, str, float], None] = lambda route, verdict, took_ms: None
+    tell: Callable[[ForwardRecord], None] = lambda record: None
     windows_by_route: dict[str, LatencyWindow] = field(default_factory=dict)
 
     def window(self, route: str) -> LatencyWindow:
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -15,17 +15,22 @@
 from radishmount.counters import Counters
 from radishmount.discovery import EndpointList, Store, StoreFollower
 from radishmount.endpoints import EndpointPool, ForwardCall, OpenChannel, make_weighted_choice
-from radishmount.fleet import Instance, choose_nearest
+from radishmount.fleet import Instance, PaceSpread, choose_nearest
 from radishmount.forwarding import (
     ForwardBudget,
     Forwarded,
+    ForwardRecord,
     ForwardTools,
+    ForwardVerdict,
+    ForwardView,
     RepeatBounds,
     forward,
     make_plan,
 )
+from radishmount.logs import Emit, RequestLog
 from radishmount.policy import QueryPolicy
 from radishmount.publication import InForce, Publication, ReadBundle
+from radishmount.queries import Explained, ExplainLog
 
 
 __all__ = ["Gateway", "GatewayParts", "make_gateway"]
@@ -51,6 +56,7 @@
     read_bundle: ReadBundle
     bounds: RepeatBounds
     addresses_valid_for_ms: float
+    emit: Emit = lambda change, fields: None
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,15 +78,19 @@
     follower: StoreFollower
     pool: EndpointPool
     tools: ForwardTools
+    pace_spread: PaceSpread
     audit: AuditTrail
     counters: Counters
     leaving: bool = False
+    explanations: ExplainLog = field(default_factory=ExplainLog)
     in_flight: int = 0
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def start(self) -> None:
         """Start the tasks that keep the instance in step."""
         self.control.start()
+        self.pace_spread.start()
+        self._start_task("spread paces", self.pace_spread.run())
         self._start_task("follow store", self.follower.run())
         self._start_task("settle roster", self._settle())
         self._start_task("expire endpoints", self.follower.run_expiry())
@@ -113,11 +123,11 @@
     ) -> Forwarded:
         """Forward a request by the route of its host and path."""
         if self.publication.version == 0:
-            return Err(Refusal(Code.NOT_READY))
+            return self._refuse(call, Refusal(Code.NOT_READY))
         path = call.target.partition("?")[0]
         route = self.publication.routes.find(host, path)
         if route is None:
-            return Err(Refusal(Code.UNKNOWN_ROUTE, detail=f"{host}{path}"))
+            return self._refuse(call, Refusal(Code.UNKNOWN_ROUTE, detail=f"{host}{path}"))
         plan = make_plan(call, route, arrived_at_ms, time_left_ms, self.tools.random)
         self.in_flight += 1
         try:
@@ -125,6 +135,67 @@
         finally:
             self.in_flight -= 1
 
+    def view(self) -> ForwardView:
+        """Return what requests are handled by now: the configuration, and the endpoints' age."""
+        return ForwardView(self.publication.version, self.follower.age_ms())
+
+    def new_request_id(self) -> str:
+        """Return an id for a request of an operator."""
+        return f"{self.parts.own.name}-{self.parts.random.getrandbits(64):016x}"
+
+    def is_leaving(self) -> bool:
+        """Tell whether callers are to go to another instance."""
+        return self.leaving
+
+    def explain(self, request_id: str) -> Explained | None:
+        """Return the record of a request that was out of the ordinary, if it is kept."""
+        return self.explanations.find(request_id)
+
+    def gauges(self) -> dict[str, float]:
+        """Return the present values that the metrics show."""
+        view = self.view()
+        return {
+            "ready": float(self.is_ready()),
+            "leaving": float(self.leaving),
+            "publication_version": float(view.version),
+            "publication_age_ms": self.in_force.age_ms(),
+            "endpoints_age_ms": view.endpoints_age_ms,
+            "endpoints_known": float(len(self.pool.links_by_name)),
+            "store_reached": float(self.follower.is_reached),
+            "instances_listed": float(len(self.control.fleet.listed_names)),
+            "peer_streams": float(len(self.control.peers.sessions_by_name)),
+            "forwarding": float(self.in_flight),
+        }
+
+    def status(self) -> dict[str, Any]:
+        """Return the state of the instance in plain values."""
+        return {
+            "name": self.parts.own.name,
+            "data_centre": self.parts.own.data_centre,
+            "instances": self.control.fleet.listed_names,
+            **self.gauges(),
+        }
+
+    def _refuse(self, call: ForwardCall, refusal: Refusal) -> Forwarded:
+        """Refuse a request that no route takes, and keep a record of it."""
+        view = self.view()
+        record = ForwardRecord(
+            request_id=call.request_id,
+            route="",
+            verdict=ForwardVerdict.REFUSED,
+            took_ms=0.0,
+            allowed_ms=0.0,
+            parts=0,
+            missing=(),
+            attempts=(),
+            version=view.version,
+            endpoints_age_ms=view.endpoints_age_ms,
+            refusal=refusal,
+        )
+        self.counters.add("requests", ForwardVerdict.REFUSED.value)
+        self.tools.tell(record)
+        return Err(refusal)
+
     def addresses(self, data_centre: str) -> ConnectAnswer:
         """Return the addresses for a caller in `data_centre`."""
         nearest = choose_nearest(self.control.fleet, data_centre, MAX_ADDRESSES)
@@ -169,6 +240,7 @@
     clock, random = parts.clock, parts.random
     own = parts.own
     pool = EndpointPool(own.name, parts.open_channel, clock, counters, audit, FORWARD_POLICY)
+    pool.holders.connections_per_holder = 1
     in_force = InForce(parts.read_bundle, audit, counters, clock)
     endpoints = EndpointList()
     choose = make_weighted_choice(own.data_centre, Random(random.random()), FORWARD_POLICY)
@@ -193,7 +265,25 @@
     )
     seeded = SeededParts(own, parts.seeds, clock, random, parts.open_peer_for)
     control = make_seeded_control(seeded, in_force, follower, audit, counters)
-    gateway = Gateway(parts, control, in_force, endpoints, follower, pool, tools, audit, counters)
+    pace_spread = PaceSpread(
+        own.name,
+        control.peers,
+        clock,
+        counters,
+        find_slow=pool.slow_paces,
+        take_hints=pool.take_pace_hints,
+    )
+    gateway = Gateway(
+        parts, control, in_force, endpoints, follower, pool, tools, pace_spread, audit, counters
+    )
+    request_log = RequestLog(clock, counters, parts.emit)
+
+    def tell(record: ForwardRecord) -> None:
+        gateway.explanations.add(record)
+        request_log.tell(record)
+
+    tools.view = gateway.view
+    tools.tell = tell
     in_force.on_change.append(take_publication)
     control.roster.on_change.append(gateway.take_roster)
     return gateway
--- /dev/null
+++ b/src/radishmount/logs/__init__.py
@@ -0,0 +1,8 @@
+"""Logs: lines of bounded number, written without ever waiting for their reader."""
+
+from radishmount.logs._budget import LineBudget
+from radishmount.logs._output import LogOutput, open_standard_output
+from radishmount.logs._request_log import Emit, RequestLog, kind_of
+
+
+__all__ = ["Emit", "LineBudget", "LogOutput", "RequestLog", "kind_of", "open_standard_output"]
--- /dev/null
+++ b/src/radishmount/logs/_budget.py
@@ -0,0 +1,44 @@
+"""How many lines of each kind are written in a second."""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+
+__all__ = ["LineBudget"]
+
+WINDOW_MS = 1_000.0
+
+
+@dataclass(slots=True)
+class LineBudget:
+    """Grants so many lines of each kind in a second, and counts those that it withholds.
+
+    A kind that is not named has no limit.
+
+        budget = LineBudget({"answered": 1})
+        if budget.take("answered", now_ms): ...
+    """
+
+    lines_per_s_by_kind: Mapping[str, int]
+    window_began_ms: float = float("-inf")
+    used_by_kind: Counter[str] = field(default_factory=Counter)
+    withheld_by_kind: Counter[str] = field(default_factory=Counter)
+
+    def take(self, kind: str, now_ms: float) -> bool:
+        """Take one line; tell whether it may be written."""
+        if now_ms - self.window_began_ms >= WINDOW_MS:
+            self.window_began_ms = now_ms
+            self.used_by_kind.clear()
+        limit = self.lines_per_s_by_kind.get(kind)
+        if limit is not None and self.used_by_kind[kind] >= limit:
+            self.withheld_by_kind[kind] += 1
+            return False
+        self.used_by_kind[kind] += 1
+        return True
+
+    def take_withheld(self) -> dict[str, int]:
+        """Return how many lines of each kind were withheld since the last call."""
+        withheld = dict(self.withheld_by_kind)
+        self.withheld_by_kind.clear()
+        return withheld
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -35,7 +35,7 @@
 from radishmount.orders import OrderCall, OrderDesk, OrderTools, new_start_number
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 from radishmount.publication import InForce, Publication, ReadBundle, Rule, Shard
-from radishmount.queries import Answer, QueryTools, RequestRecord, Search, SearchCall, run_search
+from radishmount.queries import Answer, Explained, QueryTools, Search, SearchCall, run_search
 
 
 __all__ = ["Node", "NodeParts", "Platform", "make_node"]
@@ -189,7 +189,7 @@
         """Tell whether callers may be sent here."""
         return self.control.is_ready()
 
-    def explain(self, request_id: str) -> RequestRecord | None:
+    def explain(self, request_id: str) -> Explained | None:
         """Return the record of a slow, partial or refused request, if it is kept."""
         return self.tools.explain.find(request_id)
 
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -17,6 +17,7 @@
 from radishmount.audit import AuditTrail
 from radishmount.border import (
     ENDPOINT_PEER_MODELS,
+    ConnectionLimits,
     Listen,
     PeerKey,
     PeerServer,
@@ -44,6 +45,7 @@
 from radishmount.programs import (
     Exit,
     audit_log,
+    log_line,
     log_state_change,
     run_program,
     set_up_logging,
@@ -54,8 +56,11 @@
 __all__ = ["main"]
 
 PROGRAM = "radishmount-platform"
+OPERATORS_AFTER_MS = 1_000.0  # a start under load first answers callers
+SETTINGS_CHECK_S = 1.0  # one look at the file costs some microseconds
 PEER_KEY = b"radishmount "  # the platform hands out no secret; this only tells fleets apart
 CALLERS_MOVE_SHARE = 0.4  # of the time of grace; callers that ask for addresses again have moved
+IDLE_FACTOR = 1.25  # of the idle limit, so that a caller that keeps to it never meets the close
 FINISH_SHARE = 0.4  # of the time of grace, for requests that came last; the rest is for closing
 
 
@@ -67,6 +72,11 @@
     servers: list[Server]
     peers: PeerServer
 
+    def take_settings(self, settings: DeploymentSettings) -> None:
+        """Act on settings that have changed; addresses hold until the next start."""
+        self.gateway.control.roster.seeds = settings.seeds
+        self.gateway.tools.budget.bounds = settings.repeats
+
     async def leave(self, grace_ms: float) -> None:
         """Stop gracefully: nothing new is named here, and what is in flight is finished."""
         self.gateway.leave()
@@ -101,6 +111,7 @@
         read_bundle=read_configuration,
         bounds=settings.repeats,
         addresses_valid_for_ms=settings.addresses_valid_for_ms,
+        emit=log_line,
     )
     gateway = make_gateway(parts, audit, counters)
     served: list[tuple[web.Server, Listen]] = [
@@ -108,10 +119,18 @@
         (make_readiness_server(gateway), settings.readiness_listen),
         (make_directory_server(gateway), settings.directory_listen),
     ]
+
+    def caller_limits() -> ConnectionLimits:
+        limits = gateway.publication.caller_limits
+        idle_s = IDLE_FACTOR * limits.idle_timeout_ms / 1000.0
+        return ConnectionLimits(idle_s, limits.max_header_bytes)
+
     finish_s = FINISH_SHARE * settings.stop_grace_ms / 1000.0
     servers = []
     for manager, listen in served:
-        match await serve_manager(manager, listen, shutdown_timeout_s=finish_s):
+        match await serve_manager(
+            manager, listen, shutdown_timeout_s=finish_s, limits=caller_limits
+        ):
             case Err(refusal):
                 return Err(refusal)
             case Ok(server):
@@ -132,6 +151,7 @@
     name = PROGRAM
     description = "Runs one instance from the platform's settings."
     options = [
+        option("metrics-port", None, "Where operators read; none by default.", flag=False),
         option("settings", "s", f"The settings file; {BOOT_VARIABLE} by default.", flag=False),
         option("check", None, "Only check the settings."),
     ]
@@ -147,17 +167,73 @@
                 tell_error(self, f"{PROGRAM}: {refusal}")
                 return Exit.BAD_USAGE
             case Ok(settings):
-                return Exit.OK if self.option("check") else asyncio.run(_run(settings))
+                pass
+        if self.option("check"):
+            return Exit.OK
+        port = self.option("metrics-port") or ""
+        if port and not port.isdecimal():
+            tell_error(self, f"{PROGRAM}: --metrics-port takes a number")
+            return Exit.BAD_USAGE
+        return asyncio.run(_run(Path(path), settings, int(port) if port else None))
+
+
+async def _follow_settings(
+    path: Path, reload: asyncio.Event, instance: RunningInstance, clock: Clock
+) -> None:
+    """Take the settings file again when it has changed, with a signal or without one."""
+    known = _stamp_of(path)
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_CHECK_S):
+                await reload.wait()
+        except TimeoutError:
+            if _stamp_of(path) == known:
+                continue
+        reload.clear()
+        known = _stamp_of(path)
+        match read_deployment_settings(path):
+            case Err(refusal):
+                log_state_change("settings refused", cause=str(refusal))
+            case Ok(settings):
+                instance.take_settings(settings)
+                log_state_change("settings reloaded", seeds=",".join(settings.seeds))
+
+
+def _stamp_of(path: Path) -> tuple[int, int]:
+    """Return what tells one content of the file from the next, zeros while it is not there."""
+    try:
+        status = path.stat()
+    except OSError:
+        return (0, 0)  # the reading that follows tells why
+    return (status.st_mtime_ns, status.st_size)
+
+
+async def _serve_operators(instance: RunningInstance, listen: Listen) -> None:
+    """Serve metrics, status, audit and explanations; an instance runs on without them.
+
+    What they need is imported here, after the callers are served.
+    """
+    await instance.gateway.parts.clock.sleep_ms(OPERATORS_AFTER_MS)
+    from radishmount.border import RequestMetrics, make_operator_app, serve
+
+    metrics = RequestMetrics()
+    instance.gateway.tools.observe = metrics.observe
+    match await serve(make_operator_app(instance.gateway, metrics), listen):
+        case Err(refusal):
+            log_state_change("metrics not served", cause=str(refusal))
+        case Ok(server):
+            instance.servers.append(server)
 
 
-async def _run(settings: DeploymentSettings) -> int:
-    set_up_logging(settings.name)
+async def _run(path: Path, settings: DeploymentSettings, metrics_port: int | None) -> int:
+    output = set_up_logging(settings.name)
     loop = asyncio.get_running_loop()
     clock = loop_clock(loop)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log_state_change("settings reloaded"))
+    reload = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
     audit = AuditTrail(clock, emit=audit_log)
     started = await start_instance(settings, clock, Random(), audit)
     if isinstance(started, Err):
@@ -166,10 +242,21 @@
     gc.freeze()  # what the start made stays; collections need not look at it again
     gc.enable()
     log_state_change("serving", callers=str(settings.caller_listen))
+    instance = started.ok_value
+    tasks = [asyncio.create_task(output.run(), name="write log")]
+    if metrics_port is not None:
+        listen = Listen(settings.caller_listen.host, metrics_port)
+        serving = _serve_operators(instance, listen)
+        tasks.append(asyncio.create_task(serving, name="serve operators"))
+    following = _follow_settings(path, reload, instance, clock)
+    tasks.append(asyncio.create_task(following, name="follow settings"))
     await stop.wait()
     log_state_change("leaving")
-    await started.ok_value.leave(settings.stop_grace_ms)
+    await instance.leave(settings.stop_grace_ms)
     log_state_change("stopped")
+    for task in tasks:
+        task.cancel()
+    output.flush()
     return Exit.OK
 
 
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -157,7 +157,8 @@
 
 
 async def _run(settings: EntrySettings) -> int:
-    set_up_logging(settings.name)
+    output = set_up_logging(settings.name)
+    writing = asyncio.create_task(output.run(), name="write log")
     loop = asyncio.get_running_loop()
     clock = loop_clock(loop)
     stop = asyncio.Event()
@@ -173,6 +174,8 @@
     log_state_change("leaving")
     await entry.leave()
     log_state_change("stopped")
+    writing.cancel()
+    output.flush()
     return 0
 
 
--- a/src/radishmount/queries/__init__.py
+++ b/src/radishmount/queries/__init__.py
@@ -1,7 +1,13 @@
 """Queries: fan-out, hedging, deadlines, merge."""
 
 from radishmount.queries._budget import ExtraBudget
-from radishmount.queries._explain import AttemptRecord, ExplainLog, RequestRecord, Verdict
+from radishmount.queries._explain import (
+    AttemptRecord,
+    Explained,
+    ExplainLog,
+    RequestRecord,
+    Verdict,
+)
 from radishmount.queries._fan_out import FanOut
 from radishmount.queries._hedge import LatencyWindow, hedge_delay_ms, progress_limit_ms
 from radishmount.queries._merge import merge_rows
@@ -16,6 +22,7 @@
     "Answer",
     "AttemptRecord",
     "ExplainLog",
+    "Explained",
     "ExtraBudget",
     "FanOut",
     "LatencyWindow",
--- a/src/radishmount/queries/_explain.py
+++ b/src/radishmount/queries/_explain.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Any, ClassVar, Protocol
 
 from result import Err, Result
 
@@ -13,7 +14,7 @@
 from radishmount.queries._search import Answer, Search
 
 
-__all__ = ["AttemptRecord", "ExplainLog", "RequestRecord", "Verdict", "record_of"]
+__all__ = ["AttemptRecord", "ExplainLog", "Explained", "RequestRecord", "Verdict", "record_of"]
 
 KEPT_RECORDS = 500
 
@@ -58,6 +59,20 @@
     detail: str = ""
 
 
+class Explained(Protocol):
+    """A record of a search or of a forwarded request: a data class, all of which can be told."""
+
+    __dataclass_fields__: ClassVar[dict[str, Any]]
+
+    @property
+    def request_id(self) -> str:
+        """Return the id under which it is asked for."""
+
+    @property
+    def code(self) -> Code | None:
+        """Return why there was no answer, none where there was one."""
+
+
 @dataclass(slots=True)
 class ExplainLog:
     """Keeps the last records by request id.
@@ -66,16 +81,16 @@
     """
 
     limit: int = KEPT_RECORDS
-    records_by_request_id: OrderedDict[str, RequestRecord] = field(default_factory=OrderedDict)
+    records_by_request_id: OrderedDict[str, Explained] = field(default_factory=OrderedDict)
 
-    def add(self, record: RequestRecord) -> None:
+    def add(self, record: Explained) -> None:
         """Keep `record`; the oldest goes when there are too many."""
         self.records_by_request_id[record.request_id] = record
         self.records_by_request_id.move_to_end(record.request_id)
         while len(self.records_by_request_id) > self.limit:
             self.records_by_request_id.popitem(last=False)
 
-    def find(self, request_id: str) -> RequestRecord | None:
+    def find(self, request_id: str) -> Explained | None:
         """Return the record of a request, none when it was well or is no longer kept."""
         return self.records_by_request_id.get(request_id)
 
--- /dev/null
+++ b/tests/logs/test_output.py
@@ -0,0 +1,60 @@
+"""Tests of lines whose reader may stand still."""
+
+from radishmount.logs import LogOutput
+
+
+LINE = b"x" * 999 + b"\n"
+
+
+class Reader:
+    """Takes `room` bytes, then nothing more until it is given room again."""
+
+    def __init__(self, room: int) -> None:
+        self.room = room
+        self.read = bytearray()
+
+    def write(self, content: bytes) -> int:
+        """Take what there is room for."""
+        if not self.room:
+            raise BlockingIOError
+        taken = content[: self.room]
+        self.room -= len(taken)
+        self.read += taken
+        return len(taken)
+
+
+class TestLogOutput:
+    """Never waited for, bounded, and nothing is lost in the middle of a line."""
+
+    def test_a_standing_reader_costs_lines_and_no_time(self) -> None:
+        reader = Reader(0)
+        output = LogOutput(reader.write, bytearray())
+
+        for _ in range(10_000):
+            output.put(LINE)
+            output.flush()
+
+        assert len(output.buffer) <= 262_144
+        assert output.take_dropped() == 10_000 - len(output.buffer) // len(LINE)
+
+    def test_a_reader_that_goes_on_gets_whole_lines(self) -> None:
+        reader = Reader(1_500)
+        output = LogOutput(reader.write, bytearray())
+        for _ in range(3):
+            output.put(LINE)
+        output.flush()
+        reader.room = 10_000
+        output.flush()
+
+        assert bytes(reader.read) == 3 * LINE
+        assert output.take_dropped() == 0
+
+    def test_a_reader_that_has_gone_is_no_error(self) -> None:
+        def write(content: bytes) -> int:
+            raise BrokenPipeError
+
+        output = LogOutput(write, bytearray())
+        output.put(LINE)
+        output.flush()
+
+        assert output.is_broken
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -193,3 +193,24 @@
         assert (await asking)[0] == 504
         with pytest.raises(aiohttp.ClientConnectionError):
             await world.ask("/orders/8")
+
+
+class TestLimits:
+    """What the published limits allow and refuse."""
+
+    async def test_a_header_within_the_limit_is_passed_on(self, world: PlatformWorld) -> None:
+        back_end = await world.add("orders", "b1")
+        await world.publish(3, single_route(), maxHeaderBytes=16_384)
+
+        status, _, _ = await world.ask("/orders/7", headers={"X-Long": "x" * 12_000})
+
+        assert status == 200
+        assert back_end.seen[0].headers["x-long"] == "x" * 12_000
+
+    async def test_a_header_above_the_limit_is_431(self, world: PlatformWorld) -> None:
+        await world.add("orders", "b1")
+        await world.publish(3, single_route(), maxHeaderBytes=4_000)
+
+        status, _, _ = await world.ask("/orders/7", headers={"X-Long": "x" * 5_000})
+
+        assert status == 431
--- /dev/null
+++ b/tests/platform/test_reload.py
@@ -0,0 +1,30 @@
+"""Tests of settings that change while an instance runs."""
+
+from collections.abc import AsyncIterator
+from dataclasses import replace
+
+import pytest
+
+from platform_world import PlatformWorld, settings_for, start_platform_world
+from radishmount.forwarding import RepeatBounds
+
+
+@pytest.fixture
+async def world() -> AsyncIterator[PlatformWorld]:
+    """An instance that knows no configuration yet."""
+    started = await start_platform_world()
+    yield started
+    await started.stop()
+
+
+class TestTakeSettings:
+    """What takes effect at once."""
+
+    async def test_seeds_and_bounds(self, world: PlatformWorld) -> None:
+        settings = settings_for("127.0.0.1:1")
+        changed = replace(settings, seeds=("127.0.0.1:8",), repeats=RepeatBounds(0.1, 7.0))
+
+        world.instance.take_settings(changed)
+
+        assert world.instance.gateway.control.roster.seeds == ("127.0.0.1:8",)
+        assert world.instance.gateway.tools.budget.bounds == RepeatBounds(0.1, 7.0)
