Share what is slow between instances, and count refusals and lost answers against an endpoint

Logs showed answers settled 14 ms before the aim that reached callers over new connections after it.

Change: slow endpoints are told to peers once, by comparison with their replicas; a moving share of answered requests divides the expected time; an answer without all parts is settled 24 ms before the aim; what must not run twice goes over a connection idle for at most 0.5 s; where instances outnumber a connection cap, each holds one connection and chooses only among endpoints that it holds.

--- a/src/radishmount/endpoints/__init__.py
+++ b/src/radishmount/endpoints/__init__.py
@@ -38,7 +38,9 @@
     OrderRequest,
     SendGate,
 )
+from radishmount.endpoints._pace import PaceHint, slow_paces
 from radishmount.endpoints._pool import EndpointPool
+from radishmount.endpoints._reliability import Reliability
 
 
 __all__ = [
@@ -66,7 +68,9 @@
     "OrderReply",
     "OrderRequest",
     "Outcome",
+    "PaceHint",
     "Purpose",
+    "Reliability",
     "Row",
     "SearchTerms",
     "SendGate",
@@ -78,4 +82,5 @@
     "make_choice",
     "make_weighted_choice",
     "share_of_holder",
+    "slow_paces",
 ]
--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -79,8 +79,9 @@
         weights = []
         for endpoint in fit:
             cost_ms = expected_ms(endpoint, own_data_centre, least_ms, now_ms, policy)
+            cost_ms = max(cost_ms, MIN_EXPECTED_MS) / endpoint.reliability.share_at(now_ms)
             weight = ramp_weight(endpoint, now_ms) if policy.ramp else 1.0
-            weights.append(weight * max(cost_ms, MIN_EXPECTED_MS) ** -WEIGHT_EXPONENT)
+            weights.append(weight * cost_ms**-WEIGHT_EXPONENT)
         return random.choices(fit, weights)[0]
 
     return choose
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -8,6 +8,7 @@
 from radishmount.endpoints._exchange import Failure, LoadReport
 from radishmount.endpoints._latency import LatencyEstimate
 from radishmount.endpoints._limit import InFlightLimit
+from radishmount.endpoints._reliability import Reliability
 from radishmount.publication import EndpointSpec
 
 
@@ -18,6 +19,9 @@
 LEAVING_KEPT_MS = 2_000.0
 NEVER_MS = float("-inf")
 BLAMED_CODES = frozenset({Code.TIMED_OUT, Code.CONNECTION_LOST, Code.NOT_CONNECTED})
+UNRELIABLE_CODES = frozenset(
+    {Code.SHED, Code.CONNECTION_LOST, Code.BAD_REPLY, Code.ENDPOINT_ERROR, Code.OTHER_ENDPOINT}
+)
 
 OnChange = Callable[["Endpoint", str, str], None]
 
@@ -30,7 +34,7 @@
     request and reply makes no old word young. `may_eject` tells whether the shard's other
     replicas allow an ejection; `on_change` is told of ejection, recovery and leaving. Where
     discovery follows the endpoint's own heartbeats, `is_vouched_for` takes the place of evidence
-    from probes.
+    from probes. `is_held` tells whether this instance may connect to it at all.
     """
 
     spec: EndpointSpec
@@ -38,9 +42,11 @@
     may_eject: Callable[["Endpoint"], bool] = lambda endpoint: True
     on_change: OnChange = lambda endpoint, change, cause: None
     is_vouched_for: bool = False
+    is_held: bool = True
     in_flight: int = 0
     sent: int = 0
     latency: LatencyEstimate = field(default_factory=LatencyEstimate)
+    reliability: Reliability = field(default_factory=Reliability)
     limit: InFlightLimit = field(default_factory=InFlightLimit)
     ejection: Ejection = field(default_factory=Ejection)
     report: LoadReport = field(default_factory=LoadReport)
@@ -99,7 +105,7 @@
 
     def is_live(self, now_ms: float) -> bool:
         """Tell whether there is young evidence that it lives and is not leaving."""
-        return self.is_known(now_ms) and not self.is_leaving(now_ms)
+        return self.is_held and self.is_known(now_ms) and not self.is_leaving(now_ms)
 
     def may_take_work(self, now_ms: float) -> bool:
         """Tell whether it is live and not ejected."""
@@ -127,6 +133,10 @@
         """
         return max(self.latency.seen_from(least_ms, now_ms), self.open_for_ms(now_ms))
 
+    def answered_with_failure(self, now_ms: float) -> None:
+        """Take an answer that the caller cannot use, such as an error of the endpoint."""
+        self.reliability.failed(now_ms)
+
     def took_request(self) -> None:
         """Count a request that was handed over."""
         self.in_flight += 1
@@ -140,6 +150,7 @@
         latency_ms = now_ms - sent_at_ms
         self.latency.add(latency_ms, now_ms)
         self.ejection.answered()
+        self.reliability.answered(now_ms)
         is_queueing = report.queued > self.usable_slots
         if is_queueing:
             self.queued_at_ms = now_ms
@@ -161,6 +172,8 @@
 
     def failed(self, failure: Failure, sent_at_ms: float | None, now_ms: float) -> None:
         """Take a failed attempt: what the endpoint said, and how long it took at least."""
+        if failure.code in UNRELIABLE_CODES and sent_at_ms is not None:
+            self.reliability.failed(now_ms)
         if sent_at_ms is not None and failure.code in (Code.TIMED_OUT, Code.CANCELLED):
             self.latency.add_at_least(now_ms - sent_at_ms, now_ms)
         if failure.code is Code.SHED:
--- a/src/radishmount/endpoints/_forward_exchange.py
+++ b/src/radishmount/endpoints/_forward_exchange.py
@@ -27,12 +27,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardRequest:
-    """One sending of `call` to the endpoint `expected`; any other one refuses to run it."""
+    """One sending of `call` to the endpoint `expected`; any other one refuses to run it.
+
+    What must not run twice is best sent over a connection that is known to work.
+    """
 
     call: ForwardCall
     service: str
     expected: str
     deadline_at_ms: float
+    idempotent: bool = True
     index_version: int | None = None
 
 
--- a/src/radishmount/endpoints/_holders.py
+++ b/src/radishmount/endpoints/_holders.py
@@ -15,9 +15,9 @@
 Ranked = list[tuple[int, str]]
 
 
-def _holder_count(cap: int) -> int:
+def _holder_count(cap: int, connections_per_holder: int) -> int:
     """Return how many instances may connect to an endpoint with `cap` connections."""
-    return max(1, cap // CONNECTIONS_PER_HOLDER - JOINING_INSTANCES)
+    return max(1, cap // connections_per_holder - JOINING_INSTANCES)
 
 
 def share_of_holder(holders: int, cap: int) -> int:
@@ -39,8 +39,13 @@
 
         book.take_instances(["entry-a", "entry-b"])
         book.holders_of("catalogue-01-a", cap=25)
+
+    With one connection for each holder instead of two, twice as many instances reach an endpoint
+    themselves.
     """
 
+    connections_per_holder: int = CONNECTIONS_PER_HOLDER
+
     instances: frozenset[str] = frozenset()
     ranked_by_endpoint: dict[tuple[str, int], Ranked] = field(default_factory=dict)
 
@@ -58,7 +63,7 @@
                 continue
             for name in joined:
                 insort(ranked, (-weight(endpoint, name), name))
-            del ranked[_holder_count(cap) :]
+            del ranked[_holder_count(cap, self.connections_per_holder) :]
 
     def keep_only(self, endpoints: Iterable[str]) -> None:
         """Forget the endpoints that are no longer published."""
@@ -71,6 +76,6 @@
         ranked = self.ranked_by_endpoint.get((endpoint, cap))
         if ranked is None:
             ranked = sorted((-weight(endpoint, name), name) for name in self.instances)
-            del ranked[_holder_count(cap) :]
+            del ranked[_holder_count(cap, self.connections_per_holder) :]
             self.ranked_by_endpoint[endpoint, cap] = ranked
         return [name for _, name in ranked]
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -1,7 +1,7 @@
 """All endpoints of the publication in force, and the links to them."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from result import Err
@@ -17,6 +17,7 @@
 from radishmount.endpoints._holders import HolderBook, share_of_holder
 from radishmount.endpoints._limit import InFlightLimit
 from radishmount.endpoints._link import Link
+from radishmount.endpoints._pace import slow_paces
 from radishmount.endpoints._waker import wake
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 from radishmount.publication import EMPTY_PUBLICATION, EndpointSpec, Publication
@@ -95,6 +96,23 @@
                 link.endpoint.take_leaving_hint(now_ms)
                 link.probe_now()
 
+    def slow_paces(self) -> dict[str, float]:
+        """Return the latencies of the endpoints that are far slower than their replicas."""
+        now_ms = self.clock.now_ms()
+        return {
+            hint.endpoint: hint.latency_ms
+            for replicas in self.endpoints_by_service.values()
+            for hint in slow_paces(replicas, now_ms)
+        }
+
+    def take_pace_hints(self, paces: Mapping[str, float]) -> None:
+        """Expect of endpoints the latencies that a peer saw, until evidence here is younger."""
+        now_ms = self.clock.now_ms()
+        for name, latency_ms in paces.items():
+            link = self.links_by_name.get(name)
+            if link is not None:
+                link.endpoint.latency.add_at_least(latency_ms, now_ms)
+
     def users_of(self, name: str) -> list[str]:
         """Return the other instances that may connect to the endpoint `name`."""
         service = self.publication.services_by_endpoint.get(name)
@@ -140,6 +158,7 @@
             link = self._new_link(spec, limit)
         endpoint = link.endpoint
         endpoint.spec = spec
+        endpoint.is_held = limit > 0
         endpoint.slots = service.slots
         endpoint.limit.least = max(1, -(-service.slots // max(1, len(holders))))
         self.links_by_name[name] = link
--- a/src/radishmount/fleet/__init__.py
+++ b/src/radishmount/fleet/__init__.py
@@ -29,6 +29,7 @@
     MemberUpdate,
     Message,
     Notice,
+    PaceNews,
     PeerIdentity,
     Ping,
     ProbeReply,
@@ -38,6 +39,7 @@
     RosterNews,
 )
 from radishmount.fleet._neighbours import NEIGHBOUR_LIMIT, neighbours_of
+from radishmount.fleet._pace_news import PaceSpread
 from radishmount.fleet._peers import AnswerPeer, Peers
 from radishmount.fleet._roster import Roster
 from radishmount.fleet._session import PeerSession
@@ -76,6 +78,8 @@
     "Message",
     "NEIGHBOUR_LIMIT",
     "Notice",
+    "PaceNews",
+    "PaceSpread",
     "OpenPeer",
     "PeerIdentity",
     "PeerSession",
--- a/src/radishmount/fleet/_messages.py
+++ b/src/radishmount/fleet/_messages.py
@@ -20,6 +20,7 @@
     "MemberUpdate",
     "Message",
     "Notice",
+    "PaceNews",
     "PeerIdentity",
     "Ping",
     "ProbeReply",
@@ -148,6 +149,19 @@
     leaving: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PaceNews:
+    """Endpoints that `origin` found slow, and their latencies in milliseconds.
+
+    `number` grows with what `origin` tells.
+    """
+
+    origin: str
+    number: int
+    endpoints: tuple[str, ...]
+    paces: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Notice:
     """A frame that wants no answer."""
--- a/src/radishmount/forwarding/_gather.py
+++ b/src/radishmount/forwarding/_gather.py
@@ -146,6 +146,7 @@
             service=part.service,
             expected=endpoint.name,
             deadline_at_ms=self.plan.deadline_at_ms,
+            idempotent=self.plan.route.idempotent,
         )
         attempt = Attempt(
             request, endpoint, self.mailbox.deliver, submitted_at_ms=now_ms, purpose=purpose
@@ -164,15 +165,19 @@
         match outcome:
             case Ok(reply):
                 part.runs += 1
-                self._answered(part, reply, now_ms)
+                self._answered(part, attempt, reply, now_ms)
             case Err(failure):
                 part.runs += failure.ran is not Ran.NOT_RUN
                 self._failed(part, failure, now_ms)
 
-    def _answered(self, part: PartProgress, reply: ForwardReply, now_ms: float) -> None:
+    def _answered(
+        self, part: PartProgress, attempt: Attempt, reply: ForwardReply, now_ms: float
+    ) -> None:
+        wanted = reply.is_success if self.plan.is_gather else not reply.is_failure
+        if not wanted:
+            attempt.endpoint.answered_with_failure(now_ms)
         if part.reply is not None:
             return
-        wanted = reply.is_success if self.plan.is_gather else not reply.is_failure
         if not wanted:
             part.spare = reply
             self._failed(part, Failure(Code.ENDPOINT_ERROR, Ran.RAN, str(reply.status)), now_ms)
--- a/src/radishmount/forwarding/_plan.py
+++ b/src/radishmount/forwarding/_plan.py
@@ -10,7 +10,7 @@
 __all__ = ["ForwardPlan", "make_plan"]
 
 ANSWER_MARGIN_MS = 10.0  # from the decision to answer until the caller has the last byte
-CALLER_TRANSIT_MS = 14.0  # a new connection, the request and the answer between caller and here
+CALLER_TRANSIT_MS = 24.0  # a new connection from another data centre, the request and the answer
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/platform/_backend_channel.py
+++ b/src/radishmount/platform/_backend_channel.py
@@ -36,6 +36,8 @@
 __all__ = ["BackendChannel", "open_backend_channel"]
 
 CONNECT_TIMEOUT_S = 0.25  # a round trip between data centres and the handshake, ten times over
+KEPT_FOR_REPEATABLE_S = 60.0  # longer than back ends keep idle connections
+KEPT_FOR_ONCE_S = 0.5  # an idle connection may be forgotten; a new one costs some milliseconds
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 ForwardOutcome = Result[ForwardReply, Failure]
@@ -50,8 +52,9 @@
 
     async def exchange(self, request: ForwardRequest, remaining_ms: float) -> ForwardOutcome:
         """Send `request` and return the back end's own whole answer, or why there is none."""
+        max_idle_s = KEPT_FOR_REPEATABLE_S if request.idempotent else KEPT_FOR_ONCE_S
         try:
-            connection = await self._connected()
+            connection = await self._connected(max_idle_s)
         except (OSError, TimeoutError) as error:
             return Err(Failure(Code.NOT_CONNECTED, detail=repr(error)))
         content = _encode(request, remaining_ms)
@@ -70,7 +73,7 @@
     async def probe(self) -> Result[LoadReport, Failure]:
         """Find out whether a connection can be made; the back end is not asked for anything."""
         try:
-            await self._connected()
+            await self._connected(KEPT_FOR_REPEATABLE_S)
         except (OSError, TimeoutError) as error:
             return Err(Failure(Code.NOT_CONNECTED, detail=repr(error)))
         return Ok(LoadReport())
@@ -86,8 +89,8 @@
             connection.close()
         return True
 
-    async def _connected(self) -> BackendConnection:
-        if self._connection is None or not self._connection.is_usable():
+    async def _connected(self, max_idle_s: float) -> BackendConnection:
+        if self._connection is None or not self._connection.is_usable(max_idle_s):
             await self.close()
             host, port = self._listen.host, self._listen.port
             self._connection = await connect_backend(host, port, CONNECT_TIMEOUT_S)
--- a/src/radishmount/platform/_backend_connection.py
+++ b/src/radishmount/platform/_backend_connection.py
@@ -51,13 +51,12 @@
         self.was_reset = exc is not None
         super().connection_lost(exc)
 
-    def is_usable(self) -> bool:
+    def is_usable(self, max_idle_s: float) -> bool:
         """Tell whether one more request may be sent over the connection."""
-        return (
-            self.is_connected()
-            and not self.should_close
-            and self._loop.time() < self.usable_until_s
-        )
+        now_s = self._loop.time()
+        if not self.is_connected() or self.should_close:
+            return False
+        return now_s < self.usable_until_s and now_s - self.used_at_s <= max_idle_s
 
     async def ask(self, content: bytes, *, has_body: bool) -> WholeAnswer:
         """Send a request and return the whole answer to it; an OSError or ClientError if none."""
--- a/tests/endpoints/test_pool.py
+++ b/tests/endpoints/test_pool.py
@@ -1,6 +1,8 @@
 """The pool follows publications without cutting requests or passing a cap."""
 
 import asyncio
+from collections import Counter
+from random import Random
 from typing import Any
 
 import pytest
@@ -8,7 +10,13 @@
 from hypothesis import strategies as st
 
 from fakes import World, start_world
-from radishmount.endpoints import HolderBook, share_of_holder
+from radishmount.endpoints import (
+    Endpoint,
+    HolderBook,
+    make_weighted_choice,
+    share_of_holder,
+)
+from radishmount.publication import EndpointSpec
 from support import objects_for
 
 
@@ -133,3 +141,37 @@
         book.keep_only(["e-2"])
 
         assert not book.ranked_by_endpoint
+
+
+class TestManyInstances:
+    """More instances than an endpoint takes connections."""
+
+    NAMES = [f"entry-{n:02}" for n in range(69)]
+    CAP = 66
+
+    def holders(self, endpoint: str) -> list[str]:
+        """Return the holders of an endpoint, with one connection each."""
+        book = HolderBook(connections_per_holder=1)
+        book.take_instances(self.NAMES)
+        return book.holders_of(endpoint, self.CAP)
+
+    def test_all_together_stay_within_the_cap(self) -> None:
+        holders = self.holders("e")
+
+        assert len(holders) * share_of_holder(len(holders), self.CAP) <= self.CAP
+
+    def test_every_instance_reaches_most_replicas_of_a_shard_itself(self) -> None:
+        held = Counter(name for n in range(3) for name in self.holders(f"shard-1-{n}"))
+
+        assert min(held[name] for name in self.NAMES) >= 1
+        assert sum(held.values()) >= 2.8 * len(self.NAMES)
+
+    def test_an_endpoint_that_is_not_held_is_not_chosen(self) -> None:
+        held = Endpoint(EndpointSpec("a", "milano", "127.0.0.1:80"), slots=2)
+        other = Endpoint(EndpointSpec("b", "milano", "127.0.0.1:80"), slots=2)
+        for endpoint in (held, other):
+            endpoint.is_vouched_for = True
+        other.is_held = False
+        choose = make_weighted_choice("milano", Random(1))
+
+        assert {choose([held, other], (), 0.0) for _ in range(50)} == {held}
--- /dev/null
+++ b/tests/endpoints/test_reliability.py
@@ -0,0 +1,80 @@
+"""Tests of the share of requests that an endpoint answers."""
+
+from collections import Counter
+from random import Random
+
+from radishmount.codes import Code, Ran
+from radishmount.endpoints import (
+    Endpoint,
+    Failure,
+    LoadReport,
+    Reliability,
+    make_weighted_choice,
+)
+from radishmount.publication import EndpointSpec
+
+
+NOW_MS = 10_000.0
+
+
+class TestReliability:
+    """A moving share that is forgotten with time."""
+
+    def test_half_of_the_requests_failing_is_seen_within_ten(self) -> None:
+        reliability = Reliability()
+        for number in range(10):
+            report = reliability.failed if number % 2 else reliability.answered
+            report(NOW_MS + number)
+
+        assert reliability.share_at(NOW_MS + 10) < 0.6
+
+    def test_one_failure_among_many_answers_is_no_verdict(self) -> None:
+        reliability = Reliability()
+        reliability.failed(NOW_MS)
+        for number in range(20):
+            reliability.answered(NOW_MS + number)
+
+        assert reliability.share_at(NOW_MS + 20) > 0.95
+
+    def test_what_was_seen_is_forgotten(self) -> None:
+        reliability = Reliability()
+        for _ in range(20):
+            reliability.failed(NOW_MS)
+
+        assert reliability.share_at(NOW_MS) < 0.1
+        assert reliability.share_at(NOW_MS + 30_000.0) > 0.95
+
+
+class TestGreyEndpoints:
+    """The load pattern of an endpoint that refuses nearly half of its requests, quickly."""
+
+    def endpoint(self, name: str) -> Endpoint:
+        """Return an endpoint that answered in 20 ms."""
+        endpoint = Endpoint(EndpointSpec(name, "milano", "127.0.0.1:80"), slots=5)
+        endpoint.is_vouched_for = True
+        endpoint.live_since_ms = 0.0
+        endpoint.replied(LoadReport(), NOW_MS - 20.0, NOW_MS)
+        return endpoint
+
+    def test_it_gets_a_small_part_of_the_work(self) -> None:
+        grey, good = self.endpoint("grey"), self.endpoint("good")
+        for number in range(12):
+            at_ms = NOW_MS + 10.0 * number
+            if number % 2:
+                grey.failed(Failure(Code.SHED), at_ms, at_ms + 1.0)
+            else:
+                grey.replied(LoadReport(), at_ms - 20.0, at_ms)
+            good.replied(LoadReport(), at_ms - 20.0, at_ms)
+        choose = make_weighted_choice("milano", Random(1))
+        later_ms = NOW_MS + 1_100.0
+
+        picked = [choose([grey, good], (), later_ms) for _ in range(1_000)]
+
+        assert Counter(e.name for e in picked if e is not None)["grey"] < 250
+
+    def test_a_lost_answer_counts_too(self) -> None:
+        endpoint = self.endpoint("grey")
+        for _ in range(5):
+            endpoint.failed(Failure(Code.CONNECTION_LOST, Ran.UNKNOWN), NOW_MS, NOW_MS + 1.0)
+
+        assert endpoint.reliability.share_at(NOW_MS + 1.0) < 0.5
--- /dev/null
+++ b/tests/fleet/test_pace_news.py
@@ -0,0 +1,103 @@
+"""Tests of the spread of slow endpoints, on virtual time."""
+
+import asyncio
+
+import pytest
+
+from fleet_world import make_world
+from radishmount.fleet import PaceSpread
+
+
+pytestmark = pytest.mark.looptime
+
+CENTRES = ("milano", "torino")
+
+
+class Spreads:
+    """A spread at every instance of a world; `slow_by_name` is what each finds itself."""
+
+    def __init__(self, world) -> None:  # type: ignore[no-untyped-def]
+        self.slow_by_name: dict[str, dict[str, float]] = {}
+        self.heard_by_name: dict[str, list[dict[str, float]]] = {}
+        self.counters_by_name = world.counters_by_name
+        self.tasks = []
+        for name, control in world.controls_by_name.items():
+            self.slow_by_name[name] = {}
+            self.heard_by_name[name] = []
+            spread = PaceSpread(
+                name,
+                control.peers,
+                world.clock,
+                world.counters_by_name[name],
+                find_slow=lambda name=name: self.slow_by_name[name],
+                take_hints=self.heard_by_name[name].append,
+            )
+            spread.start()
+            self.tasks.append(asyncio.create_task(spread.run()))
+
+    def sent(self) -> float:
+        """Return how many frames were sent in all."""
+        return sum(c.value("pace_news", "out") for c in self.counters_by_name.values())
+
+    def stop(self) -> None:
+        """End the tasks."""
+        for task in self.tasks:
+            task.cancel()
+
+
+class TestPaceSpread:
+    """What one instance finds out, all know."""
+
+    async def test_all_others_hear_it_within_a_fifth_of_a_second(self) -> None:
+        world = make_world()
+        names = [f"e{n}" for n in range(6)]
+        await world.start_all(names, CENTRES)
+        spreads = Spreads(world)
+
+        spreads.slow_by_name["e0"] = {"slow-1": 180.0}
+        await asyncio.sleep(0.2)
+
+        assert all(spreads.heard_by_name[name] == [{"slow-1": 180.0}] for name in names[1:])
+        spreads.stop()
+        await world.stop()
+
+    async def test_a_fleet_on_rings_hears_it_once_each(self) -> None:
+        world = make_world()
+        names = [f"e{n:02}" for n in range(30)]
+        await world.start_all(names, CENTRES)
+        spreads = Spreads(world)
+
+        spreads.slow_by_name["e00"] = {"slow-1": 180.0}
+        await asyncio.sleep(0.5)
+
+        assert all(len(spreads.heard_by_name[name]) == 1 for name in names[1:])
+        assert spreads.sent() <= 30 * 8
+        spreads.stop()
+        await world.stop()
+
+    async def test_one_that_stays_slow_is_told_again_but_rarely(self) -> None:
+        world = make_world()
+        names = ["e0", "e1"]
+        await world.start_all(names, CENTRES)
+        spreads = Spreads(world)
+
+        spreads.slow_by_name["e0"] = {"slow-1": 180.0}
+        await asyncio.sleep(10.0)
+
+        assert 4 <= len(spreads.heard_by_name["e1"]) <= 6
+        spreads.stop()
+        await world.stop()
+
+    async def test_what_a_peer_has_told_is_not_told_again_at_once(self) -> None:
+        world = make_world()
+        await world.start_all(["e0", "e1"], CENTRES)
+        spreads = Spreads(world)
+
+        spreads.slow_by_name["e0"] = {"slow-1": 180.0}
+        await asyncio.sleep(0.15)
+        spreads.slow_by_name["e1"] = {"slow-1": 170.0}
+        await asyncio.sleep(0.5)
+
+        assert spreads.heard_by_name["e0"] == []
+        spreads.stop()
+        await world.stop()
