Send no hedge to a full endpoint, and end stuck exchanges with the answer

Change: an endpoint that has just told of a queue gets no hedge; with the answer, what was not sent is taken back, and an exchange open for twice the hedge's delay is broken off. A new test hung: a timer shorter than the loop's resolution was set again and again, so that a task could have spun until the settling time; what is due within half a millisecond now counts as due.

--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -40,8 +40,7 @@
     def choose(
         replicas: Iterable[Endpoint], excluded: Collection[str], now_ms: float
     ) -> Endpoint | None:
-        live = [e for e in replicas if e.name not in excluded and e.is_live(now_ms)]
-        fit = [e for e in live if e.ejection.since_ms is None] or live
+        fit = _fit(replicas, excluded, now_ms)
         if len(fit) <= 1:
             return fit[0] if fit else None
         sampled = _sample(fit, random)
@@ -71,8 +70,7 @@
     def choose(
         replicas: Iterable[Endpoint], excluded: Collection[str], now_ms: float
     ) -> Endpoint | None:
-        live = [e for e in replicas if e.name not in excluded and e.is_live(now_ms)]
-        fit = [e for e in live if e.ejection.since_ms is None] or live
+        fit = _fit(replicas, excluded, now_ms)
         if len(fit) <= 1:
             return fit[0] if fit else None
         least_ms = _least_ms(fit)
@@ -117,6 +115,12 @@
     return min(1.0, RAMP_START + (1.0 - RAMP_START) * passed)
 
 
+def _fit(replicas: Iterable[Endpoint], excluded: Collection[str], now_ms: float) -> list[Endpoint]:
+    """Return the live replicas that are not ejected, or all live ones where no other is left."""
+    live = [e for e in replicas if e.name not in excluded and e.is_live(now_ms)]
+    return [e for e in live if e.ejection.since_ms is None] or live
+
+
 def _sample(fit: list[Endpoint], random: Random) -> list[Endpoint]:
     """Return a few of the replicas, in an order that differs from call to call."""
     if len(fit) > SAMPLED_REPLICAS:
--- a/src/radishmount/forwarding/__init__.py
+++ b/src/radishmount/forwarding/__init__.py
@@ -2,12 +2,18 @@
 
 from radishmount.forwarding._budget import ForwardBudget, RepeatBounds
 from radishmount.forwarding._gather import Gather
+from radishmount.forwarding._hedge import is_full
 from radishmount.forwarding._outcome import Forwarded, MergedAnswer
 from radishmount.forwarding._plan import ForwardPlan, make_plan
-from radishmount.forwarding._record import ForwardAttempt, ForwardRecord, ForwardVerdict
+from radishmount.forwarding._record import (
+    ForwardAttempt,
+    ForwardRecord,
+    ForwardVerdict,
+    ForwardView,
+)
 from radishmount.forwarding._records import RECORD_BYTES, greatest_records
 from radishmount.forwarding._run import forward
-from radishmount.forwarding._tools import ForwardTools, ForwardView
+from radishmount.forwarding._tools import ForwardTools
 
 
 __all__ = [
@@ -25,5 +31,6 @@
     "RepeatBounds",
     "forward",
     "greatest_records",
+    "is_full",
     "make_plan",
 ]
--- a/src/radishmount/forwarding/_gather.py
+++ b/src/radishmount/forwarding/_gather.py
@@ -16,7 +16,7 @@
     Mailbox,
     Purpose,
 )
-from radishmount.forwarding._hedge import hedge_after_ms
+from radishmount.forwarding._hedge import hedge_after_ms, is_full
 from radishmount.forwarding._part import PartProgress
 from radishmount.forwarding._plan import ForwardPlan
 from radishmount.forwarding._tools import ForwardTools
@@ -25,6 +25,7 @@
 __all__ = ["Gather"]
 
 TIMER_SLACK_MS = 0.5  # timers fire slightly early by the clock of the loop
+STUCK_HEDGE_DELAYS = 2.0  # an exchange still open after this meets more than a usual pause
 MAX_SENDS = 6  # of one part, refusals of full endpoints among them
 
 
@@ -51,8 +52,7 @@
         except asyncio.CancelledError:
             self._cancel_open()
             raise
-        if self.answered < self.plan.least_parts:
-            self._cancel_open()
+        self._end_open()
 
     async def _collect(self) -> None:
         while True:
@@ -72,15 +72,21 @@
     def _is_settled(self, now_ms: float) -> bool:
         """Tell whether nothing better can come, or time is up."""
         count = len(self.plan.services)
-        if self.answered + self.lost == count or now_ms >= self.plan.deadline_at_ms:
+        if self.answered + self.lost == count or self._is_due(self.plan.deadline_at_ms, now_ms):
             return True
         if count - self.lost < self.plan.least_parts:
             return True
-        return now_ms >= self.plan.settle_at_ms and self.answered >= self.plan.least_parts
+        if self.answered < self.plan.least_parts:
+            return False
+        return self._is_due(self.plan.settle_at_ms, now_ms)
+
+    def _is_due(self, at_ms: float, now_ms: float) -> bool:
+        """Tell whether a time has come, or is so near that no timer could tell it from now."""
+        return at_ms <= now_ms + TIMER_SLACK_MS
 
     def _next_due_ms(self, now_ms: float) -> float:
         due_at_ms = self.plan.deadline_at_ms
-        if now_ms < self.plan.settle_at_ms:
+        if not self._is_due(self.plan.settle_at_ms, now_ms):
             due_at_ms = min(due_at_ms, self.plan.settle_at_ms)
         for part in self.parts_by_service.values():
             due_at_ms = min(due_at_ms, part.act_at_ms)
@@ -88,7 +94,7 @@
 
     def _act_when_due(self, now_ms: float) -> None:
         for part in self.parts_by_service.values():
-            if part.act_at_ms > now_ms + TIMER_SLACK_MS:
+            if not self._is_due(part.act_at_ms, now_ms):
                 continue
             part.act_at_ms = inf
             self._hedge(part, now_ms)
@@ -121,8 +127,11 @@
     def _plan_hedge(self, part: PartProgress, now_ms: float) -> None:
         if not self.plan.route.idempotent:
             return
+        part.act_at_ms = now_ms + self._hedge_after_ms()
+
+    def _hedge_after_ms(self) -> float:
         window = self.tools.window(self.plan.route.name)
-        part.act_at_ms = now_ms + hedge_after_ms(window, self.plan.route.target_latency_ms)
+        return hedge_after_ms(window, self.plan.route.target_latency_ms)
 
     def _hedge(self, part: PartProgress, now_ms: float) -> None:
         """Ask a second endpoint while the first has not answered."""
@@ -130,9 +139,11 @@
         if part.reply is not None or open_runs >= self.plan.route.max_attempts:
             return
         endpoint = self._choose(part, now_ms)
-        if endpoint is None or not self._may_send(part, now_ms):
+        if endpoint is None or is_full(endpoint, now_ms):
+            self.tools.counters.add("hedges_withheld", "full")
             return
-        self._submit(part, endpoint, Purpose.HEDGE, now_ms)
+        if self._may_send(part, now_ms):
+            self._submit(part, endpoint, Purpose.HEDGE, now_ms)
 
     def _choose(self, part: PartProgress, now_ms: float) -> Endpoint | None:
         endpoints = self.tools.pool.endpoints_of(part.service)
@@ -209,6 +220,22 @@
         part.is_lost = True
         self.lost += 1
 
+    def _end_open(self) -> None:
+        """Take back what the answer no longer waits for, where that saves work.
+
+        What has not been sent never is. An exchange that is open for long holds a place at an
+        endpoint that is slow or full. One that is not is left to end, as it keeps its connection.
+        """
+        if self.answered < self.plan.least_parts:
+            self._cancel_open()
+            return
+        now_ms = self.tools.clock.now_ms()
+        limit_ms = STUCK_HEDGE_DELAYS * self._hedge_after_ms()
+        for part in self.parts_by_service.values():
+            for attempt in list(part.open_attempts):
+                if attempt.sent_at_ms is None or now_ms - attempt.sent_at_ms > limit_ms:
+                    attempt.cancel()
+
     def _cancel_open(self) -> None:
         """Free the slots of the endpoints: nobody waits for their answers any more."""
         for part in self.parts_by_service.values():
--- a/src/radishmount/forwarding/_record.py
+++ b/src/radishmount/forwarding/_record.py
@@ -14,11 +14,26 @@
 from radishmount.forwarding._plan import ForwardPlan
 
 
-__all__ = ["ForwardAttempt", "ForwardRecord", "ForwardVerdict", "record_of_forward", "verdict_of"]
+__all__ = [
+    "ForwardAttempt",
+    "ForwardRecord",
+    "ForwardVerdict",
+    "ForwardView",
+    "record_of_forward",
+    "verdict_of",
+]
 
 RESULT_OK = "OK"
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardView:
+    """What the instance believes: the configuration's version, and how old its endpoints are."""
+
+    version: int = 0
+    endpoints_age_ms: float = 0.0
+
+
 class ForwardVerdict(StrEnum):
     """How a request ended, the least usual first."""
 
@@ -131,8 +146,7 @@
     attempts: Iterable[Attempt],
     missing: tuple[str, ...],
     clock: Clock,
-    version: int,
-    endpoints_age_ms: float,
+    view: ForwardView,
 ) -> ForwardRecord:
     """Return the record of a request that has ended; `outcome` is none where it was abandoned."""
     refusal = outcome.err_value if isinstance(outcome, Err) else None
@@ -146,8 +160,8 @@
         parts=len(plan.services),
         missing=missing,
         attempts=tuple(_attempt_of(attempt, plan.arrived_at_ms) for attempt in attempts),
-        version=version,
-        endpoints_age_ms=endpoints_age_ms,
+        version=view.version,
+        endpoints_age_ms=view.endpoints_age_ms,
         refusal=refusal,
         status=answer.status if isinstance(answer, ForwardReply) else None,
     )
--- a/src/radishmount/forwarding/_run.py
+++ b/src/radishmount/forwarding/_run.py
@@ -39,7 +39,6 @@
     tools.observe(plan.route.name, verdict.value, tools.clock.now_ms() - plan.arrived_at_ms)
     if verdict is ForwardVerdict.ANSWERED and tools.random.random() > SAMPLED_SHARE:
         return
-    view = tools.view()
     missing = tuple(part.service for part in gather.parts_by_service.values() if part.reply is None)
     tools.tell(
         record_of_forward(
@@ -49,8 +48,7 @@
             gather.attempts,
             missing,
             tools.clock,
-            view.version,
-            view.endpoints_age_ms,
+            tools.view(),
         )
     )
 
--- a/src/radishmount/forwarding/_tools.py
+++ b/src/radishmount/forwarding/_tools.py
@@ -8,19 +8,11 @@
 from radishmount.counters import Counters
 from radishmount.endpoints import Choose, EndpointPool
 from radishmount.forwarding._budget import ForwardBudget
-from radishmount.forwarding._record import ForwardRecord
+from radishmount.forwarding._record import ForwardRecord, ForwardView
 from radishmount.queries import LatencyWindow
 
 
-__all__ = ["ForwardTools", "ForwardView"]
-
-
-@dataclass(frozen=True, slots=True)
-class ForwardView:
-    """What the instance believes: the configuration's version, and how old its endpoints are."""
-
-    version: int = 0
-    endpoints_age_ms: float = 0.0
+__all__ = ["ForwardTools"]
 
 
 @dataclass(slots=True)
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -55,6 +55,7 @@
     refusals: int = 0
     losses: int = 0
     failures: int = 0
+    queued: int = 0
     silent: bool = False
     unreachable: bool = False
     arrivals: list[str] = field(default_factory=list)
@@ -98,8 +99,9 @@
             back_end.failures -= 1
             status = 500
         body = back_end.service.encode().ljust(16, b".")
+        load = LoadReport(slots=2, in_flight=2, queued=back_end.queued)
         signature = f"{back_end.name}/{request_id}"
-        return Ok(ForwardReply(request.service, status, (), body, signature, LoadReport()))
+        return Ok(ForwardReply(request.service, status, (), body, signature, load))
 
     async def place(self, request: Any, remaining_ms: float) -> Any:
         """Refuse orders."""
--- /dev/null
+++ b/tests/forwarding/test_overload.py
@@ -0,0 +1,73 @@
+"""Tests of the load pattern in which callers press and every endpoint has a queue."""
+
+import asyncio
+
+import pytest
+
+from forward_world import forward_world
+from radishmount.endpoints import Endpoint, LoadReport
+from radishmount.forwarding import is_full
+from radishmount.publication import EndpointSpec
+
+
+pytestmark = pytest.mark.looptime
+
+
+def reporting(queued: int) -> Endpoint:
+    """Return an endpoint that has just told how many requests wait."""
+    endpoint = Endpoint(EndpointSpec("e", "milano", "127.0.0.1:80"), slots=2)
+    endpoint.reported(LoadReport(slots=2, in_flight=2, queued=queued), 1_000.0, 1_010.0)
+    return endpoint
+
+
+class TestIsFull:
+    """A queue that was told of lately."""
+
+    def test_requests_that_wait(self) -> None:
+        assert is_full(reporting(3), 1_100.0)
+
+    def test_none_that_wait(self) -> None:
+        assert not is_full(reporting(0), 1_100.0)
+
+    def test_an_old_report_is_not_believed(self) -> None:
+        assert not is_full(reporting(3), 2_000.0)
+
+
+class TestHedgesGiveWay:
+    """What is extra makes no queue longer."""
+
+    async def test_no_hedge_goes_to_a_full_endpoint(self) -> None:
+        async with forward_world(1) as world:
+            for back_end in world.of("s0"):
+                back_end.service_ms = 150.0
+                back_end.queued = 4
+            route = world.single_route()
+            await asyncio.gather(*(world.ask(route) for _ in range(9)))
+            hedges = world.counters.value("forwarded", "hedge")
+
+            await world.ask(route)
+
+            assert world.counters.value("forwarded", "hedge") == hedges
+            assert world.counters.value("hedges_withheld", "full") > 0
+
+    async def test_what_was_not_sent_is_taken_back_with_the_answer(self) -> None:
+        async with forward_world(4) as world:
+            for back_end in world.of("s3"):
+                back_end.silent = True
+            route = world.gather_route(timeout_ms=3_000.0)
+
+            for _ in range(130):
+                await world.ask(route)
+
+            waiting = sum(len(link.waiting) for link in world.pool.links_by_name.values())
+            assert waiting == 0
+
+    async def test_an_exchange_that_is_stuck_is_ended_with_the_answer(self) -> None:
+        async with forward_world(4) as world:
+            for back_end in world.of("s3"):
+                back_end.service_ms = 900.0
+
+            await world.ask(world.gather_route())
+            await asyncio.sleep(0.01)
+
+            assert sum(len(b.abandoned) for b in world.of("s3")) >= 1
