Notice a watch that hangs, and hand no entry kept in grace to peers as listed

A watch whose answer had been lost waited 22 s; instances that regained the store kept removed entries for 2.5 s although it had been away for them alone; and they passed these on under the newest revision, so that peers never dropped them.

Change: a peer that is ahead for 600 ms makes an instance begin its watch anew; watches wait 4 s in place of 20 s; grace only after an absence in which entries can lapse, and not where peers had later news; pages between instances name what is in grace apart.

--- a/src/radishmount/border/_peer_endpoints.py
+++ b/src/radishmount/border/_peer_endpoints.py
@@ -41,11 +41,12 @@
     revision: Number
     endpoints: Annotated[list[Any], Field(max_length=MAX_PAGE_LENGTH)]
     has_more: bool
+    missing: Annotated[list[PeerName], Field(max_length=MAX_PAGE_LENGTH)]
 
     def to_data(self) -> EndpointPage:
         """Return the message as a data class."""
         endpoints = tuple(ListedEndpointModel.from_values(e).to_data() for e in self.endpoints)
-        return EndpointPage(self.revision, endpoints, self.has_more)
+        return EndpointPage(self.revision, endpoints, self.has_more, tuple(self.missing))
 
 
 ENDPOINT_PEER_MODELS: tuple[type[PeerModel], ...] = (EndpointPageRequestModel, EndpointPageModel)
--- a/src/radishmount/discovery/_endpoint_list.py
+++ b/src/radishmount/discovery/_endpoint_list.py
@@ -1,5 +1,6 @@
 """The root of the aggregate: the endpoints that are listed now, by name."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
 from radishmount.discovery._listed import ListedEndpoint
@@ -51,6 +52,24 @@
         for name, listed in listed_by_name.items():
             self.put(name, listed, now_ms)
 
+    def listed_now(self) -> list[ListedEndpoint]:
+        """Return the endpoints whose entries are there, by name, without those kept in grace."""
+        names = sorted(set(self.by_name) - set(self.missing_until_ms_by_name))
+        return [self.by_name[name] for name in names]
+
+    def take_all(
+        self, listed: Iterable[ListedEndpoint], missing: Iterable[str], now_ms: float
+    ) -> None:
+        """Take what a peer holds; what is `missing` there is kept here for a time of grace too."""
+        by_name: dict[str, ListedEndpoint | None] = {entry.name: entry for entry in listed}
+        kept = set(missing) & set(self.by_name) - set(by_name)
+        for name in kept:
+            self.missing_until_ms_by_name.setdefault(name, now_ms + LAPSE_GRACE_MS)
+            by_name[name] = self.by_name[name]
+        grace = {name: self.missing_until_ms_by_name[name] for name in kept}
+        self.replace_all(by_name, now_ms)
+        self.missing_until_ms_by_name |= grace
+
     def expire(self, now_ms: float) -> bool:
         """Drop the entries whose time of grace is over; tell whether there were any."""
         over = [name for name, until in self.missing_until_ms_by_name.items() if until <= now_ms]
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -1,5 +1,6 @@
 """The task that follows the store: a full reading, then one watch after the other."""
 
+import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -8,6 +9,7 @@
 
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
+from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
 from radishmount.discovery._endpoint_list import EndpointList
 from radishmount.discovery._listed import ListedEndpoint
@@ -25,7 +27,8 @@
 
 __all__ = ["StoreFollower"]
 
-WATCH_WAIT_MS = 20_000  # long, as each call is counted; keep-alives find a dead connection sooner
+WATCH_WAIT_MS = 4_000  # a watch whose answer was lost is found out within what a change may take
+SHORTEST_LAPSE_MS = 2_000.0  # entries lapse after three heartbeats, which take longer than this
 SETTLE_MS = 250.0  # changes come in groups, and one watch for each group is enough
 RETRY_FIRST_MS = 250.0  # about the time in which a store that restarted answers again
 RETRY_LIMIT_MS = 1_500.0  # half of the time in which a new version is due everywhere
@@ -53,6 +56,8 @@
     held_revision: int = 0
     is_reached: bool = True
     heard_at_ms: float = 0.0
+    calling: asyncio.Task[Result[StoreAnswer, StoreFailure]] | None = None
+    is_doubted: bool = False
     backoff: Backoff = field(init=False)
 
     def __post_init__(self) -> None:
@@ -79,19 +84,45 @@
                 await self.on_change()
 
     async def take_from_peer(
-        self, peer: str, revision: int, listed: Iterable[ListedEndpoint]
+        self,
+        peer: str,
+        revision: int,
+        listed: Iterable[ListedEndpoint],
+        missing: Iterable[str] = (),
     ) -> None:
         """Take the endpoints that a peer holds, where they are newer than those here."""
         if revision <= self.held_revision:
             return
         self.held_revision = revision
         self.heard_at_ms = self.clock.now_ms()
-        by_name: dict[str, ListedEndpoint | None] = {entry.name: entry for entry in listed}
-        self.endpoints.replace_all(by_name, self.clock.now_ms())
+        self.endpoints.take_all(listed, missing, self.clock.now_ms())
         self.audit.record("endpoints", "taken", cause=f"peer {peer}", version=revision)
         await self.on_change()
 
+    def doubt(self) -> None:
+        """Begin the present call anew, as a peer has had news for a while that it has not brought.
+
+        An answer may be lost without a sign, and its connection then brings nothing any more.
+        """
+        if self.calling is not None and self.is_reached:
+            self.is_doubted = True
+            self.calling.cancel()
+
     async def _call(self) -> Result[StoreAnswer, StoreFailure]:
+        self.calling = asyncio.create_task(self._ask_store(), name="ask store")
+        try:
+            return await self.calling
+        except asyncio.CancelledError:
+            if not self.is_doubted:
+                self.calling.cancel()
+                raise
+            refusal = Refusal(Code.PLATFORM_DOWN, detail="peers have later news")
+            return Err(StoreFailure(StoreFault.UNAVAILABLE, refusal))
+        finally:
+            self.calling = None
+            self.is_doubted = False
+
+    async def _ask_store(self) -> Result[StoreAnswer, StoreFailure]:
         if self.revision is None:
             self.counters.add("store_calls", "range")
             return await self.store.read_all()
@@ -120,11 +151,15 @@
 
     def _reached(self) -> None:
         self.backoff.reset()
-        self.heard_at_ms = self.clock.now_ms()
+        now_ms = self.clock.now_ms()
+        away_ms = now_ms - self.heard_at_ms
+        self.heard_at_ms = now_ms
         if self.is_reached:
             return
         self.is_reached = True
-        self.endpoints.begin_grace(self.clock.now_ms())
+        # Where peers had later news, the store was away for this instance only.
+        if away_ms >= SHORTEST_LAPSE_MS and self.held_revision <= (self.revision or 0):
+            self.endpoints.begin_grace(now_ms)
         self.audit.record("store", "regained", cause="it answers again")
 
     async def _take(self, answer: StoreAnswer, *, is_full: bool) -> None:
--- a/src/radishmount/discovery/_messages.py
+++ b/src/radishmount/discovery/_messages.py
@@ -17,8 +17,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointPage:
-    """Some of the endpoints that the sender holds, by name, at a revision of the store."""
+    """Some of the endpoints that the sender holds, by name, at a revision of the store.
+
+    `missing` names those whose entries may only have lapsed in an outage.
+    """
 
     revision: int
     endpoints: tuple[ListedEndpoint, ...]
     has_more: bool
+    missing: tuple[str, ...] = ()
--- a/src/radishmount/discovery/_spread.py
+++ b/src/radishmount/discovery/_spread.py
@@ -24,7 +24,11 @@
 
 @dataclass(slots=True)
 class EndpointSpread:
-    """Asks a peer that holds a later revision for a while, and answers those that ask."""
+    """Asks a peer that holds a later revision for a while, and answers those that ask.
+
+    Being behind also means that the watch at the store may be dead without a sign, so it is begun
+    anew.
+    """
 
     follower: StoreFollower
     peers: Peers
@@ -47,6 +51,7 @@
             self.behind_since_ms = now_ms
         if self.follower.held_revision and now_ms - self.behind_since_ms < BEHIND_MS:
             return
+        self.follower.doubt()
         if self.fetching is None or self.fetching.done():
             self.fetching = asyncio.create_task(self._fetch(peer), name="fetch endpoints")
 
@@ -58,6 +63,7 @@
 
     async def _fetch(self, peer: str) -> None:
         listed: list[ListedEndpoint] = []
+        missing: set[str] = set()
         revision: int | None = None
         while True:
             after = listed[-1].name if listed else ""
@@ -68,14 +74,20 @@
             page = answer.ok_value
             revision = page.revision if revision is None else min(revision, page.revision)
             listed.extend(page.endpoints)
+            missing.update(page.missing)
             if not page.has_more or not page.endpoints:
                 break
         self.behind_since_ms = None
-        await self.follower.take_from_peer(peer, revision, listed)
+        await self.follower.take_from_peer(peer, revision, listed, missing)
 
     async def _answer(self, peer: str, request: EndpointPageRequest) -> Result[Any, Refusal]:
-        by_name = self.follower.endpoints.by_name
-        names = sorted(name for name in by_name if name > request.after)
-        page = tuple(by_name[name] for name in names[:PAGE_LENGTH])
-        has_more = len(names) > PAGE_LENGTH
-        return Ok(EndpointPage(self.follower.held_revision, page, has_more))
+        endpoints = self.follower.endpoints
+        listed = [entry for entry in endpoints.listed_now() if entry.name > request.after]
+        missing = sorted(endpoints.missing_until_ms_by_name)[:PAGE_LENGTH]
+        page = EndpointPage(
+            self.follower.held_revision,
+            tuple(listed[:PAGE_LENGTH]),
+            len(listed) > PAGE_LENGTH,
+            tuple(missing),
+        )
+        return Ok(page)
--- a/src/radishmount/platform/_store.py
+++ b/src/radishmount/platform/_store.py
@@ -28,7 +28,7 @@
 
 __all__ = ["PlatformStore", "read_listed"]
 
-CALL_TIMEOUT_S = 2.0  # five hundred times the answer time that the platform states
+CALL_TIMEOUT_S = 1.0  # two hundred and fifty times the answer time that the platform states
 EVERY_PREFIX = ""
 
 
