Hold repeats to the window of the settings, and doubt only watches

Cause: `RepeatBounds.window_ms` was read and not acted on: budgets always counted over 10 s, so that a deployment with a longer window could pass its slack twice in it. A reload replaced the bounds but left the reserve of budgets that existed. A hedge without any other endpoint counted as withheld for a full one. `cold_for_ms` was read and not used: every listed endpoint was ramped for 5 s.

Ruled out: a window as a constant of its own in forwarding; the budget is the one that counts.

Also taken out: names that nothing used (Route.service_names, PartProgress.is_lost, logs.kind_of, PaceSpread.own_name, the deployment's regions), and the loop that rounded a share of parts up.

--- a/src/radishmount/discovery/_endpoint_list.py
+++ b/src/radishmount/discovery/_endpoint_list.py
@@ -88,7 +88,7 @@
         specs_by_service: dict[str, list[EndpointSpec]] = {}
         slots_by_service: dict[str, int] = {}
         for listed in self.by_name.values():
-            spec = EndpointSpec(listed.name, listed.data_centre, listed.address)
+            spec = EndpointSpec(listed.name, listed.data_centre, listed.address, listed.cold_for_ms)
             specs_by_service.setdefault(listed.service, []).append(spec)
             most = max(slots_by_service.get(listed.service, 0), listed.slots)
             slots_by_service[listed.service] = most
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -100,11 +100,11 @@
         await self.on_change()
 
     def doubt(self) -> None:
-        """Begin the present call anew, as a peer has had news for a while that it has not brought.
+        """Begin the present watch anew, as a peer has had news for a while that it has not brought.
 
         An answer may be lost without a sign, and its connection then brings nothing any more.
         """
-        if self.calling is not None and self.is_reached:
+        if self.calling is not None and self.revision is not None and self.is_reached:
             self.is_doubted = True
             self.calling.cancel()
 
--- a/src/radishmount/endpoints/__init__.py
+++ b/src/radishmount/endpoints/__init__.py
@@ -7,6 +7,7 @@
     expected_ms,
     make_choice,
     make_weighted_choice,
+    ramp_weight,
 )
 from radishmount.endpoints._ejection import Ejection, ejectable
 from radishmount.endpoints._endpoint import EVIDENCE_MAX_AGE_MS, Endpoint
@@ -81,6 +82,7 @@
     "faded",
     "make_choice",
     "make_weighted_choice",
+    "ramp_weight",
     "share_of_holder",
     "slow_paces",
 ]
--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -8,7 +8,7 @@
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 
 
-__all__ = ["Choose", "expected_ms", "make_choice", "make_weighted_choice"]
+__all__ = ["Choose", "expected_ms", "make_choice", "make_weighted_choice", "ramp_weight"]
 
 OTHER_DATA_CENTRE_MS = 8.0
 UNKNOWN_LATENCY_MS = 5.0
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -11,6 +11,7 @@
 from radishmount.codes import Code
 from radishmount.counters import Counters
 from radishmount.endpoints._carried import Carried
+from radishmount.endpoints._choice import RAMP_MS
 from radishmount.endpoints._ejection import Ejection, ejectable
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._exchange import Failure, OpenChannel
@@ -175,7 +176,8 @@
         )
         if not self.policy.probes:
             endpoint.is_vouched_for = True
-            endpoint.live_since_ms = self.clock.now_ms()
+            # It takes its full share from the moment at which it is no longer cold.
+            endpoint.live_since_ms = self.clock.now_ms() + spec.cold_for_ms - RAMP_MS
             endpoint.latency.rise_weight = FEW_REQUESTS_RISE_WEIGHT
         endpoint.list_as_leaving(spec.name in self.leaving_names, self.clock.now_ms())
         return Link(
--- a/src/radishmount/fleet/_pace_news.py
+++ b/src/radishmount/fleet/_pace_news.py
@@ -16,7 +16,6 @@
 LOOK_INTERVAL_MS = 100.0  # a fraction of the time in which a caller gives up
 TELL_AGAIN_MS = 2_000.0  # an endpoint that stays slow; what is told fades in about twice that
 MOST_TOLD = 200  # in one frame, far below its limit of bytes
-ROUNDED_TO_MS = 1.0
 
 Paces = dict[str, float]
 """Latencies to expect in milliseconds, by name of the endpoint."""
@@ -30,7 +29,6 @@
     news that were seen are not sent on. A small fleet is a full mesh, where nobody sends on.
     """
 
-    own_name: str
     peers: Peers
     clock: Clock
     counters: Counters
@@ -67,11 +65,14 @@
         incarnation = self.peers.fleet.members.own.incarnation  # above all that was told before
         self.number = max(self.number + 1, incarnation)
         names = tuple(new)[:MOST_TOLD]
-        paces = tuple(round(new[name] / ROUNDED_TO_MS) for name in names)
-        self._send(PaceNews(self.own_name, self.number, names, paces), self.peers.sessions_by_name)
+        paces = tuple(round(new[name]) for name in names)
+        self._send(
+            PaceNews(self.peers.fleet.own_name, self.number, names, paces),
+            self.peers.sessions_by_name,
+        )
 
     def _take(self, session: PeerSession, news: PaceNews) -> None:
-        if news.origin == self.own_name:
+        if news.origin == self.peers.fleet.own_name:
             return
         if news.number <= self.seen_by_origin.get(news.origin, -1):
             return
@@ -81,10 +82,7 @@
         for name in news.endpoints:
             self.told_at_ms_by_endpoint[name] = now_ms  # all know it by now
         self.take_hints(
-            {
-                name: pace * ROUNDED_TO_MS
-                for name, pace in zip(news.endpoints, news.paces, strict=True)
-            }
+            {name: float(pace) for name, pace in zip(news.endpoints, news.paces, strict=True)}
         )
         others = [name for name in self.peers.sessions_by_name if name != session.peer.name]
         if len(self.peers.fleet.by_name) > NEIGHBOUR_LIMIT + 1:
--- a/src/radishmount/forwarding/_budget.py
+++ b/src/radishmount/forwarding/_budget.py
@@ -39,8 +39,12 @@
     def take_instances(self, count: int) -> None:
         """Divide the slack over `count` instances."""
         self.instances = max(1, count)
-        for budget in self.budgets_by_service.values():
-            budget.reserve = self._reserve()
+        self._divide()
+
+    def take_bounds(self, bounds: RepeatBounds) -> None:
+        """Hold every service to new bounds. What was spent before counts on."""
+        self.bounds = bounds
+        self._divide()
 
     def sent_first(self, service: str, now_ms: float) -> None:
         """Earn what one request for `service` allows in repeats."""
@@ -57,9 +61,14 @@
     def _budget(self, service: str) -> ExtraBudget:
         budget = self.budgets_by_service.get(service)
         if budget is None:
-            budget = ExtraBudget(reserve=self._reserve())
+            budget = ExtraBudget(self._reserve(), self.bounds.window_ms)
             self.budgets_by_service[service] = budget
         return budget
 
+    def _divide(self) -> None:
+        for budget in self.budgets_by_service.values():
+            budget.reserve = self._reserve()
+            budget.window_ms = self.bounds.window_ms
+
     def _reserve(self) -> float:
         return self.bounds.slack * SLACK_MARGIN / self.instances
--- a/src/radishmount/forwarding/_gather.py
+++ b/src/radishmount/forwarding/_gather.py
@@ -139,7 +139,10 @@
         if part.reply is not None or open_runs >= self.plan.route.max_attempts:
             return
         endpoint = self._choose(part, now_ms)
-        if endpoint is None or is_full(endpoint, now_ms):
+        if endpoint is None:
+            self.tools.counters.add("hedges_withheld", "no other endpoint")
+            return
+        if is_full(endpoint, now_ms):
             self.tools.counters.add("hedges_withheld", "full")
             return
         if self._may_send(part, now_ms):
@@ -217,7 +220,6 @@
 
     def _lose(self, part: PartProgress) -> None:
         part.act_at_ms = inf
-        part.is_lost = True
         self.lost += 1
 
     def _end_open(self) -> None:
@@ -229,15 +231,12 @@
         if self.answered < self.plan.least_parts:
             self._cancel_open()
             return
+        self._cancel_open(STUCK_HEDGE_DELAYS * self._hedge_after_ms())
+
+    def _cancel_open(self, longer_than_ms: float = -inf) -> None:
+        """Take back what was not sent, and end exchanges that are open for `longer_than_ms`."""
         now_ms = self.tools.clock.now_ms()
-        limit_ms = STUCK_HEDGE_DELAYS * self._hedge_after_ms()
         for part in self.parts_by_service.values():
             for attempt in list(part.open_attempts):
-                if attempt.sent_at_ms is None or now_ms - attempt.sent_at_ms > limit_ms:
+                if attempt.sent_at_ms is None or now_ms - attempt.sent_at_ms > longer_than_ms:
                     attempt.cancel()
-
-    def _cancel_open(self) -> None:
-        """Free the slots of the endpoints: nobody waits for their answers any more."""
-        for part in self.parts_by_service.values():
-            for attempt in list(part.open_attempts):
-                attempt.cancel()
--- a/src/radishmount/forwarding/_part.py
+++ b/src/radishmount/forwarding/_part.py
@@ -13,8 +13,8 @@
 class PartProgress:
     """One part of the answer. `act_at_ms` is when to hedge or to look for an endpoint again.
 
-    `runs` counts the attempts that ran or may have run. A part is lost while no endpoint can be
-    asked for it. `spare` is the answer of an endpoint that failed, for want of a better one.
+    `runs` counts the attempts that ran or may have run. `spare` is the answer of an endpoint that
+    failed, for want of a better one.
     """
 
     service: str
@@ -27,4 +27,3 @@
     reply: ForwardReply | None = None
     spare: ForwardReply | None = None
     failure: Failure | None = None
-    is_lost: bool = False
--- a/src/radishmount/forwarding/_plan.py
+++ b/src/radishmount/forwarding/_plan.py
@@ -1,6 +1,7 @@
 """What is decided about a request before anything is sent."""
 
 from dataclasses import dataclass
+from math import ceil
 from random import Random
 
 from radishmount.endpoints import ForwardCall
@@ -9,6 +10,7 @@
 
 __all__ = ["ForwardPlan", "make_plan"]
 
+ROUNDING = 1e-9  # of a share times a count, far below one part
 ANSWER_MARGIN_MS = 10.0  # from the decision to answer until the caller has the last byte
 CALLER_TRANSIT_MS = 24.0  # a new connection from another data centre, the request and the answer
 
@@ -17,13 +19,15 @@
 class ForwardPlan:
     """One request, the services that it goes to, and its times on the clock in milliseconds.
 
-    Past `settle_at_ms` an answer without some of the shards is better than a late one; past
-    `deadline_at_ms` the caller or the operator waits no longer.
+    `least_parts` is how many parts an answer has at least. Past `settle_at_ms` an answer without
+    some of the shards is better than a late one; past `deadline_at_ms` the caller or the operator
+    waits no longer.
     """
 
     call: ForwardCall
     route: Route
     services: tuple[str, ...]
+    least_parts: int
     arrived_at_ms: float
     settle_at_ms: float
     deadline_at_ms: float
@@ -33,15 +37,6 @@
         """Tell whether the answer is merged from the parts of all services."""
         return bool(self.route.shards)
 
-    @property
-    def least_parts(self) -> int:
-        """Return how many parts an answer has at least."""
-        count = len(self.services)
-        least = int(self.route.min_share * count)
-        while least < self.route.min_share * count - 1e-9:
-            least += 1
-        return max(1, least)
-
 
 def make_plan(
     call: ForwardCall,
@@ -57,6 +52,7 @@
         call=call,
         route=route,
         services=services,
+        least_parts=max(1, ceil(route.min_share * len(services) - ROUNDING)),
         arrived_at_ms=arrived_at_ms,
         settle_at_ms=arrived_at_ms + route.target_latency_ms - CALLER_TRANSIT_MS,
         deadline_at_ms=arrived_at_ms + max(0.0, limit_ms - ANSWER_MARGIN_MS),
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -266,7 +266,6 @@
     seeded = SeededParts(own, parts.seeds, clock, random, parts.open_peer_for)
     control = make_seeded_control(seeded, in_force, follower, audit, counters)
     pace_spread = PaceSpread(
-        own.name,
         control.peers,
         clock,
         counters,
--- a/src/radishmount/logs/__init__.py
+++ b/src/radishmount/logs/__init__.py
@@ -2,7 +2,7 @@
 
 from radishmount.logs._budget import LineBudget
 from radishmount.logs._output import LogOutput, open_standard_output
-from radishmount.logs._request_log import Emit, RequestLog, kind_of
+from radishmount.logs._request_log import Emit, RequestLog
 
 
-__all__ = ["Emit", "LineBudget", "LogOutput", "RequestLog", "kind_of", "open_standard_output"]
+__all__ = ["Emit", "LineBudget", "LogOutput", "RequestLog", "open_standard_output"]
--- a/src/radishmount/logs/_request_log.py
+++ b/src/radishmount/logs/_request_log.py
@@ -7,10 +7,10 @@
 from radishmount.clock import Clock
 from radishmount.counters import Counters
 from radishmount.forwarding import ForwardRecord, ForwardVerdict
-from radishmount.logs._budget import LineBudget
+from radishmount.logs._budget import WINDOW_MS, LineBudget
 
 
-__all__ = ["RequestLog", "kind_of"]
+__all__ = ["Emit", "RequestLog"]
 
 # Failures go first; an ordinary answer is sampled, as its line tells nothing that counters do not.
 LINES_PER_S_BY_KIND = {
@@ -27,11 +27,6 @@
 """Writes one line: what happened, and its fields."""
 
 
-def kind_of(record: ForwardRecord) -> str:
-    """Return the kind under which the line of a request is counted."""
-    return record.verdict.value
-
-
 @dataclass(slots=True)
 class RequestLog:
     """Writes lines for forwarded requests within a budget for each kind.
@@ -51,14 +46,14 @@
         """Write the line of a request, if its kind has one left."""
         now_ms = self.clock.now_ms()
         self._tell_withheld(now_ms)
-        kind = kind_of(record)
+        kind = record.verdict.value
         if self.budget.take(kind, now_ms):
             self.emit(f"request {kind}", record.fields())
         else:
             self.counters.add("log_lines_withheld", kind)
 
     def _tell_withheld(self, now_ms: float) -> None:
-        if now_ms - self.told_at_ms < 1_000.0 or not self.budget.withheld_by_kind:
+        if now_ms - self.told_at_ms < WINDOW_MS or not self.budget.withheld_by_kind:
             return
         self.told_at_ms = now_ms
         self.emit("lines withheld", {"withheld": self.budget.take_withheld()})
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -75,7 +75,7 @@
     def take_settings(self, settings: DeploymentSettings) -> None:
         """Act on settings that have changed; addresses hold until the next start."""
         self.gateway.control.roster.seeds = settings.seeds
-        self.gateway.tools.budget.bounds = settings.repeats
+        self.gateway.tools.budget.take_bounds(settings.repeats)
 
     async def leave(self, grace_ms: float) -> None:
         """Stop gracefully: nothing new is named here, and what is in flight is finished."""
--- a/src/radishmount/platform/_settings.py
+++ b/src/radishmount/platform/_settings.py
@@ -26,8 +26,6 @@
 
     name: str
     data_centre: str
-    region: str
-    region_by_data_centre: dict[str, str]
     caller_listen: Listen
     readiness_listen: Listen
     peer_listen: Listen
@@ -75,8 +73,6 @@
 
     node_name: str = Field(alias="nodeName")
     zone: str
-    region: str
-    zones: dict[str, str] = {}
     seeds: list[str] = []
     listen: ListenModel
     bounds: BoundsModel = Field(default_factory=lambda: BoundsModel.model_validate({}))
@@ -88,8 +84,6 @@
         return DeploymentSettings(
             name=self.node_name,
             data_centre=self.zone,
-            region=self.region,
-            region_by_data_centre=self.zones,
             caller_listen=split_address(self.listen.front),
             readiness_listen=split_address(self.listen.ready),
             peer_listen=split_address(self.listen.control),
--- a/src/radishmount/publication/_objects.py
+++ b/src/radishmount/publication/_objects.py
@@ -36,11 +36,15 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointSpec:
-    """One back end of a service: `address` is an IP number and a port."""
+    """One back end of a service: `address` is an IP number and a port.
+
+    `cold_for_ms` is how much longer it is slow after its start, where that is known.
+    """
 
     name: str
     data_centre: str
     address: str
+    cold_for_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/queries/_budget.py
+++ b/src/radishmount/queries/_budget.py
@@ -6,8 +6,8 @@
 
 __all__ = ["ExtraBudget"]
 
-SLICE_MS = 1_000.0
-KEPT_SLICES = 10
+SLICES_IN_WINDOW = 10
+DEFAULT_WINDOW_MS = 10_000.0  # some hundred searches, enough for a share of a few in a hundred
 ROUNDING = 1e-6
 
 
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True)
 class ExtraBudget:
-    """Grants as many extra sub-requests as were earned over the last seconds, plus `reserve`.
+    """Grants as many extra sub-requests as were earned in the last `window_ms`, plus `reserve`.
 
     budget = ExtraBudget()
     budget.earn(100 * 0.05, now_ms)
@@ -30,6 +30,7 @@
     """
 
     reserve: float = 0.0
+    window_ms: float = DEFAULT_WINDOW_MS
     earned: float = 0.0
     spent: float = 0.0
     slices: deque[Slice] = field(default_factory=deque)
@@ -58,10 +59,11 @@
 
     def _slice(self, now_ms: float) -> Slice:
         """Return the slice of now; slices that are too old count no longer."""
-        while self.slices and now_ms - self.slices[0].began_ms >= KEPT_SLICES * SLICE_MS:
+        while self.slices and now_ms - self.slices[0].began_ms >= self.window_ms:
             old = self.slices.popleft()
             self.earned -= old.earned
             self.spent -= old.spent
-        if not self.slices or now_ms - self.slices[-1].began_ms >= SLICE_MS:
+        slice_ms = self.window_ms / SLICES_IN_WINDOW
+        if not self.slices or now_ms - self.slices[-1].began_ms >= slice_ms:
             self.slices.append(Slice(now_ms))
         return self.slices[-1]
--- a/src/radishmount/routes/_route.py
+++ b/src/radishmount/routes/_route.py
@@ -40,8 +40,3 @@
     shards: tuple[str, ...] = ()
     top_records: int = 0
     min_share: float = 1.0
-
-    @property
-    def service_names(self) -> tuple[str, ...]:
-        """Return every service that requests of the route may go to."""
-        return self.shards or tuple(weighted.service for weighted in self.services)
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -45,6 +45,7 @@
     events: list[tuple[int, StoreEntry]] = field(default_factory=list)
     revision: int = 1
     fault: StoreFault | None = None
+    read_ms: float = 0.0
     calls: list[str] = field(default_factory=list)
     news: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -58,6 +59,7 @@
     async def read_all(self) -> Result[StoreAnswer, StoreFailure]:
         """Return every entry."""
         self.calls.append("range")
+        await asyncio.sleep(self.read_ms / 1000.0)
         if self.fault is not None:
             return self._failure()
         return Ok(StoreAnswer(tuple(self.entries), self.revision))
@@ -98,11 +100,11 @@
 
 
 @asynccontextmanager
-async def following(*entries: StoreEntry) -> AsyncIterator[FollowWorld]:
-    """Follow a store that begins with `entries`."""
+async def following(*entries: StoreEntry, read_ms: float = 0.0) -> AsyncIterator[FollowWorld]:
+    """Follow a store that begins with `entries`; a full reading of it takes `read_ms`."""
     clock, counters = virtual_clock(), Counters()
     audit = AuditTrail(clock)
-    store = FakeStore(list(entries))
+    store = FakeStore(list(entries), read_ms=read_ms)
     endpoints = EndpointList()
     changes: list[frozenset[str]] = []
 
@@ -205,6 +207,14 @@
             assert len(world.store.calls) > calls
             assert world.follower.is_reached
 
+    async def test_a_first_reading_under_way_is_not_doubted(self) -> None:
+        async with following(entry("a"), read_ms=2_000.0) as world:
+            world.follower.doubt()
+            await asyncio.sleep(3.0)
+
+            assert world.store.calls.count("range") == 1
+            assert not [line for line in world.audit.lines if line.subject == "store"]
+
     async def test_a_watch_whose_answer_is_lost_ends_within_five_seconds(self) -> None:
         async with following(entry("a")) as world:
             calls = len(world.store.calls)
--- a/tests/fleet/test_pace_news.py
+++ b/tests/fleet/test_pace_news.py
@@ -25,7 +25,6 @@
             self.slow_by_name[name] = {}
             self.heard_by_name[name] = []
             spread = PaceSpread(
-                name,
                 control.peers,
                 world.clock,
                 world.counters_by_name[name],
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -1,7 +1,7 @@
 """Endpoints that answer forwarded requests, on virtual time, and the tools to reach them."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from random import Random
@@ -22,7 +22,7 @@
     ForwardReply,
     ForwardRequest,
     LoadReport,
-    make_choice,
+    make_weighted_choice,
 )
 from radishmount.forwarding import (
     ForwardBudget,
@@ -119,7 +119,13 @@
 class ForwardWorld:
     """Services with three endpoints each, as one instance sees them."""
 
-    def __init__(self, services: int = 4, bounds: RepeatBounds | None = None) -> None:
+    def __init__(
+        self,
+        services: int = 4,
+        bounds: RepeatBounds | None = None,
+        cold_ms_by_name: Mapping[str, float] | None = None,
+    ) -> None:
+        self.cold_ms_by_name = cold_ms_by_name or {}
         self.clock: Clock = loop_clock(asyncio.get_running_loop())
         self.counters = Counters()
         self.random = Random(3)
@@ -137,7 +143,7 @@
             self.pool,
             self.clock,
             self.random,
-            make_choice(DATA_CENTRE, Random(5), FORWARD_POLICY),
+            make_weighted_choice(DATA_CENTRE, Random(5), FORWARD_POLICY),
             self.counters,
             ForwardBudget(bounds, instances=1),
         )
@@ -147,7 +153,10 @@
         """List every endpoint."""
         listed = EndpointList()
         for name, back_end in self.back_ends.items():
-            entry = ListedEndpoint(name, back_end.service, name, DATA_CENTRE, slots=2)
+            cold_for_ms = self.cold_ms_by_name.get(name, 0.0)
+            entry = ListedEndpoint(
+                name, back_end.service, name, DATA_CENTRE, slots=2, cold_for_ms=cold_for_ms
+            )
             listed.put(name, entry, 0.0)
         services = {name: Service(name, 0, CONNECTIONS, ()) for name in self.services}
         publication = listed.join(Publication(1, "d", services_by_name=services))
--- a/tests/forwarding/test_budget.py
+++ b/tests/forwarding/test_budget.py
@@ -32,6 +32,24 @@
     def test_an_instance_that_knows_no_other_takes_little_of_the_slack(self) -> None:
         assert repeats_granted(ForwardBudget(BOUNDS), 0, 0.0) <= BOUNDS.slack / 9
 
+    def test_a_longer_window_holds_what_was_spent_for_longer(self) -> None:
+        budget = ForwardBudget(RepeatBounds(ratio=0.2, slack=50.0, window_ms=30_000.0))
+        budget.take_instances(1)
+        repeats_granted(budget, 10, 0.0)
+
+        assert not budget.spend("s", 29_000.0)
+
+    def test_new_bounds_hold_for_services_that_were_in_use_before(self) -> None:
+        budget = ForwardBudget(BOUNDS)
+        budget.take_instances(1)
+        before = budget.left("s", 0.0)
+
+        budget.take_bounds(RepeatBounds(ratio=0.2, slack=10.0, window_ms=20_000.0))
+
+        assert before == 40.0
+        assert repeats_granted(budget, 0, 0.0) == 8
+        assert not budget.spend("s", 19_000.0)
+
     def test_what_was_spent_comes_back_after_the_window(self) -> None:
         budget = ForwardBudget(BOUNDS, instances=1)
         first = repeats_granted(budget, 10, 0.0)
--- a/tests/forwarding/test_gather.py
+++ b/tests/forwarding/test_gather.py
@@ -6,6 +6,7 @@
 
 from forward_world import forward_world
 from radishmount.codes import Ran
+from radishmount.endpoints import ramp_weight
 
 
 pytestmark = pytest.mark.looptime
@@ -22,6 +23,14 @@
             assert len(set(answer.ok_value.signatures)) == 4
             assert world.arrivals_of("r1") == 4
 
+    async def test_an_endpoint_that_is_still_cold_takes_less_of_the_work(self) -> None:
+        async with forward_world(1, cold_ms_by_name={"s0-a": 4_000.0}) as world:
+            cold, *warm = world.pool.endpoints_of("s0")
+
+            assert ramp_weight(cold, 0.0) < 0.5
+            assert ramp_weight(cold, 4_000.0) == 1.0
+            assert [ramp_weight(endpoint, 0.0) for endpoint in warm] == [1.0, 1.0]
+
     async def test_an_error_of_an_endpoint_is_no_part(self) -> None:
         async with forward_world(4) as world:
             for back_end in world.of("s1"):
--- a/tests/platform/test_reload.py
+++ b/tests/platform/test_reload.py
@@ -22,9 +22,12 @@
 
     async def test_seeds_and_bounds(self, world: PlatformWorld) -> None:
         settings = settings_for("127.0.0.1:1")
+        budget = world.instance.gateway.tools.budget
+        before = budget.left("orders", 0.0)
         changed = replace(settings, seeds=("127.0.0.1:8",), repeats=RepeatBounds(0.1, 7.0))
 
         world.instance.take_settings(changed)
 
         assert world.instance.gateway.control.roster.seeds == ("127.0.0.1:8",)
-        assert world.instance.gateway.tools.budget.bounds == RepeatBounds(0.1, 7.0)
+        assert budget.bounds == RepeatBounds(0.1, 7.0)
+        assert budget.left("orders", 0.0) == pytest.approx(before * 7.0 / settings.repeats.slack)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -137,8 +137,6 @@
     return DeploymentSettings(
         name="front-1",
         data_centre="z1",
-        region="r1",
-        region_by_data_centre={"z1": "r1"},
         caller_listen=FREE,
         readiness_listen=FREE,
         peer_listen=FREE,
--- a/tests/queries/test_budget.py
+++ b/tests/queries/test_budget.py
@@ -37,6 +37,13 @@
 
         assert budget.spend(10_000.0)
 
+    def test_a_longer_window_remembers_for_longer(self) -> None:
+        budget = ExtraBudget(reserve=1.0, window_ms=30_000.0)
+        budget.spend(0.0)
+
+        assert not budget.spend(29_000.0)
+        assert budget.spend(31_000.0)
+
     def test_what_another_budget_granted_counts(self) -> None:
         budget = ExtraBudget()
         budget.earn(1.0, 0.0)
