Renew the view after a pause on the users' platform, and bound the time of a request head

Cause: an instance that woke from a freeze went on with what it believed before, and a machine that was suspended was not noticed at all, as its monotonic clock stands still as well. The published header time-out was read and not acted on.

Change: the tick that finds pauses also looks at the time since boot; on the path of forwarded requests new work waits until store and neighbours were asked, 500 ms at most. A head that is begun and not whole in time is answered 408.

Ruled out: refusing until the view is renewed: the store answers in milliseconds, and a refusal costs the caller a round trip more than that.

New tests of what had none: an early answer to a long body, nothing to a draining endpoint, no way back of a version, no mix in a reshard, all through the whole path.

--- a/src/radishmount/border/_serve.py
+++ b/src/radishmount/border/_serve.py
@@ -21,6 +21,7 @@
 UNREAD_BODY_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 4_000
 MAX_HEADER_BYTES = 8_190
+SLOW_HEAD_ANSWER = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 HANDLER_OPTIONS: dict[str, Any] = {
     "lingering_time": UNREAD_BODY_TIMEOUT_S,
     "access_log": None,
@@ -52,10 +53,61 @@
         await self._runner.cleanup()
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """What a client may do on one connection.
+
+    One that is idle for `idle_timeout_s` is closed. A request head that is begun and not whole
+    within `head_timeout_s` is refused, as is a line or field above `max_header_bytes`.
+    """
+
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+    max_header_bytes: int = MAX_HEADER_BYTES
+    head_timeout_s: float = IDLE_TIMEOUT_S
+
+
 class NumberedHandler(web.RequestHandler):
     """One connection of a client. What the library refuses by itself gets a number too."""
 
-    __slots__ = ()
+    __slots__ = ("_head_timeout_s", "_head_timer")
+
+    def __init__(
+        self, manager: web.Server, loop: asyncio.AbstractEventLoop, limits: ConnectionLimits
+    ) -> None:
+        super().__init__(
+            manager,
+            loop=loop,
+            keepalive_timeout=limits.idle_timeout_s,
+            max_line_size=limits.max_header_bytes,
+            max_field_size=limits.max_header_bytes,
+            **HANDLER_OPTIONS,
+        )
+        self._head_timeout_s = limits.head_timeout_s
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; those that begin a request head start the time in which it must be whole."""
+        super().data_received(data)
+        if self._messages or self._request_in_progress:
+            self._stop_head_timer()
+        elif self._head_timer is None and self.transport is not None:
+            self._head_timer = self._loop.call_later(self._head_timeout_s, self._refuse_slow_head)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the timer with the connection."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _refuse_slow_head(self) -> None:
+        self._head_timer = None
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(SLOW_HEAD_ANSWER)
+            self.transport.close()
 
     def handle_error(
         self,
@@ -77,18 +129,6 @@
         return response
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionLimits:
-    """What a client may do on one connection.
-
-    One that brings no whole request head within `idle_timeout_s` is closed; a line or field above
-    `max_header_bytes` is refused.
-    """
-
-    idle_timeout_s: float = IDLE_TIMEOUT_S
-    max_header_bytes: int = MAX_HEADER_BYTES
-
-
 class CrowdedOut(asyncio.Protocol):
     """One connection above the limit, which is closed at once."""
 
@@ -114,7 +154,7 @@
 ) -> Result[Server, Refusal]:
     """Serve `app` on `listen`, or tell that the address cannot be bound.
 
-    A connection that brings no whole request head within `idle_timeout_s` is closed. With
+    A connection that is idle for `idle_timeout_s` is closed. With
     `cancel_abandoned` a handler is cancelled when its client closes the connection.
     """
     runner = web.AppRunner(
@@ -146,15 +186,7 @@
     def connect() -> asyncio.Protocol:
         if len(manager.connections) >= MAX_CONNECTIONS:
             return CrowdedOut()
-        allowed = limits()
-        return NumberedHandler(
-            manager,
-            loop=loop,
-            keepalive_timeout=allowed.idle_timeout_s,
-            max_line_size=allowed.max_header_bytes,
-            max_field_size=allowed.max_header_bytes,
-            **HANDLER_OPTIONS,
-        )
+        return NumberedHandler(manager, loop, limits())
 
     try:
         listening = await loop.create_server(connect, listen.host, listen.port)
--- a/src/radishmount/clock.py
+++ b/src/radishmount/clock.py
@@ -3,10 +3,10 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
-__all__ = ["Clock", "PauseWatch", "loop_clock"]
+__all__ = ["Clock", "PauseWatch", "loop_clock", "machine_clock"]
 
 PAUSE_THRESHOLD_MS = 500.0
 
@@ -17,7 +17,8 @@
 
     `now_ms` is monotonic and serves deadlines; `wall_ms` is the time of day and serves records
     that people read; `cpu_ms` is the processor time of this thread and serves the count of what
-    control costs. Nothing outside this module reads the system clock.
+    control costs; `boot_ms` goes on while the machine is suspended and serves the detection of
+    pauses. Nothing outside this module reads the system clock.
 
         clock = loop_clock(asyncio.get_running_loop())
         deadline_at_ms = clock.now_ms() + 190.0
@@ -26,6 +27,7 @@
     now_ms: Callable[[], float]
     wall_ms: Callable[[], float]
     cpu_ms: Callable[[], float] = lambda: 0.0
+    boot_ms: Callable[[], float] = lambda: 0.0
 
     def remaining_ms(self, deadline_at_ms: float) -> float:
         """Return the milliseconds left until `deadline_at_ms`, never less than zero."""
@@ -45,22 +47,34 @@
     )
 
 
+def machine_clock(loop: asyncio.AbstractEventLoop) -> Clock:
+    """Return the clock of a process of its own, which also notices that its machine slept."""
+    return replace(
+        loop_clock(loop),
+        boot_ms=lambda: time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0,
+    )
+
+
 @dataclass(slots=True)
 class PauseWatch:
-    """Recognises that the process was suspended, by ticks that come late.
+    """Recognises that the process or its machine was suspended, by ticks that come late.
 
     `tick` is called at a fixed interval and answers how long the process stood still, in
-    milliseconds, or zero when the tick came in time.
+    milliseconds, or zero when the tick came in time. A suspended machine's monotonic time stands
+    still as well, so the time since boot is looked at too.
     """
 
     interval_ms: float
     last_tick_at_ms: float
+    last_boot_ms: float = 0.0
     last_pause_ended_at_ms: float | None = None
 
-    def tick(self, now_ms: float) -> float:
-        """Record a tick at `now_ms` and return the length of the pause before it."""
-        late_ms = now_ms - self.last_tick_at_ms - self.interval_ms
+    def tick(self, now_ms: float, boot_ms: float = 0.0) -> float:
+        """Record a tick and return the length of the pause before it."""
+        passed_ms = max(now_ms - self.last_tick_at_ms, boot_ms - self.last_boot_ms)
+        late_ms = passed_ms - self.interval_ms
         self.last_tick_at_ms = now_ms
+        self.last_boot_ms = boot_ms
         if late_ms < PAUSE_THRESHOLD_MS:
             return 0.0
         self.last_pause_ended_at_ms = now_ms
--- a/src/radishmount/control/_seeded.py
+++ b/src/radishmount/control/_seeded.py
@@ -13,6 +13,7 @@
 from radishmount.discovery import EndpointSpread, StoreFollower
 from radishmount.fleet import (
     Fleet,
+    Freshness,
     Heartbeat,
     HeldVersions,
     Instance,
@@ -23,12 +24,15 @@
     Peers,
     Roster,
     first_incarnation,
+    make_freshness,
 )
 from radishmount.publication import Distribution, InForce, Publication
 
 
 __all__ = ["SeededControl", "SeededParts", "make_seeded_control"]
 
+RENEWAL_LIMIT_MS = 500.0  # a hundred reads of the store; after that the old view must do
+
 
 @dataclass(frozen=True, slots=True)
 class SeededParts:
@@ -53,6 +57,7 @@
     spread: EndpointSpread
     in_force: InForce
     follower: StoreFollower
+    freshness: Freshness
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def start(self) -> None:
@@ -65,12 +70,14 @@
         self._start_task("forget", self.roster.run_forgetting())
         self._start_task("probe random", self.membership.probe_random())
         self._start_task("close idle", self.membership.close_idle())
+        self._start_task("tick", self.freshness.run())
 
     async def stop(self) -> None:
         """End every task and stream."""
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.freshness.stop()
         await self.distribution.stop()
         await self.spread.stop()
         await self.membership.stop()
@@ -80,6 +87,13 @@
         """Say that this instance leaves."""
         self.fleet.members.say(MemberState.LEAVING, "asked to stop")
 
+    async def renew(self) -> None:
+        """Ask the store and every neighbour for what changed during a pause."""
+        await asyncio.gather(self.follower.renew(), self.membership.ask_all())
+        for fetching in (self.spread.fetching, self.distribution.fetching):
+            if fetching is not None:
+                await asyncio.wait([fetching])
+
     def tell_held(self) -> None:
         """Tell the neighbours at once what this instance holds."""
         self.membership.beat()
@@ -122,6 +136,13 @@
     membership = Membership(
         fleet, peers, clock, random, audit, counters, held=lambda: control.held()
     )
+
+    def forget() -> None:
+        members.forget_evidence()
+
+    async def renew() -> None:
+        await control.renew()
+
     control = SeededControl(
         fleet=fleet,
         peers=peers,
@@ -131,6 +152,7 @@
         spread=EndpointSpread(follower, peers, clock, counters),
         in_force=in_force,
         follower=follower,
+        freshness=make_freshness(clock, audit, counters, forget, renew, RENEWAL_LIMIT_MS),
     )
     membership.on_heartbeat.append(control.see_heartbeat)
     in_force.on_change.append(control.take_publication)
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -58,22 +58,27 @@
     heard_at_ms: float = 0.0
     calling: asyncio.Task[Result[StoreAnswer, StoreFailure]] | None = None
     is_doubted: bool = False
+    renewed: asyncio.Event = field(default_factory=asyncio.Event)
     backoff: Backoff = field(init=False)
 
     def __post_init__(self) -> None:
-        """Prepare the pauses between calls that fail."""
+        """Prepare the pauses between calls that fail; no renewal is asked for yet."""
+        self.renewed.set()
         self.backoff = Backoff(self.random, RETRY_FIRST_MS, RETRY_LIMIT_MS)
 
     async def run(self) -> None:
         """Follow the store until the task is cancelled."""
         while True:
             answer = await self._call()
+            if answer is None:
+                continue
             if isinstance(answer, Err):
                 await self._failed(answer.err_value)
                 continue
             was_reading = self.revision is None
             self._reached()
             await self._take(answer.ok_value, is_full=was_reading)
+            self.renewed.set()
             await self.clock.sleep_ms(SETTLE_MS)
 
     async def run_expiry(self) -> None:
@@ -108,14 +113,24 @@
             self.is_doubted = True
             self.calling.cancel()
 
-    async def _call(self) -> Result[StoreAnswer, StoreFailure]:
+    async def renew(self) -> None:
+        """Begin the present call anew, as after a pause, and wait until its answer was taken."""
+        self.renewed.clear()
+        if self.calling is not None:
+            self.calling.cancel()
+        await self.renewed.wait()
+
+    async def _call(self) -> Result[StoreAnswer, StoreFailure] | None:
+        """Return the answer of the next call, none where it is to be begun anew."""
         self.calling = asyncio.create_task(self._ask_store(), name="ask store")
         try:
             return await self.calling
         except asyncio.CancelledError:
-            if not self.is_doubted:
-                self.calling.cancel()
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
                 raise
+            if not self.is_doubted:
+                return None
             refusal = Refusal(Code.PLATFORM_DOWN, detail="peers have later news")
             return Err(StoreFailure(StoreFault.UNAVAILABLE, refusal))
         finally:
@@ -127,7 +142,8 @@
             self.counters.add("store_calls", "range")
             return await self.store.read_all()
         self.counters.add("store_calls", "watch")
-        wait_ms = WATCH_WAIT_MS if self.is_reached else 0  # whether it is back is known at once
+        # Whether the store is back, or what was missed, is known at once.
+        wait_ms = WATCH_WAIT_MS if self.is_reached and self.renewed.is_set() else 0
         return await self.store.watch(self.revision, wait_ms)
 
     async def _failed(self, failure: StoreFailure) -> None:
--- a/src/radishmount/fleet/_freshness.py
+++ b/src/radishmount/fleet/_freshness.py
@@ -28,6 +28,7 @@
     forget: Callable[[], None]
     renew: Callable[[], Awaitable[None]]
     pause_watch: PauseWatch
+    limit_ms: float = RENEWAL_LIMIT_MS
     fresh: asyncio.Event = field(default_factory=asyncio.Event)
     renewal: asyncio.Task[None] | None = None
 
@@ -35,19 +36,25 @@
         """Tick for as long as the instance runs."""
         while True:
             await self.clock.sleep_ms(TICK_INTERVAL_MS)
-            self._note(self.pause_watch.tick(self.clock.now_ms()))
+            self._tick()
 
     def check(self) -> bool:
         """Tell whether the view is fresh; a request may come before the late tick does."""
-        late_ms = self.clock.now_ms() - self.pause_watch.last_tick_at_ms
-        if late_ms > TICK_INTERVAL_MS:
-            self._note(self.pause_watch.tick(self.clock.now_ms()))
+        watch = self.pause_watch
+        since_tick_ms = self.clock.now_ms() - watch.last_tick_at_ms
+        since_tick_ms = max(since_tick_ms, self.clock.boot_ms() - watch.last_boot_ms)
+        if since_tick_ms > TICK_INTERVAL_MS:
+            self._tick()
         return self.fresh.is_set()
 
-    async def wait(self, limit_ms: float) -> bool:
-        """Wait until the view is fresh, `limit_ms` at most; tell whether it is."""
+    async def wait(self, limit_ms: float | None = None) -> bool:
+        """Wait until the view is fresh or its renewal was given up, `limit_ms` at most.
+
+        Tell whether it is.
+        """
         if self.check():
             return True
+        limit_ms = self.limit_ms if limit_ms is None else limit_ms
         try:
             async with asyncio.timeout(limit_ms / 1000.0):
                 await self.fresh.wait()
@@ -61,7 +68,8 @@
             self.renewal.cancel()
             await asyncio.gather(self.renewal, return_exceptions=True)
 
-    def _note(self, pause_ms: float) -> None:
+    def _tick(self) -> None:
+        pause_ms = self.pause_watch.tick(self.clock.now_ms(), self.clock.boot_ms())
         if pause_ms <= 0.0:
             return
         self.counters.add("pauses")
@@ -74,7 +82,7 @@
 
     async def _renew(self) -> None:
         try:
-            async with asyncio.timeout(RENEWAL_LIMIT_MS / 1000.0):
+            async with asyncio.timeout(self.limit_ms / 1000.0):
                 await self.renew()
         except TimeoutError:
             self.counters.add("renewals_cut_short")
@@ -87,9 +95,10 @@
     counters: Counters,
     forget: Callable[[], None],
     renew: Callable[[], Awaitable[None]],
+    limit_ms: float = RENEWAL_LIMIT_MS,
 ) -> Freshness:
     """Return a watch over pauses that starts with a fresh view."""
-    pause_watch = PauseWatch(TICK_INTERVAL_MS, clock.now_ms())
-    freshness = Freshness(clock, audit, counters, forget, renew, pause_watch)
+    pause_watch = PauseWatch(TICK_INTERVAL_MS, clock.now_ms(), clock.boot_ms())
+    freshness = Freshness(clock, audit, counters, forget, renew, pause_watch, limit_ms)
     freshness.fresh.set()
     return freshness
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -121,7 +121,8 @@
     async def handle(
         self, call: ForwardCall, host: str, arrived_at_ms: float, time_left_ms: float | None
     ) -> Forwarded:
-        """Forward a request by the route of its host and path."""
+        """Forward a request by the route of its host and path, with a view as of now."""
+        await self.control.freshness.wait()
         if self.publication.version == 0:
             return self._refuse(call, Refusal(Code.NOT_READY))
         path = call.target.partition("?")[0]
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -27,7 +27,7 @@
     serve_manager,
     serve_peers,
 )
-from radishmount.clock import Clock, loop_clock
+from radishmount.clock import Clock, machine_clock
 from radishmount.codes import Refusal
 from radishmount.counters import Counters
 from radishmount.fleet import Instance
@@ -123,7 +123,7 @@
     def caller_limits() -> ConnectionLimits:
         limits = gateway.publication.caller_limits
         idle_s = IDLE_FACTOR * limits.idle_timeout_ms / 1000.0
-        return ConnectionLimits(idle_s, limits.max_header_bytes)
+        return ConnectionLimits(idle_s, limits.max_header_bytes, limits.header_timeout_ms / 1000.0)
 
     finish_s = FINISH_SHARE * settings.stop_grace_ms / 1000.0
     servers = []
@@ -228,7 +228,7 @@
 async def _run(path: Path, settings: DeploymentSettings, metrics_port: int | None) -> int:
     output = set_up_logging(settings.name)
     loop = asyncio.get_running_loop()
-    clock = loop_clock(loop)
+    clock = machine_clock(loop)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
--- a/src/radishmount/standins/_back_end.py
+++ b/src/radishmount/standins/_back_end.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 
 __all__ = ["BackEndStandIn", "SeenRequest"]
@@ -42,12 +42,14 @@
     """One back end on loopback. `answer` returns the bytes that it sends, none to stay silent.
 
     It closes the connection after an answer when `closes` is set, and resets it when `resets` is.
+    With `answers_early` it answers before it reads the body, and keeps the connection.
     """
 
     name: str
     answer: Callable[[SeenRequest, str], bytes | None] = plain_answer
     closes: bool = False
     resets: bool = False
+    answers_early: bool = False
     seen: list[SeenRequest] = field(default_factory=list)
     connections: int = 0
     ended: int = 0
@@ -71,7 +73,9 @@
         number = self.connections
         try:
             while True:
-                request = await _read_request(reader, number)
+                request = await _read_head(reader, number)
+                if not self.answers_early:
+                    request = await _with_body(reader, request)
                 self.seen.append(request)
                 content = self.answer(request, self.name)
                 if content is None:
@@ -79,6 +83,8 @@
                     return
                 writer.write(content)
                 await writer.drain()
+                if self.answers_early:
+                    self.seen[-1] = await _with_body(reader, request)
                 if self.resets:
                     sock = writer.get_extra_info("socket")
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
@@ -93,12 +99,16 @@
             writer.close()
 
 
-async def _read_request(reader: asyncio.StreamReader, connection: int) -> SeenRequest:
+async def _read_head(reader: asyncio.StreamReader, connection: int) -> SeenRequest:
     head = await reader.readuntil(b"\r\n\r\n")
     line, *rest = head.decode("latin-1").rstrip("\r\n").split("\r\n")
     headers = {}
     for text in rest:
         name, _, value = text.partition(":")
         headers[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return SeenRequest(line, headers, body, connection)
+    return SeenRequest(line, headers, b"", connection)
+
+
+async def _with_body(reader: asyncio.StreamReader, request: SeenRequest) -> SeenRequest:
+    length = int(request.headers.get("content-length", "0"))
+    return replace(request, body=await reader.readexactly(length))
--- a/src/radishmount/standins/_store.py
+++ b/src/radishmount/standins/_store.py
@@ -21,11 +21,12 @@
     """Holds items. Tests change them; instances can only read and watch.
 
     `status` other than 200 is what every call is answered with; `oldest` is the revision before
-    which history is gone.
+    which history is gone. While the store is mute, watches are not woken by changes.
     """
 
     revision: int = 1
     oldest: int = 0
+    is_mute: bool = False
     status: int = HTTPStatus.OK
     values_by_key: dict[str, tuple[bytes, int]] = field(default_factory=dict)
     history: list[tuple[int, str, bytes]] = field(default_factory=list)
@@ -99,7 +100,7 @@
     def _has_news(self, after: int, prefix: str) -> bool:
         if self.status != HTTPStatus.OK or after < self.oldest:
             return True
-        return bool(self._events(after, prefix))
+        return not self.is_mute and bool(self._events(after, prefix))
 
     def _events(self, after: int, prefix: str) -> list[dict[str, Any]]:
         events = []
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -215,6 +215,27 @@
             assert world.store.calls.count("range") == 1
             assert not [line for line in world.audit.lines if line.subject == "store"]
 
+    async def test_a_renewal_brings_what_a_hung_watch_did_not(self) -> None:
+        async with following(entry("a")) as world:
+            world.store.revision += 1
+            world.store.events.append((world.store.revision, entry("b")))
+
+            await asyncio.wait_for(world.follower.renew(), 0.1)
+
+            assert world.changes[-1] == {"a", "b"}
+            assert not [line for line in world.audit.lines if line.subject == "store"]
+
+    async def test_a_renewal_in_an_outage_ends_with_the_outage(self) -> None:
+        async with following(entry("a")) as world:
+            world.store.fault = StoreFault.UNAVAILABLE
+            renewal = asyncio.create_task(world.follower.renew())
+            await asyncio.sleep(3.0)
+            was_done = renewal.done()
+            world.store.fault = None
+            await asyncio.sleep(2.0)
+
+            assert (was_done, renewal.done()) == (False, True)
+
     async def test_a_watch_whose_answer_is_lost_ends_within_five_seconds(self) -> None:
         async with following(entry("a")) as world:
             calls = len(world.store.calls)
--- a/tests/fleet/test_freshness.py
+++ b/tests/fleet/test_freshness.py
@@ -1,6 +1,7 @@
 """An instance that wakes late renews its view before new work, on virtual time."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -35,6 +36,22 @@
         assert await freshness.wait(200.0)
         assert events == ["forgot", "renewed"]
 
+    async def test_a_suspended_machine_is_found_by_the_clock_that_goes_on(self) -> None:
+        boot_ms = [0.0]
+        clock = replace(virtual_clock(), boot_ms=lambda: boot_ms[0])
+        counters = Counters()
+
+        async def renew() -> None:
+            pass
+
+        freshness = make_freshness(clock, AuditTrail(clock), counters, lambda: None, renew)
+        before = freshness.check()
+        boot_ms[0] += 5_000.0
+
+        assert before
+        assert not freshness.check()
+        assert counters.value("pauses") == 1
+
     async def test_a_renewal_that_hangs_is_cut_short(self) -> None:
         clock = virtual_clock()
         counters = Counters()
--- a/tests/platform/test_backend_channel.py
+++ b/tests/platform/test_backend_channel.py
@@ -85,6 +85,18 @@
 
         assert back_end.connections == 1
 
+    async def test_an_answer_before_the_body_is_read_leaves_no_bytes_behind(self) -> None:
+        body = bytes(300_000)
+        back_end = BackEndStandIn("b", answers_early=True)
+        async with channel_to(back_end) as channel:
+            for number in range(2):
+                reply = await send(channel, f"q{number}", method="POST", body=body)
+                assert reply.is_ok()
+
+        assert [seen.request_id for seen in back_end.seen] == ["q0", "q1"]
+        assert [seen.connection for seen in back_end.seen] == [1, 1]
+        assert back_end.seen[0].body == body
+
     async def test_a_chunked_body_is_whole(self) -> None:
         text = (
             "HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -1,6 +1,7 @@
 """Tests of what clients of the platform speak, through the whole path over loopback."""
 
 import asyncio
+import re
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -8,7 +9,10 @@
 import pytest
 
 from platform_world import (
+    HOST,
     PlatformWorld,
+    configuration,
+    entry_of,
     gather_route,
     single_route,
     start_platform_world,
@@ -214,3 +218,73 @@
         status, _, _ = await world.ask("/orders/7", headers={"X-Long": "x" * 5_000})
 
         assert status == 431
+
+    async def test_a_head_that_is_begun_and_not_ended_is_408(self, world: PlatformWorld) -> None:
+        await world.publish(3, single_route(), headerTimeoutMs=50)
+        address = world.instance.servers[0].address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(b"GET /orders/7 HTTP/1.1\r\nHost: ")
+
+        answer = await reader.read()
+
+        assert answer.startswith(b"HTTP/1.1 408 ")
+        writer.close()
+
+    async def test_an_idle_connection_is_not_a_slow_head(self, world: PlatformWorld) -> None:
+        await world.add("orders", "b1")
+        await world.publish(3, single_route(), headerTimeoutMs=50)
+        address = world.instance.servers[0].address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        request = f"GET /orders/7 HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
+        statuses = []
+        for _ in range(2):
+            writer.write(request)
+            head = await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(int(re.search(rb"Content-Length: (\d+)", head)[1]))  # type: ignore[index]
+            statuses.append(head.split()[1])
+            await asyncio.sleep(0.2)
+        writer.close()
+
+        assert statuses == [b"200", b"200"]
+
+
+class TestPublished:
+    """What the operator and the endpoints publish holds for the next request."""
+
+    async def test_nothing_new_goes_to_an_endpoint_that_drains(self, world: PlatformWorld) -> None:
+        leaving = await world.add("orders", "b1")
+        await world.publish(3, single_route())
+        await world.ask("/orders/1")
+        await world.add("orders", "b2")
+        await world.store.put("servers/b1", entry_of(leaving, "orders", state="draining", seq=2))
+        held = world.instance.gateway.follower
+        await world.until(lambda: held.held_revision == world.store.revision)
+        before = len(leaving.seen)
+
+        answers = [await world.ask("/orders/2", request_id=f"d{n}") for n in range(20)]
+
+        assert {status for status, _, _ in answers} == {200}
+        assert len(leaving.seen) == before == 1
+
+    async def test_an_older_version_does_not_come_back(self, world: PlatformWorld) -> None:
+        await world.add("orders", "b1")
+        await world.publish(5, single_route())
+        await world.store.put("op/config", configuration(4, []))
+        held = world.instance.gateway.follower
+        await world.until(lambda: held.held_revision == world.store.revision)
+
+        status, _, _ = await world.ask("/orders/1")
+
+        assert status == 200
+
+    async def test_a_reshard_never_mixes_two_versions(self, world: PlatformWorld) -> None:
+        for service in ("old-1", "old-2", "new-1", "new-2", "new-3"):
+            await world.add(service, f"i-{service}", answer=records_of(service))
+        await world.publish(5, gather_route(["old-1", "old-2"]))
+        before = await world.ask("/stock/1")
+        await world.publish(6, gather_route(["new-1", "new-2", "new-3"]))
+        after = await world.ask("/stock/1", request_id="q2")
+
+        assert before[1]["Radishmount-Part-Stamps"].count("i-old") == 2
+        assert after[1]["Radishmount-Part-Stamps"].count("i-new") == 3
+        assert "i-old" not in after[1]["Radishmount-Part-Stamps"]
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -1,7 +1,8 @@
 """One instance on the users' platform, over loopback: a store, back ends and the instance."""
 
 import asyncio
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -149,11 +150,13 @@
     )
 
 
-async def start_platform_world() -> PlatformWorld:
+async def start_platform_world(
+    boot_ms: Callable[[], float] = lambda: 0.0,
+) -> PlatformWorld:
     """Start an instance that knows no configuration yet."""
     store = StoreStandIn()
     store_server = await serve_stand_in(store.app())
     settings = settings_for(str(store_server.address))
-    clock = loop_clock(asyncio.get_running_loop())
+    clock = replace(loop_clock(asyncio.get_running_loop()), boot_ms=boot_ms)
     started = await start_instance(settings, clock, Random(1), AuditTrail(clock))
     return PlatformWorld(store, store_server, started.unwrap(), aiohttp.ClientSession())
