--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := src tests benchmarks
+SOURCES := src tests benchmarks soak
 
 .PHONY: test lint format bench demo clean
 
--- /dev/null
+++ b/soak/_operator.py
@@ -0,0 +1,65 @@
+"""The operator of a run, who publishes versions that each have a route of their own."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+from radishmount.standins import StoreStandIn
+from soak._callers import HOST
+from soak._checks import TOP_RECORDS
+from soak._records import Published, Records
+
+
+__all__ = ["ORDER_SERVICE", "Operator", "shards_of"]
+
+ORDER_SERVICE = "orders"
+SHARDS_OF_SET = 3
+
+
+def shards_of(shard_set: int) -> tuple[str, ...]:
+    """Return the services of one set of shards."""
+    return tuple(f"set{shard_set}shard{n}" for n in range(SHARDS_OF_SET + shard_set % 2))
+
+
+@dataclass(slots=True)
+class Operator:
+    """Publishes a version after the other; `shard_set` is the set that the newest one names."""
+
+    store: StoreStandIn
+    records: Records
+    version: int = 0
+    shard_set: int = 0
+
+    async def publish(self) -> None:
+        """Publish the next version. Its time is when the store has taken it."""
+        self.version += 1
+        shards = shards_of(self.shard_set)
+        services = sorted({*shards, ORDER_SERVICE})
+        content = {
+            "version": self.version,
+            "routes": [
+                _route("gather", shardServices=list(shards), topK=TOP_RECORDS, minPartShare=0.5),
+                _route("single", service=ORDER_SERVICE),
+                _route("order", service=ORDER_SERVICE, routeType="unsafe"),
+                _route(f"mark-{self.version}", service=ORDER_SERVICE),
+            ],
+            "services": [{"name": name, "maxConns": 40} for name in services],
+            "limits": {},
+        }
+        published = Published(self.version, shards, asyncio.get_running_loop().time())
+        self.records.published.append(published)
+        await self.store.put("op/config", content)
+
+
+def _route(name: str, **fields: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "routeType": "safe",
+        "timeoutMs": 2_500,
+        "targetLatencyMs": 1_000,
+        "priority": 1,
+        "maxAttempts": 2,
+        **fields,
+    }
--- a/src/radishmount/standins/__init__.py
+++ b/src/radishmount/standins/__init__.py
@@ -15,7 +15,7 @@
     runs_by_request_id,
 )
 from radishmount.standins._platform import ListedInstance, PlatformStandIn
-from radishmount.standins._relay import Relay, start_relay
+from radishmount.standins._relay import Relay, Way, start_relay
 from radishmount.standins._serve import StandInServer, serve_stand_in
 from radishmount.standins._stage import PlatformView, Stage, start_stage
 from radishmount.standins._store import StoreStandIn
@@ -41,6 +41,7 @@
     "PlatformView",
     "Stage",
     "Relay",
+    "Way",
     "StageControl",
     "StageReader",
     "StageRecords",
--- a/src/radishmount/standins/_back_end.py
+++ b/src/radishmount/standins/_back_end.py
@@ -2,24 +2,27 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from radishmount.standins._relay import RESET_ON_CLOSE
 
-__all__ = ["BackEndStandIn", "SeenRequest"]
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+__all__ = ["BackEndStandIn", "SeenRequest"]
 
 
 @dataclass(frozen=True, slots=True)
 class SeenRequest:
-    """A request as it came: the first line, headers by lower-case name, the body."""
+    """A request as it came: the first line, headers by lower-case name, the body.
+
+    `at_s` is when its head was there, by the clock of the loop.
+    """
 
     line: str
     headers: dict[str, str]
     body: bytes
     connection: int
+    at_s: float = 0.0
 
     @property
     def request_id(self) -> str:
@@ -42,7 +45,8 @@
     """One back end on loopback. `answer` returns the bytes that it sends, none to stay silent.
 
     It closes the connection after an answer when `closes` is set, and resets it when `resets` is.
-    With `answers_early` it answers before it reads the body, and keeps the connection.
+    With `answers_early` it answers before it reads the body, and keeps the connection. An answer
+    takes `work_ms`.
     """
 
     name: str
@@ -50,23 +54,35 @@
     closes: bool = False
     resets: bool = False
     answers_early: bool = False
+    work_ms: float = 0.0
     seen: list[SeenRequest] = field(default_factory=list)
     connections: int = 0
     ended: int = 0
     server: asyncio.Server | None = None
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
     address: str = ""
 
     async def start(self) -> "BackEndStandIn":
         """Listen on a free port of loopback."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         host, port = self.server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         return self
 
     async def stop(self) -> None:
-        """Take no more connections."""
+        """Take no more connections, and end those that are open."""
         if self.server is not None:
             self.server.close()
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Start the task of one connection."""
+        task = asyncio.get_running_loop().create_task(self._serve(reader, writer))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
@@ -81,6 +97,7 @@
                 if content is None:
                     await reader.read()
                     return
+                await asyncio.sleep(self.work_ms / 1000.0)
                 writer.write(content)
                 await writer.drain()
                 if self.answers_early:
@@ -106,7 +123,8 @@
     for text in rest:
         name, _, value = text.partition(":")
         headers[name.strip().lower()] = value.strip()
-    return SeenRequest(line, headers, b"", connection)
+    at_s = asyncio.get_running_loop().time()
+    return SeenRequest(line, headers, b"", connection, at_s)
 
 
 async def _with_body(reader: asyncio.StreamReader, request: SeenRequest) -> SeenRequest:
--- a/src/radishmount/standins/_relay.py
+++ b/src/radishmount/standins/_relay.py
@@ -1,17 +1,36 @@
 """Links between instances that can be slow or cut, and that count what they carry."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
 from radishmount.border import Listen, split_address
 
 
-__all__ = ["Relay", "start_relay"]
+__all__ = ["Relay", "Way", "start_relay"]
 
 READ_BYTES = 64 * 1024
 CUT_CHECK_S = 0.05
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Way(Enum):
+    """The direction of bytes over a link."""
+
+    TO_TARGET = auto()
+    BACK = auto()
+
+
+@dataclass(slots=True, eq=False)
+class RelayedConnection:
+    """One connection that is carried. Once it is silent, nothing arrives on it any more."""
+
+    transport: asyncio.WriteTransport
+    is_silent: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -19,14 +38,17 @@
     """Carries connections to `target`, each way after a delay.
 
     While it is cut, nothing arrives on any connection and none is refused, as when packets are
-    dropped on the way. What was sent meanwhile arrives once the link is whole again.
+    dropped on the way; `cut_way` cuts one direction only. What was sent meanwhile arrives once the
+    link is whole again.
     """
 
     target: Listen
     delay_ms: Callable[[], float]
     address: Listen = Listen("127.0.0.1", 0)
     is_cut: bool = False
+    cut_way: Way | None = None
     carried_bytes: int = 0
+    connections: set[RelayedConnection] = field(default_factory=set)
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -39,6 +61,18 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def silence(self) -> None:
+        """Let the connections that are open go silent for good, while new ones work."""
+        for connection in self.connections:
+            connection.is_silent = True
+
+    def reset(self) -> None:
+        """Reset the connections that are open."""
+        for connection in list(self.connections):
+            sock = connection.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            connection.transport.abort()
+
     def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Start the task of one connection."""
         task = asyncio.get_running_loop().create_task(self._carry(reader, writer))
@@ -48,14 +82,16 @@
     async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Carry one connection until either end closes it."""
         far_writer: asyncio.StreamWriter | None = None
+        connection = RelayedConnection(writer.transport)
+        self.connections.add(connection)
         try:
-            await self._pass()
+            await self._pass(connection, Way.TO_TARGET)
             far_reader, far_writer = await asyncio.open_connection(
                 self.target.host, self.target.port
             )
             pumps = [
-                asyncio.create_task(self._pump(reader, far_writer)),
-                asyncio.create_task(self._pump(far_reader, writer)),
+                asyncio.create_task(self._pump(connection, Way.TO_TARGET, reader, far_writer)),
+                asyncio.create_task(self._pump(connection, Way.BACK, far_reader, writer)),
             ]
             try:
                 await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -66,22 +102,29 @@
         except OSError:
             pass
         finally:
+            self.connections.discard(connection)
             for one in (writer, far_writer):
                 if one is not None:
                     one.close()
 
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _pump(
+        self,
+        connection: RelayedConnection,
+        way: Way,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
         with suppress(OSError):
             while content := await reader.read(READ_BYTES):
-                await self._pass()
+                await self._pass(connection, way)
                 self.carried_bytes += len(content)
                 writer.write(content)
                 await writer.drain()
-            await self._pass()
+            await self._pass(connection, way)
 
-    async def _pass(self) -> None:
+    async def _pass(self, connection: RelayedConnection, way: Way) -> None:
         await asyncio.sleep(self.delay_ms() / 1000.0)
-        while self.is_cut:
+        while self.is_cut or self.cut_way is way or connection.is_silent:
             await asyncio.sleep(CUT_CHECK_S)
 
 
--- a/tests/standins/test_relay.py
+++ b/tests/standins/test_relay.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from radishmount.standins import Relay, start_relay
+from radishmount.standins import Relay, Way, start_relay
 
 
 async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -47,6 +47,46 @@
         assert await reader.readexactly(5) == b"washi"
         writer.close()
 
+    async def test_one_way_may_be_cut(self, relay: Relay) -> None:
+        relay.cut_way = Way.BACK
+        reader, writer = await asyncio.open_connection(relay.address.host, relay.address.port)
+        writer.write(b"washi")
+        await asyncio.sleep(0.05)
+        arrived = relay.carried_bytes
+
+        relay.cut_way = None
+
+        assert arrived == 5
+        assert await reader.readexactly(5) == b"washi"
+        writer.close()
+
+    async def test_open_connections_go_silent_while_new_ones_work(self, relay: Relay) -> None:
+        old_reader, old_writer = await asyncio.open_connection(
+            relay.address.host, relay.address.port
+        )
+        old_writer.write(b"washi")
+        await old_reader.readexactly(5)
+        relay.silence()
+        old_writer.write(b"again")
+        reader, writer = await asyncio.open_connection(relay.address.host, relay.address.port)
+        writer.write(b"washi")
+
+        assert await reader.readexactly(5) == b"washi"
+        assert relay.carried_bytes == 20
+        for one in (old_writer, writer):
+            one.close()
+
+    async def test_open_connections_may_be_reset(self, relay: Relay) -> None:
+        reader, writer = await asyncio.open_connection(relay.address.host, relay.address.port)
+        writer.write(b"washi")
+        await reader.readexactly(5)
+
+        relay.reset()
+
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
     async def test_a_closed_end_closes_the_other(self, relay: Relay) -> None:
         reader, writer = await asyncio.open_connection(relay.address.host, relay.address.port)
         writer.write(b"washi")
