--- a/src/radishmount/border/_peer_endpoints.py
+++ b/src/radishmount/border/_peer_endpoints.py
@@ -5,7 +5,12 @@
 from pydantic import Field
 
 from radishmount.border._peer_models import Address, Number, PeerModel, PeerName
-from radishmount.discovery import EndpointPage, EndpointPageRequest, ListedEndpoint
+from radishmount.discovery import (
+    EndpointPage,
+    EndpointPageRequest,
+    ListedEndpoint,
+    StoreNews,
+)
 
 
 __all__ = ["ENDPOINT_PEER_MODELS"]
@@ -49,4 +54,25 @@
         return EndpointPage(self.revision, endpoints, self.has_more, tuple(self.missing))
 
 
-ENDPOINT_PEER_MODELS: tuple[type[PeerModel], ...] = (EndpointPageRequestModel, EndpointPageModel)
+class StoreNewsModel(PeerModel):
+    """What changed in the store."""
+
+    data_type = StoreNews
+    after: Number
+    revision: Number
+    endpoints: Annotated[list[Any], Field(max_length=MAX_PAGE_LENGTH)]
+    removed: Annotated[list[PeerName], Field(max_length=MAX_PAGE_LENGTH)]
+    missing: Annotated[list[PeerName], Field(max_length=MAX_PAGE_LENGTH)]
+
+    def to_data(self) -> StoreNews:
+        """Return the message as a data class."""
+        endpoints = tuple(ListedEndpointModel.from_values(e).to_data() for e in self.endpoints)
+        removed, missing = tuple(self.removed), tuple(self.missing)
+        return StoreNews(self.after, self.revision, endpoints, removed, missing)
+
+
+ENDPOINT_PEER_MODELS: tuple[type[PeerModel], ...] = (
+    EndpointPageRequestModel,
+    EndpointPageModel,
+    StoreNewsModel,
+)
--- a/src/radishmount/border/_peer_models.py
+++ b/src/radishmount/border/_peer_models.py
@@ -80,6 +80,7 @@
     bundle_version: Number
     bundle_digest: Annotated[str, Field(max_length=128)]
     list_version: Number
+    list_age_ms: Annotated[float, Field(ge=0.0)]
     updates: Annotated[list[Any], Field(max_length=MAX_UPDATES)]
 
     def to_data(self) -> Heartbeat:
@@ -92,6 +93,7 @@
             self.bundle_version,
             self.bundle_digest,
             self.list_version,
+            self.list_age_ms,
             updates,
         )
 
--- a/src/radishmount/control/_seeded.py
+++ b/src/radishmount/control/_seeded.py
@@ -24,6 +24,7 @@
     Peers,
     Roster,
     first_incarnation,
+    is_watcher,
     make_freshness,
 )
 from radishmount.publication import Distribution, InForce, Publication
@@ -101,7 +102,10 @@
     def held(self) -> HeldVersions:
         """Return the versions that this instance holds."""
         current = self.in_force.current
-        return HeldVersions(current.version, current.digest, self.follower.held_revision)
+        follower = self.follower
+        return HeldVersions(
+            current.version, current.digest, follower.held_revision, follower.age_ms()
+        )
 
     def see_heartbeat(self, peer: str, beat: Heartbeat) -> None:
         """Compare the versions that a peer holds with those here."""
@@ -143,6 +147,7 @@
     async def renew() -> None:
         await control.renew()
 
+    follower.is_on_duty = lambda: is_watcher(fleet)
     control = SeededControl(
         fleet=fleet,
         peers=peers,
--- a/src/radishmount/discovery/__init__.py
+++ b/src/radishmount/discovery/__init__.py
@@ -3,7 +3,7 @@
 from radishmount.discovery._endpoint_list import EndpointList
 from radishmount.discovery._follower import StoreFollower
 from radishmount.discovery._listed import ListedEndpoint
-from radishmount.discovery._messages import EndpointPage, EndpointPageRequest
+from radishmount.discovery._messages import EndpointPage, EndpointPageRequest, StoreNews
 from radishmount.discovery._spread import EndpointSpread
 from radishmount.discovery._store import (
     ConfigurationEntry,
@@ -32,4 +32,5 @@
     "StoreFailure",
     "StoreFault",
     "StoreFollower",
+    "StoreNews",
 ]
--- a/src/radishmount/discovery/_endpoint_list.py
+++ b/src/radishmount/discovery/_endpoint_list.py
@@ -45,6 +45,11 @@
             return
         del self.by_name[name]
 
+    def keep_missing(self, name: str, now_ms: float) -> None:
+        """Keep an entry for a while that a peer keeps although it is gone."""
+        if name in self.by_name:
+            self.missing_until_ms_by_name.setdefault(name, now_ms + LAPSE_GRACE_MS)
+
     def replace_all(self, listed_by_name: dict[str, ListedEndpoint | None], now_ms: float) -> None:
         """Take a full reading: what is not in it has been removed meanwhile."""
         for name in set(self.by_name) - set(listed_by_name):
@@ -64,7 +69,7 @@
         by_name: dict[str, ListedEndpoint | None] = {entry.name: entry for entry in listed}
         kept = set(missing) & set(self.by_name) - set(by_name)
         for name in kept:
-            self.missing_until_ms_by_name.setdefault(name, now_ms + LAPSE_GRACE_MS)
+            self.keep_missing(name, now_ms)
             by_name[name] = self.by_name[name]
         grace = {name: self.missing_until_ms_by_name[name] for name in kept}
         self.replace_all(by_name, now_ms)
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -1,4 +1,4 @@
-"""The task that follows the store: a full reading, then one watch after the other."""
+"""The task that follows the store: a full reading, then watches by those whose duty it is."""
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
@@ -13,6 +13,7 @@
 from radishmount.counters import Counters
 from radishmount.discovery._endpoint_list import EndpointList
 from radishmount.discovery._listed import ListedEndpoint
+from radishmount.discovery._messages import StoreNews
 from radishmount.discovery._store import (
     ConfigurationEntry,
     EndpointEntry,
@@ -28,20 +29,29 @@
 __all__ = ["StoreFollower"]
 
 WATCH_WAIT_MS = 4_000  # a watch whose answer was lost is found out within what a change may take
+DUTY_CHECK_MS = 250.0  # a lost watcher is suspected after seconds, so this adds little
+LEAST_WAIT_SHARE = 0.1  # of a wait after a change, which wakes all watchers at the same moment
+CHANGES_DUE_MS = 3_000.0  # when a change is to be known everywhere, where no settings say so
+UNCONFIRMED_SHARE = 0.8  # of that time; the rest is for the call that is made then
 SHORTEST_LAPSE_MS = 2_000.0  # entries lapse after three heartbeats, which take longer than this
 SETTLE_MS = 250.0  # changes come in groups, and one watch for each group is enough
 RETRY_FIRST_MS = 250.0  # about the time in which a store that restarted answers again
 RETRY_LIMIT_MS = 1_500.0  # half of the time in which a new version is due everywhere
 
 OnChange = Callable[[], Awaitable[None]]
+OnNews = Callable[[StoreNews], None]
 
 
 @dataclass(slots=True)
 class StoreFollower:
     """Keeps configuration and endpoints in step with the store for as long as the instance runs.
 
-    `on_change` is told after each group of changes of the endpoints. `revision` is where the next
-    watch goes on, `held_revision` that of the endpoints here, which peers may have brought further.
+    Every instance reads the store once. Those on duty then watch it and tell the others what
+    changed, through `on_news`. The others call it only when nobody has confirmed for a while that
+    what they hold is the newest. `on_change` is told after each group of changes here.
+
+    `known_revision` is the revision of the store up to which everything is here; `held_revision`
+    that of the newest change, which peers are told.
     """
 
     store: Store
@@ -52,13 +62,21 @@
     audit: AuditTrail
     counters: Counters
     on_change: OnChange
-    revision: int | None = None
+    on_news: OnNews = lambda news: None
+    is_on_duty: Callable[[], bool] = lambda: True
+    changes_due_ms: float = CHANGES_DUE_MS
+    must_read: bool = True
+    known_revision: int = 0
     held_revision: int = 0
     is_reached: bool = True
-    heard_at_ms: float = 0.0
+    peers_had_news: bool = False
+    confirmed_at_ms: float = 0.0
+    lost_at_ms: float = 0.0
     calling: asyncio.Task[Result[StoreAnswer, StoreFailure]] | None = None
     is_doubted: bool = False
+    wait_share: float = 1.0
     renewed: asyncio.Event = field(default_factory=asyncio.Event)
+    stirred: asyncio.Event = field(default_factory=asyncio.Event)
     backoff: Backoff = field(init=False)
 
     def __post_init__(self) -> None:
@@ -69,13 +87,16 @@
     async def run(self) -> None:
         """Follow the store until the task is cancelled."""
         while True:
+            if not self._must_call():
+                await self._rest()
+                continue
             answer = await self._call()
             if answer is None:
                 continue
             if isinstance(answer, Err):
                 await self._failed(answer.err_value)
                 continue
-            was_reading = self.revision is None
+            was_reading = self.must_read
             self._reached()
             await self._take(answer.ok_value, is_full=was_reading)
             self.renewed.set()
@@ -88,6 +109,33 @@
             if self.endpoints.expire(self.clock.now_ms()):
                 await self.on_change()
 
+    def is_behind(self, revision: int) -> bool:
+        """Tell whether a peer that holds a change of `revision` knows more than this instance."""
+        return revision > self.known_revision
+
+    def confirm(self, revision: int, age_ms: float) -> None:
+        """Take a peer's word that what it holds was the newest `age_ms` ago."""
+        if not self.must_read and not self.is_behind(revision):
+            self.confirmed_at_ms = max(self.confirmed_at_ms, self.clock.now_ms() - age_ms)
+
+    async def take_news(self, peer: str, news: StoreNews) -> bool:
+        """Take what changed, as a peer tells it; tell whether it was new and went on from here."""
+        if not self.is_behind(news.revision) or news.after > self.known_revision:
+            return False
+        now_ms = self.clock.now_ms()
+        self._advance(news.revision)
+        for listed in news.endpoints:
+            self.endpoints.put(listed.name, listed, now_ms)
+        for name in news.removed:
+            self.endpoints.remove(name, now_ms)
+        for name in news.missing:
+            self.endpoints.keep_missing(name, now_ms)
+        self.counters.add("store_news", "taken")
+        cause = f"news from {peer}"
+        self.audit.record("endpoints", "taken", cause=cause, version=news.revision)
+        await self.on_change()
+        return True
+
     async def take_from_peer(
         self,
         peer: str,
@@ -95,11 +143,10 @@
         listed: Iterable[ListedEndpoint],
         missing: Iterable[str] = (),
     ) -> None:
-        """Take the endpoints that a peer holds, where they are newer than those here."""
-        if revision <= self.held_revision:
+        """Take all endpoints that a peer holds, where they are newer than those here."""
+        if not self.is_behind(revision):
             return
-        self.held_revision = revision
-        self.heard_at_ms = self.clock.now_ms()
+        self._advance(revision)
         self.endpoints.take_all(listed, missing, self.clock.now_ms())
         self.audit.record("endpoints", "taken", cause=f"peer {peer}", version=revision)
         await self.on_change()
@@ -109,17 +156,37 @@
 
         An answer may be lost without a sign, and its connection then brings nothing any more.
         """
-        if self.calling is not None and self.revision is not None and self.is_reached:
+        if self.calling is not None and not self.must_read and self.is_reached:
             self.is_doubted = True
             self.calling.cancel()
 
     async def renew(self) -> None:
         """Begin the present call anew, as after a pause, and wait until its answer was taken."""
         self.renewed.clear()
+        self.stirred.set()
         if self.calling is not None:
             self.calling.cancel()
         await self.renewed.wait()
 
+    def age_ms(self) -> float:
+        """Return how long ago the endpoints here were last known to be the newest."""
+        return self.clock.now_ms() - self.confirmed_at_ms
+
+    def _must_call(self) -> bool:
+        """Tell whether the store is to be called now, by duty or for want of other news."""
+        if self.must_read or not self.renewed.is_set() or self.is_on_duty():
+            return True
+        return self.age_ms() > UNCONFIRMED_SHARE * self.changes_due_ms
+
+    async def _rest(self) -> None:
+        """Wait until the duty may have changed, or a renewal is asked for."""
+        self.stirred.clear()
+        try:
+            async with asyncio.timeout(DUTY_CHECK_MS / 1000.0):
+                await self.stirred.wait()
+        except TimeoutError:
+            pass
+
     async def _call(self) -> Result[StoreAnswer, StoreFailure] | None:
         """Return the answer of the next call, none where it is to be begun anew."""
         self.calling = asyncio.create_task(self._ask_store(), name="ask store")
@@ -138,68 +205,89 @@
             self.is_doubted = False
 
     async def _ask_store(self) -> Result[StoreAnswer, StoreFailure]:
-        if self.revision is None:
+        if self.must_read:
             self.counters.add("store_calls", "range")
             return await self.store.read_all()
         self.counters.add("store_calls", "watch")
-        # Whether the store is back, or what was missed, is known at once.
-        wait_ms = WATCH_WAIT_MS if self.is_reached and self.renewed.is_set() else 0
-        return await self.store.watch(self.revision, wait_ms)
+        # Whether the store is back, or what was missed, is to be known at once.
+        wait_ms = 0
+        if self.is_reached and self.renewed.is_set() and self.is_on_duty():
+            wait_ms = int(WATCH_WAIT_MS * self.wait_share)
+        return await self.store.watch(self.known_revision, wait_ms)
 
     async def _failed(self, failure: StoreFailure) -> None:
         self.counters.add("store_failures", failure.refusal.code.name)
         if failure.fault is StoreFault.HISTORY_LOST:
             self.audit.record("store", "history lost", cause=str(failure.refusal))
-            self.revision = None
+            self.must_read = True
             return
         if self.is_reached:
             self.is_reached = False
-            self.heard_at_ms = self.clock.now_ms()
+            self.peers_had_news = False
+            # A watch shows an outage at once; without one it may have begun with the last word.
+            self.lost_at_ms = self.clock.now_ms() if self.is_on_duty() else self.confirmed_at_ms
             self.audit.record("store", "lost", cause=str(failure.refusal))
         await self.clock.sleep_ms(self.backoff.next_ms())
 
-    def age_ms(self) -> float:
-        """Return how long ago the endpoints here were last known to be the newest.
-
-        A watch that waits for changes keeps them young for as long as the store is reached.
-        """
-        return 0.0 if self.is_reached else self.clock.now_ms() - self.heard_at_ms
-
     def _reached(self) -> None:
         self.backoff.reset()
         now_ms = self.clock.now_ms()
-        away_ms = now_ms - self.heard_at_ms
-        self.heard_at_ms = now_ms
+        self.confirmed_at_ms = now_ms
         if self.is_reached:
             return
         self.is_reached = True
         # Where peers had later news, the store was away for this instance only.
-        if away_ms >= SHORTEST_LAPSE_MS and self.held_revision <= (self.revision or 0):
+        if now_ms - self.lost_at_ms >= SHORTEST_LAPSE_MS and not self.peers_had_news:
             self.endpoints.begin_grace(now_ms)
         self.audit.record("store", "regained", cause="it answers again")
 
+    def _advance(self, revision: int) -> None:
+        """Note that a peer brought everything up to `revision`."""
+        self.known_revision = revision
+        self.held_revision = max(self.held_revision, revision)
+        self.peers_had_news = True
+
     async def _take(self, answer: StoreAnswer, *, is_full: bool) -> None:
         now_ms = self.clock.now_ms()
-        self.revision = answer.revision
-        listed_by_name: dict[str, ListedEndpoint | None] = {}
-        changed = False
+        self.must_read = False
+        # Watchers that ended together are spread, so that one of them is heard of all the time.
+        self.wait_share = self.random.uniform(LEAST_WAIT_SHARE, 1.0) if answer.entries else 1.0
         for entry in answer.entries:
             if isinstance(entry, ConfigurationEntry):
                 await self.in_force.take(entry.body, source="store")
+        if answer.revision < self.known_revision:
+            return  # a peer has brought later ones
+        if is_full:
+            listed = {e.name: e.listed for e in answer.entries if isinstance(e, EndpointEntry)}
+            self.endpoints.replace_all(listed, now_ms)
+        else:
+            self._put_all(answer, now_ms)
+        after, self.known_revision = self.known_revision, answer.revision
+        self.held_revision = max(self.held_revision, answer.last_change)
+        if not answer.entries:
+            return
+        if not is_full:
+            self.on_news(self._news_of(answer, after))
+        await self.on_change()
+
+    def _put_all(self, answer: StoreAnswer, now_ms: float) -> None:
+        for entry in answer.entries:
+            if isinstance(entry, ConfigurationEntry):
                 continue
-            if answer.revision < self.held_revision:
-                continue  # a peer has brought later ones
-            changed = True
-            listed = entry.listed if isinstance(entry, EndpointEntry) else None
-            if is_full:
-                listed_by_name[entry.name] = listed
-            elif isinstance(entry, EndpointEntry):
-                self.endpoints.put(entry.name, listed, now_ms)
+            if isinstance(entry, EndpointEntry):
+                self.endpoints.put(entry.name, entry.listed, now_ms)
             else:
                 self.endpoints.remove(entry.name, now_ms)
-        if is_full and answer.revision >= self.held_revision:
-            self.endpoints.replace_all(listed_by_name, now_ms)
-            changed = True
-        self.held_revision = max(self.held_revision, answer.revision)
-        if changed:
-            await self.on_change()
+
+    def _news_of(self, answer: StoreAnswer, after: int) -> StoreNews:
+        """Return what an answer changed, as it stands here now."""
+        names = {e.name for e in answer.entries if not isinstance(e, ConfigurationEntry)}
+        missing = names & set(self.endpoints.missing_until_ms_by_name)
+        listed = names & set(self.endpoints.by_name) - missing
+        return StoreNews(
+            after=after,
+            revision=answer.last_change,
+            endpoints=tuple(self.endpoints.by_name[name] for name in sorted(listed)),
+            removed=tuple(sorted(names - listed - missing)),
+            missing=tuple(sorted(missing)),
+        )
--- a/src/radishmount/discovery/_messages.py
+++ b/src/radishmount/discovery/_messages.py
@@ -5,7 +5,21 @@
 from radishmount.discovery._listed import ListedEndpoint
 
 
-__all__ = ["EndpointPage", "EndpointPageRequest"]
+__all__ = ["EndpointPage", "EndpointPageRequest", "StoreNews"]
+
+
+@dataclass(frozen=True, slots=True)
+class StoreNews:
+    """What changed in the store after the revision `after`, up to `revision`.
+
+    `missing` names endpoints whose entries are gone and may only have lapsed in an outage.
+    """
+
+    after: int
+    revision: int
+    endpoints: tuple[ListedEndpoint, ...] = ()
+    removed: tuple[str, ...] = ()
+    missing: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/discovery/_spread.py
+++ b/src/radishmount/discovery/_spread.py
@@ -1,7 +1,7 @@
-"""The spread of listed endpoints between instances, for those that the store does not serve."""
+"""The spread of listed endpoints between instances, for those that do not watch the store."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from result import Err, Ok, Result
@@ -11,23 +11,24 @@
 from radishmount.counters import Counters
 from radishmount.discovery._follower import StoreFollower
 from radishmount.discovery._listed import ListedEndpoint
-from radishmount.discovery._messages import EndpointPage, EndpointPageRequest
-from radishmount.fleet import Heartbeat, Peers
+from radishmount.discovery._messages import EndpointPage, EndpointPageRequest, StoreNews
+from radishmount.fleet import Heartbeat, Peers, PeerSession
 
 
 __all__ = ["EndpointSpread"]
 
-BEHIND_MS = 600.0  # the store's own watch brings a change within half of this
+BEHIND_MS = 600.0  # news travel through a fleet in a tenth of this
 PAGE_LENGTH = 500  # entries of some 150 bytes, within the limit of a frame
 PAGE_TIMEOUT_MS = 1_000.0  # a round trip within a region, a hundred times over
 
 
 @dataclass(slots=True)
 class EndpointSpread:
-    """Asks a peer that holds a later revision for a while, and answers those that ask.
+    """Sends on what changed in the store, and asks a peer for all where something was missed.
 
-    Being behind also means that the watch at the store may be dead without a sign, so it is begun
-    anew.
+    News that are taken go on to every other neighbour, so each instance sends them once. Being
+    behind a peer for a while also means that the watch at the store may be dead without a sign, so
+    it is begun anew.
     """
 
     follower: StoreFollower
@@ -36,14 +37,26 @@
     counters: Counters
     behind_since_ms: float | None = None
     fetching: asyncio.Task[None] | None = None
+    taking: set[asyncio.Task[None]] = field(default_factory=set)
 
     def start(self) -> None:
-        """Answer peers that ask."""
+        """Answer peers that ask, and take and send on what changes."""
         self.peers.answer(EndpointPageRequest, self._answer)
+        self.peers.on_notice(StoreNews, self._take_notice)
+        self.follower.on_news = self.tell
+
+    def tell(self, news: StoreNews, sender: str = "") -> None:
+        """Send news to every peer but the one that they came from."""
+        if len(news.endpoints) + len(news.removed) + len(news.missing) > PAGE_LENGTH:
+            return  # more than a frame holds; peers find themselves behind and ask
+        for session in list(self.peers.sessions_by_name.values()):
+            if session.peer.name != sender:
+                session.notify(news)
 
     def see(self, peer: str, beat: Heartbeat) -> None:
-        """Compare the revision that a peer holds with the one here."""
-        if beat.list_version <= self.follower.held_revision:
+        """Compare what a peer holds with what is here."""
+        self.follower.confirm(beat.list_version, beat.list_age_ms)
+        if not self.follower.is_behind(beat.list_version):
             self.behind_since_ms = None
             return
         now_ms = self.clock.now_ms()
@@ -56,10 +69,20 @@
             self.fetching = asyncio.create_task(self._fetch(peer), name="fetch endpoints")
 
     async def stop(self) -> None:
-        """End a fetch that is under way."""
-        if self.fetching is not None:
-            self.fetching.cancel()
-            await asyncio.gather(self.fetching, return_exceptions=True)
+        """End what is under way."""
+        tasks = [*self.taking, *([self.fetching] if self.fetching is not None else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _take_notice(self, session: PeerSession, news: StoreNews) -> None:
+        async def take() -> None:
+            if await self.follower.take_news(session.peer.name, news):
+                self.tell(news, session.peer.name)
+
+        task = asyncio.create_task(take(), name="take news of the store")
+        self.taking.add(task)
+        task.add_done_callback(self.taking.discard)
 
     async def _fetch(self, peer: str) -> None:
         listed: list[ListedEndpoint] = []
--- a/src/radishmount/discovery/_store.py
+++ b/src/radishmount/discovery/_store.py
@@ -49,10 +49,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreAnswer:
-    """Entries in their order, and the revision of the store after which to go on."""
+    """Entries in their order, and the revision of the store after which to go on.
+
+    `last_change` is the revision of the newest entry, zero without any. The revision of the store
+    also grows where nothing changes that instances read.
+    """
 
     entries: tuple[StoreEntry, ...]
     revision: int
+    last_change: int = 0
 
 
 class StoreFault(Enum):
--- a/src/radishmount/fleet/_membership.py
+++ b/src/radishmount/fleet/_membership.py
@@ -52,6 +52,7 @@
     bundle_version: int
     bundle_digest: str
     list_version: int
+    list_age_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -279,5 +280,6 @@
             bundle_version=held.bundle_version,
             bundle_digest=held.bundle_digest,
             list_version=held.list_version,
+            list_age_ms=held.list_age_ms,
             updates=updates,
         )
--- a/src/radishmount/fleet/_messages.py
+++ b/src/radishmount/fleet/_messages.py
@@ -70,6 +70,7 @@
     """Evidence that the sender lives, with the versions that it holds.
 
     `load` is the share of the sender's capacity in use; 1.0 means that it refuses work.
+    `list_age_ms` is how long ago its list was last known to be the newest.
     """
 
     sequence: int
@@ -78,6 +79,7 @@
     bundle_version: int
     bundle_digest: str
     list_version: int
+    list_age_ms: float = 0.0
     updates: tuple[MemberUpdate, ...] = ()
 
 
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -56,6 +56,7 @@
     read_bundle: ReadBundle
     bounds: RepeatBounds
     addresses_valid_for_ms: float
+    changes_due_ms: float
     emit: Emit = lambda change, fields: None
 
 
@@ -263,6 +264,7 @@
         audit=audit,
         counters=counters,
         on_change=renew,
+        changes_due_ms=parts.changes_due_ms,
     )
     seeded = SeededParts(own, parts.seeds, clock, random, parts.open_peer_for)
     control = make_seeded_control(seeded, in_force, follower, audit, counters)
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -76,6 +76,7 @@
         """Act on settings that have changed; addresses hold until the next start."""
         self.gateway.control.roster.seeds = settings.seeds
         self.gateway.tools.budget.take_bounds(settings.repeats)
+        self.gateway.follower.changes_due_ms = settings.changes_due_ms
 
     async def leave(self, grace_ms: float) -> None:
         """Stop gracefully: nothing new is named here, and what is in flight is finished."""
@@ -111,6 +112,7 @@
         read_bundle=read_configuration,
         bounds=settings.repeats,
         addresses_valid_for_ms=settings.addresses_valid_for_ms,
+        changes_due_ms=settings.changes_due_ms,
         emit=log_line,
     )
     gateway = make_gateway(parts, audit, counters)
--- a/src/radishmount/platform/_settings.py
+++ b/src/radishmount/platform/_settings.py
@@ -22,6 +22,7 @@
     """What an instance is told at its start. Times are in milliseconds.
 
     `seeds` are peer addresses of at most three instances, any of which may be stale or down.
+    `changes_due_ms` is when what the operator or an endpoint says is to be known everywhere.
     """
 
     name: str
@@ -34,6 +35,7 @@
     seeds: tuple[str, ...]
     stop_grace_ms: float
     addresses_valid_for_ms: float
+    changes_due_ms: float
     repeats: RepeatBounds
 
 
@@ -56,6 +58,8 @@
     """The figures of the rules in force, of those that this project acts on."""
 
     grace_s: float = Field(5.0, alias="graceS")
+    drain_ms: float = Field(3_000.0, alias="drainMs")
+    config_apply_ms: float = Field(3_000.0, alias="configApplyMs")
     retry_budget_ratio: float = Field(0.0, alias="retryBudgetRatio")
     budget_window_s: float = Field(10.0, alias="budgetWindowS")
     retry_budget_slack: float = Field(0.0, alias="retryBudgetSlack")
@@ -92,6 +96,7 @@
             seeds=tuple(self.seeds),
             stop_grace_ms=bounds.grace_s * S_TO_MS,
             addresses_valid_for_ms=bounds.ttl_max_s * S_TO_MS,
+            changes_due_ms=min(bounds.drain_ms, bounds.config_apply_ms),
             repeats=RepeatBounds(
                 ratio=bounds.retry_budget_ratio,
                 slack=bounds.retry_budget_slack,
--- a/src/radishmount/platform/_store.py
+++ b/src/radishmount/platform/_store.py
@@ -82,6 +82,7 @@
         """Return every entry, page by page."""
         entries: list[StoreEntry] = []
         revision: int | None = None
+        last_change = 0
         after = ""
         while True:
             query = {"prefix": EVERY_PREFIX, **({"after": after} if after else {})}
@@ -95,8 +96,9 @@
             if revision is None:
                 revision = page.store_revision
             entries.extend(_entries_of(page.items))
+            last_change = max([last_change, *(item.revision for item in page.items)])
             if not page.more_pages or not page.items:
-                return Ok(StoreAnswer(tuple(entries), revision))
+                return Ok(StoreAnswer(tuple(entries), revision, last_change))
             after = page.items[-1].key
 
     async def watch(self, after: int, wait_ms: int) -> Result[StoreAnswer, StoreFailure]:
@@ -109,7 +111,9 @@
             change = WatchModel.model_validate(answer.ok_value)
         except ValidationError as error:
             return _unreadable(error)
-        return Ok(StoreAnswer(tuple(_entries_of(change.events)), change.store_revision))
+        last_change = max((event.revision for event in change.events), default=0)
+        entries = tuple(_entries_of(change.events))
+        return Ok(StoreAnswer(entries, change.store_revision, last_change))
 
     async def close(self) -> None:
         """Close the connections."""
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -3,92 +3,32 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
 import pytest
-from result import Err, Ok, Result
 
 from fakes import virtual_clock
 from fleet_world import read_small_bundle
 from radishmount.audit import AuditTrail
-from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
 from radishmount.discovery import (
     ConfigurationEntry,
-    EndpointEntry,
     EndpointList,
     ListedEndpoint,
     Removal,
-    StoreAnswer,
     StoreEntry,
-    StoreFailure,
     StoreFault,
     StoreFollower,
+    StoreNews,
 )
 from radishmount.publication import InForce
+from store_world import FakeStore, entry
 
 
 pytestmark = pytest.mark.looptime
 
 
-def entry(name: str) -> EndpointEntry:
-    """Return the entry of an endpoint."""
-    return EndpointEntry(name, ListedEndpoint(name, "s", "10.0.0.1:1", "milano", 2))
-
-
-@dataclass
-class FakeStore:
-    """A store in memory; `fault` is what every call is answered with while it is set."""
-
-    entries: list[StoreEntry] = field(default_factory=list)
-    events: list[tuple[int, StoreEntry]] = field(default_factory=list)
-    revision: int = 1
-    fault: StoreFault | None = None
-    read_ms: float = 0.0
-    calls: list[str] = field(default_factory=list)
-    news: asyncio.Event = field(default_factory=asyncio.Event)
-
-    def tell(self, *entries: StoreEntry) -> None:
-        """Change something."""
-        for item in entries:
-            self.revision += 1
-            self.events.append((self.revision, item))
-        self.news.set()
-
-    async def read_all(self) -> Result[StoreAnswer, StoreFailure]:
-        """Return every entry."""
-        self.calls.append("range")
-        await asyncio.sleep(self.read_ms / 1000.0)
-        if self.fault is not None:
-            return self._failure()
-        return Ok(StoreAnswer(tuple(self.entries), self.revision))
-
-    async def watch(self, after: int, wait_ms: int) -> Result[StoreAnswer, StoreFailure]:
-        """Return what changed."""
-        self.calls.append("watch")
-        if self.fault is None and not [e for r, e in self.events if r > after]:
-            self.news.clear()
-            try:
-                async with asyncio.timeout(wait_ms / 1000.0):
-                    await self.news.wait()
-            except TimeoutError:
-                pass
-        if self.fault is not None:
-            return self._failure()
-        changed = tuple(e for r, e in self.events if r > after)
-        return Ok(StoreAnswer(changed, self.revision))
-
-    async def close(self) -> None:
-        """Close nothing."""
-
-    def _failure(self) -> Err[StoreFailure]:
-        fault = self.fault or StoreFault.UNAVAILABLE
-        if fault is StoreFault.HISTORY_LOST:
-            self.fault = None
-        return Err(StoreFailure(fault, Refusal(Code.PLATFORM_DOWN)))
-
-
 @dataclass
 class FollowWorld:
     """A follower and its store."""
@@ -236,6 +176,56 @@
 
             assert (was_done, renewal.done()) == (False, True)
 
+    async def test_one_without_duty_does_not_call_while_peers_confirm_its_view(self) -> None:
+        async with following(entry("a")) as world:
+            world.follower.is_on_duty = lambda: False
+            await asyncio.sleep(5.0)
+            calls = len(world.store.calls)
+            for _ in range(10):
+                world.follower.confirm(world.follower.held_revision, age_ms=500.0)
+                await asyncio.sleep(1.0)
+
+            assert len(world.store.calls) == calls
+
+    async def test_one_without_duty_calls_when_nobody_confirms_its_view(self) -> None:
+        async with following(entry("a")) as world:
+            world.follower.is_on_duty = lambda: False
+            await asyncio.sleep(5.0)
+            world.store.tell(entry("b"))
+            await asyncio.sleep(3.0)
+
+            assert world.changes[-1] == {"a", "b"}
+
+    async def test_a_peer_that_is_behind_confirms_nothing(self) -> None:
+        async with following(entry("a")) as world:
+            world.store.tell(entry("b"))
+            await asyncio.sleep(2.0)
+            age_ms = world.follower.age_ms()
+
+            world.follower.confirm(world.store.revision + 1, age_ms=0.0)
+
+            assert world.follower.age_ms() == age_ms > 0.0
+
+    async def test_a_store_whose_revision_grows_without_changes_is_no_news(self) -> None:
+        async with following(entry("a")) as world:
+            held = world.follower.held_revision
+            world.store.idle_writes += 40
+            await asyncio.sleep(9.0)
+
+            assert world.follower.held_revision == held
+            assert not world.follower.is_behind(held)
+
+    async def test_news_are_taken_where_they_go_on_from_what_is_known(self) -> None:
+        async with following(entry("a")) as world:
+            known = world.follower.known_revision
+            listed = (ListedEndpoint("b", "s", "10.0.0.1:1", "milano", 2),)
+            gap = await world.follower.take_news("p", StoreNews(known + 1, known + 2, listed))
+            taken = await world.follower.take_news("p", StoreNews(known, known + 1, listed, ("a",)))
+            again = await world.follower.take_news("p", StoreNews(known, known + 1, (), ("b",)))
+
+            assert (gap, taken, again) == (False, True, False)
+            assert world.changes[-1] == {"b"}
+
     async def test_a_watch_whose_answer_is_lost_ends_within_five_seconds(self) -> None:
         async with following(entry("a")) as world:
             calls = len(world.store.calls)
