Group what news of the store and of instances change, and drop a heartbeat that they make needless

Change: news are applied at once and told of in groups of 50 ms; so are changes of the roster. Heartbeats are not sent out of turn for endpoints, as news travel by themselves.

--- a/src/radishmount/control/_seeded.py
+++ b/src/radishmount/control/_seeded.py
@@ -95,10 +95,6 @@
             if fetching is not None:
                 await asyncio.wait([fetching])
 
-    def tell_held(self) -> None:
-        """Tell the neighbours at once what this instance holds."""
-        self.membership.beat()
-
     def held(self) -> HeldVersions:
         """Return the versions that this instance holds."""
         current = self.in_force.current
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -35,6 +35,7 @@
 UNCONFIRMED_SHARE = 0.8  # of that time; the rest is for the call that is made then
 SHORTEST_LAPSE_MS = 2_000.0  # entries lapse after three heartbeats, which take longer than this
 SETTLE_MS = 250.0  # changes come in groups, and one watch for each group is enough
+GROUP_MS = 50.0  # news of one change come over several ways, and renewing all links takes some ms
 RETRY_FIRST_MS = 250.0  # about the time in which a store that restarted answers again
 RETRY_LIMIT_MS = 1_500.0  # half of the time in which a new version is due everywhere
 
@@ -77,6 +78,8 @@
     wait_share: float = 1.0
     renewed: asyncio.Event = field(default_factory=asyncio.Event)
     stirred: asyncio.Event = field(default_factory=asyncio.Event)
+    news_came: asyncio.Event = field(default_factory=asyncio.Event)
+    news_sender: str = ""
     backoff: Backoff = field(init=False)
 
     def __post_init__(self) -> None:
@@ -88,7 +91,8 @@
         """Follow the store until the task is cancelled."""
         while True:
             if not self._must_call():
-                await self._rest()
+                self.stirred.clear()
+                await _wait_for(self.stirred, DUTY_CHECK_MS)
                 continue
             answer = await self._call()
             if answer is None:
@@ -102,11 +106,17 @@
             self.renewed.set()
             await self.clock.sleep_ms(SETTLE_MS)
 
-    async def run_expiry(self) -> None:
-        """Drop entries that stay missing after an outage."""
+    async def run_changes(self) -> None:
+        """Tell of what peers' news changed, in groups; drop entries that stay missing."""
         while True:
-            await self.clock.sleep_ms(SETTLE_MS)
-            if self.endpoints.expire(self.clock.now_ms()):
+            await _wait_for(self.news_came, SETTLE_MS)
+            had_news = self.news_came.is_set()
+            if had_news:
+                await self.clock.sleep_ms(GROUP_MS)
+                self.news_came.clear()
+                cause, version = f"news from {self.news_sender}", self.known_revision
+                self.audit.record("endpoints", "taken", cause=cause, version=version)
+            if self.endpoints.expire(self.clock.now_ms()) or had_news:
                 await self.on_change()
 
     def is_behind(self, revision: int) -> bool:
@@ -118,7 +128,7 @@
         if not self.must_read and not self.is_behind(revision):
             self.confirmed_at_ms = max(self.confirmed_at_ms, self.clock.now_ms() - age_ms)
 
-    async def take_news(self, peer: str, news: StoreNews) -> bool:
+    def take_news(self, peer: str, news: StoreNews) -> bool:
         """Take what changed, as a peer tells it; tell whether it was new and went on from here."""
         if not self.is_behind(news.revision) or news.after > self.known_revision:
             return False
@@ -131,9 +141,8 @@
         for name in news.missing:
             self.endpoints.keep_missing(name, now_ms)
         self.counters.add("store_news", "taken")
-        cause = f"news from {peer}"
-        self.audit.record("endpoints", "taken", cause=cause, version=news.revision)
-        await self.on_change()
+        self.news_sender = peer
+        self.news_came.set()
         return True
 
     async def take_from_peer(
@@ -178,15 +187,6 @@
             return True
         return self.age_ms() > UNCONFIRMED_SHARE * self.changes_due_ms
 
-    async def _rest(self) -> None:
-        """Wait until the duty may have changed, or a renewal is asked for."""
-        self.stirred.clear()
-        try:
-            async with asyncio.timeout(DUTY_CHECK_MS / 1000.0):
-                await self.stirred.wait()
-        except TimeoutError:
-            pass
-
     async def _call(self) -> Result[StoreAnswer, StoreFailure] | None:
         """Return the answer of the next call, none where it is to be begun anew."""
         self.calling = asyncio.create_task(self._ask_store(), name="ask store")
@@ -291,3 +291,12 @@
             removed=tuple(sorted(names - listed - missing)),
             missing=tuple(sorted(missing)),
         )
+
+
+async def _wait_for(event: asyncio.Event, limit_ms: float) -> None:
+    """Wait for an event, `limit_ms` at most."""
+    try:
+        async with asyncio.timeout(limit_ms / 1000.0):
+            await event.wait()
+    except TimeoutError:
+        pass  # the caller looks at the event
--- a/src/radishmount/discovery/_spread.py
+++ b/src/radishmount/discovery/_spread.py
@@ -1,7 +1,7 @@
 """The spread of listed endpoints between instances, for those that do not watch the store."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from result import Err, Ok, Result
@@ -37,7 +37,6 @@
     counters: Counters
     behind_since_ms: float | None = None
     fetching: asyncio.Task[None] | None = None
-    taking: set[asyncio.Task[None]] = field(default_factory=set)
 
     def start(self) -> None:
         """Answer peers that ask, and take and send on what changes."""
@@ -69,20 +68,14 @@
             self.fetching = asyncio.create_task(self._fetch(peer), name="fetch endpoints")
 
     async def stop(self) -> None:
-        """End what is under way."""
-        tasks = [*self.taking, *([self.fetching] if self.fetching is not None else [])]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """End a fetch that is under way."""
+        if self.fetching is not None:
+            self.fetching.cancel()
+            await asyncio.gather(self.fetching, return_exceptions=True)
 
     def _take_notice(self, session: PeerSession, news: StoreNews) -> None:
-        async def take() -> None:
-            if await self.follower.take_news(session.peer.name, news):
-                self.tell(news, session.peer.name)
-
-        task = asyncio.create_task(take(), name="take news of the store")
-        self.taking.add(task)
-        task.add_done_callback(self.taking.discard)
+        if self.follower.take_news(session.peer.name, news):
+            self.tell(news, session.peer.name)
 
     async def _fetch(self, peer: str) -> None:
         listed: list[ListedEndpoint] = []
--- a/src/radishmount/fleet/_roster.py
+++ b/src/radishmount/fleet/_roster.py
@@ -22,6 +22,7 @@
 SEED_SETTLE_MS = 3_000.0  # the time after which a seed is to be there, as the platform states
 FORGET_CHECK_MS = 5_000.0  # a fraction of the time after which an instance is forgotten
 FORGET_AFTER_MS = 60_000.0  # longer than a restart, so that shares do not grow meanwhile
+GROUP_MS = 50.0  # a fleet that starts tells of its instances one by one, within a second
 MAX_NAMED = 200  # instances in one frame, far below its limit of bytes
 
 OnRoster = Callable[[], Awaitable[None]]
@@ -132,6 +133,7 @@
         """Tell those that follow the roster, until they know the newest one."""
         told = 0
         while told < self.fleet.list_version:
+            await self.clock.sleep_ms(GROUP_MS)
             told = self.fleet.list_version
             for tell in self.on_change:
                 await tell()
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -94,7 +94,7 @@
         self._start_task("spread paces", self.pace_spread.run())
         self._start_task("follow store", self.follower.run())
         self._start_task("settle roster", self._settle())
-        self._start_task("expire endpoints", self.follower.run_expiry())
+        self._start_task("tell of changes", self.follower.run_changes())
 
     async def stop(self) -> None:
         """End every task and close every connection."""
@@ -250,7 +250,6 @@
 
     async def renew() -> None:
         await gateway.renew_endpoints()
-        gateway.control.tell_held()
 
     async def take_publication(publication: Publication) -> None:
         await gateway.renew_endpoints()
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -55,7 +55,7 @@
     follower = StoreFollower(
         store, endpoints, in_force, clock, Random(1), audit, counters, on_change=note
     )
-    tasks = [asyncio.create_task(follower.run()), asyncio.create_task(follower.run_expiry())]
+    tasks = [asyncio.create_task(follower.run()), asyncio.create_task(follower.run_changes())]
     await asyncio.sleep(1.0)
     yield FollowWorld(store, follower, audit, changes)
     for task in tasks:
@@ -219,13 +219,25 @@
         async with following(entry("a")) as world:
             known = world.follower.known_revision
             listed = (ListedEndpoint("b", "s", "10.0.0.1:1", "milano", 2),)
-            gap = await world.follower.take_news("p", StoreNews(known + 1, known + 2, listed))
-            taken = await world.follower.take_news("p", StoreNews(known, known + 1, listed, ("a",)))
-            again = await world.follower.take_news("p", StoreNews(known, known + 1, (), ("b",)))
+            gap = world.follower.take_news("p", StoreNews(known + 1, known + 2, listed))
+            taken = world.follower.take_news("p", StoreNews(known, known + 1, listed, ("a",)))
+            again = world.follower.take_news("p", StoreNews(known, known + 1, (), ("b",)))
+            await asyncio.sleep(0.1)
 
             assert (gap, taken, again) == (False, True, False)
             assert world.changes[-1] == {"b"}
 
+    async def test_news_that_come_together_are_told_of_once(self) -> None:
+        async with following(entry("a")) as world:
+            before, known = len(world.changes), world.follower.known_revision
+            for n in range(20):
+                listed = (ListedEndpoint(f"b{n}", "s", "10.0.0.1:1", "milano", 2),)
+                world.follower.take_news("p", StoreNews(known + n, known + n + 1, listed))
+            await asyncio.sleep(0.2)
+
+            assert len(world.changes) - before == 1
+            assert len(world.changes[-1]) == 21
+
     async def test_a_watch_whose_answer_is_lost_ends_within_five_seconds(self) -> None:
         async with following(entry("a")) as world:
             calls = len(world.store.calls)
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -170,7 +170,7 @@
         in_force = InForce(read_small_bundle, audit, counters, clock)
 
         async def renew() -> None:
-            control.tell_held()
+            pass
 
         random = Random(name)
         follower = StoreFollower(
@@ -182,5 +182,5 @@
         control = make_seeded_control(parts, in_force, follower, audit, counters)
         self.network.add(name, control.fleet.members, control.peers)
         control.start()
-        tasks = [asyncio.create_task(follower.run()), asyncio.create_task(follower.run_expiry())]
+        tasks = [asyncio.create_task(follower.run()), asyncio.create_task(follower.run_changes())]
         self.by_name[name] = Follower(store, control, endpoints, tasks)
