Tell a large fleet of slow endpoints only once their slowness outlasts a usual pause

Cause: endpoints pause for 120 to 250 ms every few seconds, and one late answer made an instance tell all others of it. In a fleet larger than a mesh each such piece of news costs a frame on every stream.

Change: what an instance sees once goes to its neighbours only. Whoever has seen an endpoint slow twice, itself or through neighbours, more than 300 ms apart within two seconds, tells all. A mesh is as before.

Ruled out: a lower rate of telling: it delays what matters as much as what does not. A higher bound on the latency: a pause of 120 ms and an endpoint seven times slower look the same in one answer.

Also: instances of one fleet know each other by the port that they share, so that links of their own to the store do not make them strangers (the soak's fleets had never met; a check now looks).

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -142,6 +142,15 @@
     return broken
 
 
+def strangers(records: Records) -> list[str]:
+    """Instances know each other; a fleet that never met proves little."""
+    return [
+        f"{instance} knows {count} of {len(records.known_by_instance)} instances"
+        for instance, count in records.known_by_instance.items()
+        if count < len(records.known_by_instance)
+    ]
+
+
 def ended_by_itself(records: Records) -> list[str]:
     """No instance ends unless it is told to."""
     return records.own_exits
@@ -154,6 +163,7 @@
     crossed_answers,
     untrue_merges,
     ended_by_itself,
+    strangers,
 )
 TIMED_CHECKS: tuple[Check, ...] = (sent_to_leaving, not_in_force, went_back, not_served_again)
 
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import aiohttp
+
 from radishmount.standins import Relay, start_relay
 from soak._records import Records
 
@@ -18,6 +20,7 @@
 METRICS_PORT = 9464
 GRACE_S = 6.0
 RESTART_S = 0.2
+LOOK_S = 2.0
 # Each soak has loopback addresses of its own, by its process id, so that several run at once.
 FIRST_NETWORK = 16
 NETWORKS = 200
@@ -99,6 +102,18 @@
                     await link.stop()
         return late
 
+    async def look(self) -> None:
+        """Note how many instances each one knows."""
+        async with aiohttp.ClientSession() as session:
+            for instance in self.by_name.values():
+                url = f"http://{instance.ip}:{METRICS_PORT}/status"
+                try:
+                    async with session.get(url, timeout=aiohttp.ClientTimeout(LOOK_S)) as response:
+                        status = await response.json()
+                except (aiohttp.ClientError, TimeoutError, OSError):
+                    status = {"instances": []}  # counts as one that knows nobody
+                self.records.known_by_instance[instance.name] = len(status["instances"])
+
     async def _keep(self, instance: SoakInstance) -> None:
         while not self.ending:
             instance.expected_exits = set()
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -59,7 +59,8 @@
     """Everything that was seen. Spans of trouble are pairs of seconds by name.
 
     `bodies_by_signature` holds what an endpoint sent under each signature; `drained_at_s` is when
-    the store took an endpoint's word that it leaves.
+    the store took an endpoint's word that it leaves; `known_by_instance` is how many instances each
+    one told of at the end.
     """
 
     asked: list[Asked] = field(default_factory=list)
@@ -69,6 +70,7 @@
     drained_at_s_by_endpoint: dict[str, float] = field(default_factory=dict)
     troubles_by_name: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     starts_at_s_by_instance: dict[str, list[float]] = field(default_factory=dict)
+    known_by_instance: dict[str, int] = field(default_factory=dict)
     own_exits: list[str] = field(default_factory=list)
     calm_from_s: float = float("inf")
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -224,6 +224,7 @@
         run.heal()
         records.calm_from_s = asyncio.get_running_loop().time()
         await asyncio.sleep(CALM_S)
+        await fleet.look()
     finally:
         calling.cancel()
         await asyncio.gather(calling, return_exceptions=True)
--- a/src/radishmount/border/_peer_models.py
+++ b/src/radishmount/border/_peer_models.py
@@ -188,10 +188,12 @@
     number: Number
     endpoints: Annotated[list[PeerName], Field(max_length=MAX_TOLD_PACES)]
     paces: Annotated[list[Number], Field(max_length=MAX_TOLD_PACES)]
+    is_confirmed: bool
 
     def to_data(self) -> PaceNews:
         """Return the message as a data class."""
-        return PaceNews(self.origin, self.number, tuple(self.endpoints), tuple(self.paces))
+        endpoints, paces = tuple(self.endpoints), tuple(self.paces)
+        return PaceNews(self.origin, self.number, endpoints, paces, self.is_confirmed)
 
     @model_validator(mode="after")
     def check_lengths(self) -> Self:
--- a/src/radishmount/endpoints/__init__.py
+++ b/src/radishmount/endpoints/__init__.py
@@ -39,7 +39,7 @@
     OrderRequest,
     SendGate,
 )
-from radishmount.endpoints._pace import PaceHint, slow_paces
+from radishmount.endpoints._pace import slow_paces
 from radishmount.endpoints._pool import EndpointPool
 from radishmount.endpoints._reliability import Reliability
 
@@ -69,7 +69,6 @@
     "OrderReply",
     "OrderRequest",
     "Outcome",
-    "PaceHint",
     "Purpose",
     "Reliability",
     "Row",
--- a/src/radishmount/endpoints/_pace.py
+++ b/src/radishmount/endpoints/_pace.py
@@ -1,26 +1,18 @@
 """Which endpoints are far slower than the other replicas of their service."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from radishmount.endpoints._endpoint import Endpoint
+from radishmount.fleet import PaceHint
 
 
-__all__ = ["PaceHint", "slow_paces"]
+__all__ = ["slow_paces"]
 
 SLOW_RATIO = 3.0  # above the spread of replicas that differ in speed, below a failing one's
 SLOW_MARGIN_MS = 25.0  # above the scatter of exchanges that take a few milliseconds
 OPEN_AT_LEAST_MS = 150.0  # an exchange that is open for less may meet a usual pause
 
 
-@dataclass(frozen=True, slots=True)
-class PaceHint:
-    """An endpoint and the latency to expect of it, in milliseconds."""
-
-    endpoint: str
-    latency_ms: float
-
-
 def slow_paces(replicas: Iterable[Endpoint], now_ms: float) -> list[PaceHint]:
     """Return the slow ones of the `replicas` of one service, by this instance's own evidence.
 
@@ -35,9 +27,11 @@
     hints = []
     for endpoint in listed:
         pace_ms = endpoint.latency.seen_from(min(known_ms), now_ms)
+        seen_at_ms = endpoint.latency.taken_at_ms
         open_for_ms = endpoint.open_for_ms(now_ms)
         if open_for_ms >= OPEN_AT_LEAST_MS:
             pace_ms = max(pace_ms, open_for_ms)
+            seen_at_ms = now_ms
         if pace_ms > limit_ms:
-            hints.append(PaceHint(endpoint.name, pace_ms))
+            hints.append(PaceHint(endpoint.name, pace_ms, seen_at_ms))
     return hints
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -20,6 +20,7 @@
 from radishmount.endpoints._link import Link
 from radishmount.endpoints._pace import slow_paces
 from radishmount.endpoints._waker import wake
+from radishmount.fleet import PaceHint
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 from radishmount.publication import EMPTY_PUBLICATION, EndpointSpec, Publication
 
@@ -97,14 +98,13 @@
                 link.endpoint.take_leaving_hint(now_ms)
                 link.probe_now()
 
-    def slow_paces(self) -> dict[str, float]:
-        """Return the latencies of the endpoints that are far slower than their replicas."""
+    def slow_paces(self) -> list[PaceHint]:
+        """Return the endpoints that are far slower than their replicas."""
         now_ms = self.clock.now_ms()
-        return {
-            hint.endpoint: hint.latency_ms
-            for replicas in self.endpoints_by_service.values()
-            for hint in slow_paces(replicas, now_ms)
-        }
+        hints: list[PaceHint] = []
+        for replicas in self.endpoints_by_service.values():
+            hints.extend(slow_paces(replicas, now_ms))
+        return hints
 
     def take_pace_hints(self, paces: Mapping[str, float]) -> None:
         """Expect of endpoints the latencies that a peer saw, until evidence here is younger."""
--- a/src/radishmount/fleet/__init__.py
+++ b/src/radishmount/fleet/__init__.py
@@ -39,7 +39,7 @@
     RosterNews,
 )
 from radishmount.fleet._neighbours import NEIGHBOUR_LIMIT, neighbours_of
-from radishmount.fleet._pace_news import PaceSpread
+from radishmount.fleet._pace_news import PaceHint, PaceSpread
 from radishmount.fleet._peers import AnswerPeer, Peers
 from radishmount.fleet._roster import Roster
 from radishmount.fleet._session import PeerSession
@@ -79,6 +79,7 @@
     "NEIGHBOUR_LIMIT",
     "Notice",
     "PaceNews",
+    "PaceHint",
     "PaceSpread",
     "OpenPeer",
     "PeerIdentity",
--- a/src/radishmount/fleet/_messages.py
+++ b/src/radishmount/fleet/_messages.py
@@ -155,13 +155,15 @@
 class PaceNews:
     """Endpoints that `origin` found slow, and their latencies in milliseconds.
 
-    `number` grows with what `origin` tells.
+    `number` grows with what `origin` tells. What is not confirmed may be a usual pause; it is told
+    to neighbours only, who look whether they see the same.
     """
 
     origin: str
     number: int
     endpoints: tuple[str, ...]
     paces: tuple[int, ...]
+    is_confirmed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/fleet/_pace_news.py
+++ b/src/radishmount/fleet/_pace_news.py
@@ -1,6 +1,6 @@
 """The spread of which endpoints are slow: what one instance finds out, all know."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from radishmount.clock import Clock
@@ -11,32 +11,63 @@
 from radishmount.fleet._session import PeerSession
 
 
-__all__ = ["PaceSpread"]
+__all__ = ["PaceHint", "PaceSpread"]
 
 LOOK_INTERVAL_MS = 100.0  # a fraction of the time in which a caller gives up
 TELL_AGAIN_MS = 2_000.0  # an endpoint that stays slow; what is told fades in about twice that
+CONFIRMING_APART_MS = 300.0  # longer than an endpoint usually pauses
+CONFIRMING_WITHIN_MS = 2_000.0  # less than the time between two pauses
 MOST_TOLD = 200  # in one frame, far below its limit of bytes
 
-Paces = dict[str, float]
+Paces = Mapping[str, float]
 """Latencies to expect in milliseconds, by name of the endpoint."""
 
 
+@dataclass(frozen=True, slots=True)
+class PaceHint:
+    """An endpoint and the latency to expect of it, in milliseconds, by what was seen when."""
+
+    endpoint: str
+    latency_ms: float
+    seen_at_ms: float
+
+
+@dataclass(slots=True)
+class Sightings:
+    """When an endpoint was seen slow, here or by a neighbour, by the clock of this instance."""
+
+    first_at_ms: float
+    last_at_ms: float
+
+    def add(self, at_ms: float) -> bool:
+        """Add one; tell whether they lie further apart than a pause lasts."""
+        if at_ms - self.last_at_ms > CONFIRMING_WITHIN_MS:
+            self.first_at_ms = at_ms
+        self.last_at_ms = max(self.last_at_ms, at_ms)
+        return self.last_at_ms - self.first_at_ms >= CONFIRMING_APART_MS
+
+
 @dataclass(slots=True)
 class PaceSpread:
     """Tells peers which endpoints this instance found slow, and takes the same from them.
 
-    Each change travels once through the fleet: `number` grows with what an instance tells, and
-    news that were seen are not sent on. A small fleet is a full mesh, where nobody sends on.
+    A small fleet is a full mesh: one frame to each other instance tells all. In a larger one news
+    travel on from neighbour to neighbour, a frame for each stream of the fleet. So they are sent
+    only when an endpoint was seen slow twice, here or by neighbours, with more time in between
+    than an endpoint usually pauses. `number` grows with what an instance tells, and news that were
+    seen are not sent on.
     """
 
     peers: Peers
     clock: Clock
     counters: Counters
-    find_slow: Callable[[], Paces]
+    find_slow: Callable[[], Iterable[PaceHint]]
     take_hints: Callable[[Paces], None]
     number: int = 0
     told_at_ms_by_endpoint: dict[str, float] = field(default_factory=dict)
     seen_by_origin: dict[str, int] = field(default_factory=dict)
+    sightings_by_endpoint: dict[str, Sightings] = field(default_factory=dict)
+    own_sighting_ms_by_endpoint: dict[str, float] = field(default_factory=dict)
 
     def start(self) -> None:
         """Take what peers tell."""
@@ -46,30 +77,43 @@
         """Look for slow endpoints for as long as the instance runs."""
         while True:
             await self.clock.sleep_ms(LOOK_INTERVAL_MS)
-            self._tell_new(self.find_slow())
+            self._look()
 
-    def _tell_new(self, slow: Paces) -> None:
+    def _look(self) -> None:
         now_ms = self.clock.now_ms()
-        told_at_ms = self.told_at_ms_by_endpoint
-        new = {
-            name: pace_ms
-            for name, pace_ms in slow.items()
-            if now_ms - told_at_ms.get(name, -TELL_AGAIN_MS) >= TELL_AGAIN_MS
-        }
-        if not new:
+        paces: dict[str, float] = {}
+        doubted: dict[str, float] = {}
+        for hint in self.find_slow():
+            if self._was_told(hint.endpoint, now_ms):
+                continue
+            if self._is_mesh():
+                paces[hint.endpoint] = hint.latency_ms
+            elif self._is_new_sighting(hint):
+                is_confirmed = self._confirms(hint.endpoint, hint.seen_at_ms)
+                (paces if is_confirmed else doubted)[hint.endpoint] = hint.latency_ms
+        self._tell(paces, now_ms)
+        self._ask(doubted)
+        self._forget(now_ms)
+
+    def _tell(self, paces: Paces, now_ms: float) -> None:
+        """Tell the whole fleet."""
+        if not paces:
             return
-        for name in new:
-            told_at_ms[name] = now_ms
-        for name in [n for n, at_ms in told_at_ms.items() if now_ms - at_ms > 2 * TELL_AGAIN_MS]:
-            del told_at_ms[name]
+        for name in paces:
+            self.told_at_ms_by_endpoint[name] = now_ms
+        self._send(self._news(paces, is_confirmed=True), self.peers.sessions_by_name)
+
+    def _ask(self, paces: Paces) -> None:
+        """Tell the neighbours what may be a pause; they tell all if they see it too."""
+        if paces:
+            self._send(self._news(paces, is_confirmed=False), self.peers.sessions_by_name)
+
+    def _news(self, paces: Paces, *, is_confirmed: bool) -> PaceNews:
         incarnation = self.peers.fleet.members.own.incarnation  # above all that was told before
         self.number = max(self.number + 1, incarnation)
-        names = tuple(new)[:MOST_TOLD]
-        paces = tuple(round(new[name]) for name in names)
-        self._send(
-            PaceNews(self.peers.fleet.own_name, self.number, names, paces),
-            self.peers.sessions_by_name,
-        )
+        names = tuple(paces)[:MOST_TOLD]
+        rounded = tuple(round(paces[name]) for name in names)
+        return PaceNews(self.peers.fleet.own_name, self.number, names, rounded, is_confirmed)
 
     def _take(self, session: PeerSession, news: PaceNews) -> None:
         if news.origin == self.peers.fleet.own_name:
@@ -79,15 +123,60 @@
         self.seen_by_origin[news.origin] = news.number
         self.counters.add("pace_news", "in")
         now_ms = self.clock.now_ms()
-        for name in news.endpoints:
+        paces = {n: float(pace) for n, pace in zip(news.endpoints, news.paces, strict=True)}
+        if not news.is_confirmed:
+            self._take_doubts(paces, now_ms)
+            return
+        for name in paces:
             self.told_at_ms_by_endpoint[name] = now_ms  # all know it by now
-        self.take_hints(
-            {name: float(pace) for name, pace in zip(news.endpoints, news.paces, strict=True)}
-        )
-        others = [name for name in self.peers.sessions_by_name if name != session.peer.name]
-        if len(self.peers.fleet.by_name) > NEIGHBOUR_LIMIT + 1:
+        self.take_hints(paces)
+        if not self._is_mesh():
+            others = [name for name in self.peers.sessions_by_name if name != session.peer.name]
             self._send(news, others)
 
+    def _take_doubts(self, paces: Paces, now_ms: float) -> None:
+        confirmed = {
+            name: pace_ms
+            for name, pace_ms in paces.items()
+            if self._confirms(name, now_ms) and not self._was_told(name, now_ms)
+        }
+        if confirmed:
+            self.take_hints(confirmed)
+            self._tell(confirmed, now_ms)
+
+    def _is_new_sighting(self, hint: PaceHint) -> bool:
+        """Tell whether a hint rests on more than what was seen before, or on what goes on."""
+        last_ms = self.own_sighting_ms_by_endpoint.get(hint.endpoint)
+        if last_ms is not None and hint.seen_at_ms - last_ms < CONFIRMING_APART_MS:
+            return False
+        self.own_sighting_ms_by_endpoint[hint.endpoint] = hint.seen_at_ms
+        return True
+
+    def _confirms(self, endpoint: str, at_ms: float) -> bool:
+        """Note that an endpoint was seen slow; tell whether that goes on for too long."""
+        sightings = self.sightings_by_endpoint.get(endpoint)
+        if sightings is None:
+            self.sightings_by_endpoint[endpoint] = Sightings(at_ms, at_ms)
+            return False
+        return sightings.add(at_ms)
+
+    def _was_told(self, endpoint: str, now_ms: float) -> bool:
+        told_at_ms = self.told_at_ms_by_endpoint.get(endpoint)
+        return told_at_ms is not None and now_ms - told_at_ms < TELL_AGAIN_MS
+
+    def _forget(self, now_ms: float) -> None:
+        """Forget what is too old to matter."""
+        limit_ms = now_ms - 2 * TELL_AGAIN_MS
+        for times_ms in (self.told_at_ms_by_endpoint, self.own_sighting_ms_by_endpoint):
+            for name in [name for name, at_ms in times_ms.items() if at_ms < limit_ms]:
+                del times_ms[name]
+        sightings = self.sightings_by_endpoint
+        for name in [name for name, seen in sightings.items() if seen.last_at_ms < limit_ms]:
+            del sightings[name]
+
+    def _is_mesh(self) -> bool:
+        return len(self.peers.fleet.by_name) <= NEIGHBOUR_LIMIT + 1
+
     def _send(self, news: PaceNews, names: Iterable[str]) -> None:
         for name in list(names):
             session = self.peers.sessions_by_name.get(name)
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -93,7 +93,7 @@
     """Start an instance from its settings."""
     add_peer_models(*ENDPOINT_PEER_MODELS)
     counters = Counters()
-    key = PEER_KEY + settings.store_address.encode()
+    key = PEER_KEY + str(settings.peer_listen.port).encode()  # the same on all of a fleet
     parts = GatewayParts(
         own=Instance(
             settings.name,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -79,6 +79,11 @@
 
         assert "untrue_merges" in broken_promises(records(answer, bodies_by_signature=sent))
 
+    def test_instances_that_never_met(self) -> None:
+        seen = records(known_by_instance={"front-1": 2, "front-2": 1})
+
+        assert "strangers" in broken_promises(seen)
+
     def test_an_exit_of_its_own(self) -> None:
         assert "ended_by_itself" in broken_promises(records(own_exits=["front-1 ended with 70"]))
 
