Settle merged answers earlier by the lag of the instance, write lines only when there are any

On half a core the 36 replies of a request are handled one after the other, so the moment at which an answer is settled comes late, and so did the request's own arrival. The log's writer woke an idle instance ten times a second.

Change: an estimate of how late timers get their turn, twice of which is taken off the time to settle, 30 ms at most. The writer of lines waits for a line.

Ruled out: a larger fixed margin: it takes parts from answers of machines that are quick.

--- a/src/radishmount/forwarding/__init__.py
+++ b/src/radishmount/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from radishmount.forwarding._budget import ForwardBudget, RepeatBounds
 from radishmount.forwarding._gather import Gather
 from radishmount.forwarding._hedge import is_full
+from radishmount.forwarding._lag import TurnLag
 from radishmount.forwarding._outcome import Forwarded, MergedAnswer
 from radishmount.forwarding._plan import ForwardPlan, make_plan
 from radishmount.forwarding._record import (
@@ -29,6 +30,7 @@
     "Gather",
     "MergedAnswer",
     "RepeatBounds",
+    "TurnLag",
     "forward",
     "greatest_records",
     "is_full",
--- a/src/radishmount/forwarding/_gather.py
+++ b/src/radishmount/forwarding/_gather.py
@@ -62,7 +62,11 @@
             self._act_when_due(now_ms)
             if self._is_settled(now_ms):
                 return
-            await self.mailbox.wait(self._next_due_ms(now_ms) - now_ms)
+            due_at_ms = self._next_due_ms(now_ms)
+            await self.mailbox.wait(due_at_ms - now_ms)
+            late_ms = self.tools.clock.now_ms() - due_at_ms
+            if late_ms >= 0.0:
+                self.tools.lag.add(late_ms)
 
     @property
     def may_have_run(self) -> bool:
--- /dev/null
+++ b/src/radishmount/forwarding/_lag.py
@@ -0,0 +1,31 @@
+"""How late an instance acts, for want of processor time."""
+
+from dataclasses import dataclass
+
+
+__all__ = ["TurnLag"]
+
+RISE_WEIGHT = 0.3  # a burst of work is to be noticed within a few requests
+FALL_WEIGHT = 0.05  # and remembered for some dozens
+TURNS_OF_REQUEST = 2.0  # one before a request is seen, one before its answer leaves
+LIMIT_MS = 30.0  # above this an instance is overloaded, and answers earlier help nobody
+
+
+@dataclass(slots=True)
+class TurnLag:
+    """A moving estimate of how long after its time a task gets its turn, in milliseconds.
+
+    Replies that came together are handled one after the other, so an answer that is due now
+    leaves only after them. On a small machine that takes a part of the target latency.
+    """
+
+    late_ms: float = 0.0
+
+    def add(self, late_ms: float) -> None:
+        """Take how much later than planned a timer was handled."""
+        weight = RISE_WEIGHT if late_ms > self.late_ms else FALL_WEIGHT
+        self.late_ms += weight * (late_ms - self.late_ms)
+
+    def margin_ms(self) -> float:
+        """Return how much earlier an answer has to be decided on to leave in time."""
+        return min(LIMIT_MS, TURNS_OF_REQUEST * self.late_ms)
--- a/src/radishmount/forwarding/_plan.py
+++ b/src/radishmount/forwarding/_plan.py
@@ -44,8 +44,12 @@
     arrived_at_ms: float,
     time_left_ms: float | None,
     random: Random,
+    lag_ms: float = 0.0,
 ) -> ForwardPlan:
-    """Return the plan of `call`; `time_left_ms` is how long the caller waits, where it says so."""
+    """Return the plan of `call`; `time_left_ms` is how long the caller waits, where it says so.
+
+    An instance that acts `lag_ms` late plans for that.
+    """
     limit_ms = route.timeout_ms if time_left_ms is None else min(route.timeout_ms, time_left_ms)
     services = route.shards or (choose_service(route, random),)
     return ForwardPlan(
@@ -54,6 +58,6 @@
         services=services,
         least_parts=max(1, ceil(route.min_share * len(services) - ROUNDING)),
         arrived_at_ms=arrived_at_ms,
-        settle_at_ms=arrived_at_ms + route.target_latency_ms - CALLER_TRANSIT_MS,
+        settle_at_ms=arrived_at_ms + route.target_latency_ms - CALLER_TRANSIT_MS - lag_ms,
         deadline_at_ms=arrived_at_ms + max(0.0, limit_ms - ANSWER_MARGIN_MS),
     )
--- a/src/radishmount/forwarding/_tools.py
+++ b/src/radishmount/forwarding/_tools.py
@@ -8,6 +8,7 @@
 from radishmount.counters import Counters
 from radishmount.endpoints import Choose, EndpointPool
 from radishmount.forwarding._budget import ForwardBudget
+from radishmount.forwarding._lag import TurnLag
 from radishmount.forwarding._record import ForwardRecord, ForwardView
 from radishmount.queries import LatencyWindow
 
@@ -32,6 +33,7 @@
     view: Callable[[], ForwardView] = ForwardView
     observe: Callable[[str, str, float], None] = lambda route, verdict, took_ms: None
     tell: Callable[[ForwardRecord], None] = lambda record: None
+    lag: TurnLag = field(default_factory=TurnLag)
     windows_by_route: dict[str, LatencyWindow] = field(default_factory=dict)
 
     def window(self, route: str) -> LatencyWindow:
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -130,7 +130,9 @@
         route = self.publication.routes.find(host, path)
         if route is None:
             return self._refuse(call, Refusal(Code.UNKNOWN_ROUTE, detail=f"{host}{path}"))
-        plan = make_plan(call, route, arrived_at_ms, time_left_ms, self.tools.random)
+        tools = self.tools
+        lag_ms = tools.lag.margin_ms()
+        plan = make_plan(call, route, arrived_at_ms, time_left_ms, tools.random, lag_ms)
         self.in_flight += 1
         try:
             return await forward(plan, self.tools)
--- a/src/radishmount/logs/_output.py
+++ b/src/radishmount/logs/_output.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 __all__ = ["LogOutput", "open_standard_output"]
@@ -26,6 +26,7 @@
     buffer: bytearray
     dropped: int = 0
     is_broken: bool = False
+    has_lines: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, line: bytes) -> None:
         """Add one line, with its end, unless the buffer is full."""
@@ -33,6 +34,7 @@
             self.dropped += 1
             return
         self.buffer += line
+        self.has_lines.set()
 
     def flush(self) -> None:
         """Write what the reader takes now."""
@@ -53,10 +55,13 @@
         return dropped
 
     async def run(self) -> None:
-        """Write now and then for as long as the process runs."""
+        """Write now and then for as long as the process runs; an idle one is not woken."""
         while True:
+            await self.has_lines.wait()
             await asyncio.sleep(FLUSH_INTERVAL_S)
             self.flush()
+            if not self.buffer:
+                self.has_lines.clear()
 
 
 def open_standard_output() -> LogOutput:
--- a/tests/logs/test_output.py
+++ b/tests/logs/test_output.py
@@ -1,5 +1,9 @@
 """Tests of lines whose reader may stand still."""
 
+import asyncio
+
+import pytest
+
 from radishmount.logs import LogOutput
 
 
@@ -58,3 +62,30 @@
         output.flush()
 
         assert output.is_broken
+
+    @pytest.mark.looptime
+    async def test_lines_are_written_soon(self) -> None:
+        reader = Reader(2_000)
+        output = LogOutput(reader.write, bytearray())
+        writing = asyncio.create_task(output.run())
+        output.put(LINE)
+        await asyncio.sleep(0.2)
+        first = len(reader.read)
+        output.put(LINE)
+        await asyncio.sleep(0.2)
+        writing.cancel()
+
+        assert (first, len(reader.read)) == (1_000, 2_000)
+
+    @pytest.mark.looptime
+    async def test_a_reader_that_stands_still_for_a_while_gets_all_lines(self) -> None:
+        reader = Reader(0)
+        output = LogOutput(reader.write, bytearray())
+        writing = asyncio.create_task(output.run())
+        output.put(LINE)
+        await asyncio.sleep(5.0)
+        reader.room = 1_000
+        await asyncio.sleep(0.2)
+        writing.cancel()
+
+        assert bytes(reader.read) == LINE
