--- a/src/radishmount/control/_control.py
+++ b/src/radishmount/control/_control.py
@@ -1,7 +1,7 @@
 """What keeps one instance in step with the fleet: platform, peers, versions, pauses, leaving."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -36,6 +36,7 @@
     InForce,
     Publication,
 )
+from radishmount.tasks import KeptTasks
 
 
 __all__ = ["LEAVING_GRACE_MS", "Control", "make_control"]
@@ -61,8 +62,8 @@
     list_reader: PlatformWatch
     freshness: Freshness
     start_up: StartUp
+    tasks: KeptTasks
     on_forget: list[Callable[[], None]] = field(default_factory=list)
-    tasks: list[asyncio.Task[None]] = field(default_factory=list)
     reader_tasks: list[asyncio.Task[None]] = field(default_factory=list)
     takes_requests_until_ms: float | None = None
 
@@ -77,15 +78,15 @@
         self.distribution.start()
         self.list_spread.start()
         self._start_readers()
-        self._start_task("tick", self.freshness.run())
-        self._start_task("start up", self.start_up.run())
-        self._start_task("seeds", self.start_up.ask_seeds())
-        self._start_task("probe random", self.membership.probe_random())
-        self._start_task("close idle", self.membership.close_idle())
+        self.tasks.start("tick", self.freshness.run)
+        self.tasks.start("start up", self.start_up.run)
+        self.tasks.start("seeds", self.start_up.ask_seeds)
+        self.tasks.start("probe random", self.membership.probe_random)
+        self.tasks.start("close idle", self.membership.close_idle)
 
     async def stop(self) -> None:
         """End every task and stream."""
-        await _end(self.tasks)
+        await self.tasks.stop()
         await self.freshness.stop()  # before the readers, which a renewal starts anew
         await _end(self.reader_tasks)
         await self.distribution.stop()
@@ -167,9 +168,6 @@
         for name, reading in work.items():
             self.reader_tasks.append(asyncio.create_task(reading, name=name))
 
-    def _start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        self.tasks.append(asyncio.create_task(work, name=name))
-
     def see_heartbeat(self, peer: str, beat: Heartbeat) -> None:
         """Compare the versions that a peer holds with those here."""
         self.list_spread.see(peer, beat)
@@ -260,6 +258,7 @@
             list_reader=list_reader,
             seeds=parts.seeds,
         ),
+        tasks=KeptTasks(clock, audit, counters),
     )
     membership.on_heartbeat.append(control.see_heartbeat)
     in_force.on_change.append(control.take_publication)
--- a/src/radishmount/control/_seeded.py
+++ b/src/radishmount/control/_seeded.py
@@ -1,10 +1,8 @@
 """What keeps an instance in step with a fleet that no platform lists."""
 
 import asyncio
-from collections.abc import Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
-from typing import Any
 
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
@@ -28,6 +26,7 @@
     make_freshness,
 )
 from radishmount.publication import Distribution, InForce, Publication
+from radishmount.tasks import KeptTasks
 
 
 __all__ = ["SeededControl", "SeededParts", "make_seeded_control"]
@@ -59,7 +58,7 @@
     in_force: InForce
     follower: StoreFollower
     freshness: Freshness
-    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    tasks: KeptTasks
 
     def start(self) -> None:
         """Start to look for the others and to answer them."""
@@ -67,17 +66,15 @@
         self.distribution.start()
         self.spread.start()
         self.roster.start()
-        self._start_task("seeds", self.roster.run())
-        self._start_task("forget", self.roster.run_forgetting())
-        self._start_task("probe random", self.membership.probe_random())
-        self._start_task("close idle", self.membership.close_idle())
-        self._start_task("tick", self.freshness.run())
+        self.tasks.start("seeds", self.roster.run)
+        self.tasks.start("forget", self.roster.run_forgetting)
+        self.tasks.start("probe random", self.membership.probe_random)
+        self.tasks.start("close idle", self.membership.close_idle)
+        self.tasks.start("tick", self.freshness.run)
 
     async def stop(self) -> None:
         """End every task and stream."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.tasks.stop()
         await self.freshness.stop()
         await self.distribution.stop()
         await self.spread.stop()
@@ -116,9 +113,6 @@
         """Tell the neighbours of a new version."""
         self.membership.beat()
 
-    def _start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        self.tasks.append(asyncio.create_task(work, name=name))
-
 
 def make_seeded_control(
     parts: SeededParts,
@@ -154,6 +148,7 @@
         in_force=in_force,
         follower=follower,
         freshness=make_freshness(clock, audit, counters, forget, renew, RENEWAL_LIMIT_MS),
+        tasks=KeptTasks(clock, audit, counters),
     )
     membership.on_heartbeat.append(control.see_heartbeat)
     in_force.on_change.append(control.take_publication)
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -1,7 +1,5 @@
 """One instance that forwards requests by routes to endpoints that discovery lists."""
 
-import asyncio
-from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -31,6 +29,7 @@
 from radishmount.policy import QueryPolicy
 from radishmount.publication import InForce, Publication, ReadBundle
 from radishmount.queries import Explained, ExplainLog
+from radishmount.tasks import KeptTasks
 
 
 __all__ = ["Gateway", "GatewayParts", "make_gateway"]
@@ -82,25 +81,23 @@
     pace_spread: PaceSpread
     audit: AuditTrail
     counters: Counters
+    tasks: KeptTasks
     leaving: bool = False
     explanations: ExplainLog = field(default_factory=ExplainLog)
     in_flight: int = 0
-    tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def start(self) -> None:
         """Start the tasks that keep the instance in step."""
         self.control.start()
         self.pace_spread.start()
-        self._start_task("spread paces", self.pace_spread.run())
-        self._start_task("follow store", self.follower.run())
-        self._start_task("settle roster", self._settle())
-        self._start_task("tell of changes", self.follower.run_changes())
+        self.tasks.start("spread paces", self.pace_spread.run)
+        self.tasks.start("follow store", self.follower.run)
+        self.tasks.start("settle roster", self._settle)
+        self.tasks.start("tell of changes", self.follower.run_changes)
 
     async def stop(self) -> None:
         """End every task and close every connection."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.tasks.stop()
         await self.control.stop()
         await self.pool.stop()
         await self.parts.store.close()
@@ -232,9 +229,6 @@
             await self.parts.clock.sleep_ms(SETTLE_CHECK_MS)
         await self.take_roster()
 
-    def _start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        self.tasks.append(asyncio.create_task(work, name=name))
-
 
 def make_gateway(
     parts: GatewayParts, audit: AuditTrail, counters: Counters | None = None
@@ -277,7 +271,17 @@
         take_hints=pool.take_pace_hints,
     )
     gateway = Gateway(
-        parts, control, in_force, endpoints, follower, pool, tools, pace_spread, audit, counters
+        parts=parts,
+        control=control,
+        in_force=in_force,
+        endpoints=endpoints,
+        follower=follower,
+        pool=pool,
+        tools=tools,
+        pace_spread=pace_spread,
+        audit=audit,
+        counters=counters,
+        tasks=KeptTasks(clock, audit, counters),
     )
     request_log = RequestLog(clock, counters, parts.emit)
 
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -1,8 +1,7 @@
 """One entry instance: its aggregates, put together."""
 
-import asyncio
-from collections.abc import Callable, Coroutine, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -36,6 +35,7 @@
 from radishmount.policy import EVERY_MECHANISM, QueryPolicy
 from radishmount.publication import InForce, Publication, ReadBundle, Rule, Shard
 from radishmount.queries import Answer, Explained, QueryTools, Search, SearchCall, run_search
+from radishmount.tasks import KeptTasks
 
 
 __all__ = ["Node", "NodeParts", "Platform", "make_node"]
@@ -76,7 +76,7 @@
     audit: AuditTrail
     counters: Counters
     admission: Admission
-    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    tasks: KeptTasks
 
     @property
     def fleet(self) -> Fleet:
@@ -96,14 +96,12 @@
     def start(self) -> None:
         """Start what keeps the instance in step with the fleet."""
         self.control.start()
-        self._start_task("load", self._tell_load())
+        self.tasks.start("load", self._tell_load)
 
     async def stop(self) -> None:
         """Finish the orders in flight, end every task and close every connection."""
         await self.orders.runner.drain()
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.tasks.stop()
         await self.control.stop()
         await self.pool.stop()
 
@@ -238,9 +236,6 @@
             await self.parts.clock.sleep_ms(LOAD_INTERVAL_MS)
             self.control.take_load(self.load())
 
-    def _start_task(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        self.tasks.append(asyncio.create_task(work, name=name))
-
 
 def _is_complete(answer: Result[Answer, Refusal]) -> bool:
     return isinstance(answer, Ok) and answer.ok_value.coverage.complete
@@ -298,6 +293,7 @@
         audit=audit,
         counters=counters,
         admission=join_admission(parts.clock, counters, pool, control.fleet, control.in_force),
+        tasks=KeptTasks(parts.clock, audit, counters),
     )
     node.in_force.on_change.append(node.take_publication)
     node.control.list_watch.on_change.append(node.take_list)
--- /dev/null
+++ b/tests/test_tasks.py
@@ -0,0 +1,72 @@
+"""Tests of tasks that are kept running, on virtual time."""
+
+import asyncio
+
+import pytest
+
+from fakes import virtual_clock
+from radishmount.audit import AuditTrail
+from radishmount.counters import Counters
+from radishmount.tasks import KeptTasks
+
+
+pytestmark = pytest.mark.looptime
+
+
+class TestKeptTasks:
+    """One that fails is begun anew, and nobody misses it."""
+
+    async def test_a_task_that_fails_is_told_of_and_begun_anew(self) -> None:
+        clock, counters = virtual_clock(), Counters()
+        audit = AuditTrail(clock)
+        runs = 0
+
+        async def fail_twice() -> None:
+            nonlocal runs
+            runs += 1
+            if runs <= 2:
+                raise ValueError("unforeseen")
+            await asyncio.sleep(3_600.0)
+
+        tasks = KeptTasks(clock, audit, counters)
+        tasks.start("follow", fail_twice)
+        await asyncio.sleep(5.0)
+
+        assert runs == 3
+        assert counters.value("task_errors", "follow") == 2
+        assert [line.subject for line in audit.lines] == ["task/follow"] * 2
+        await tasks.stop()
+
+    async def test_a_task_that_ends_is_not_begun_anew(self) -> None:
+        clock = virtual_clock()
+        runs = 0
+
+        async def once() -> None:
+            nonlocal runs
+            runs += 1
+
+        tasks = KeptTasks(clock, AuditTrail(clock), Counters())
+        tasks.start("once", once)
+        await asyncio.sleep(5.0)
+
+        assert runs == 1
+        await tasks.stop()
+
+    async def test_stopping_ends_them_all(self) -> None:
+        clock, audit = virtual_clock(), AuditTrail(virtual_clock())
+        ended = []
+
+        async def wait() -> None:
+            try:
+                await asyncio.sleep(3_600.0)
+            finally:
+                ended.append(True)
+
+        tasks = KeptTasks(clock, audit, Counters())
+        for name in ("one", "other"):
+            tasks.start(name, wait)
+        await asyncio.sleep(0.1)
+        await tasks.stop()
+
+        assert ended == [True, True]
+        assert not audit.lines
