--- a/src/radishmount/border/_peer_models.py
+++ b/src/radishmount/border/_peer_models.py
@@ -153,6 +153,7 @@
     caller_address: Address
     peer_address: Address
     state: Annotated[InstanceState, Field(strict=False)]
+    capacity: Annotated[float, Field(ge=0.0, strict=False)]
 
 
 class ListReplyModel(PeerModel):
--- a/src/radishmount/control/_control.py
+++ b/src/radishmount/control/_control.py
@@ -126,11 +126,7 @@
 
     def take_load(self, load: float) -> None:
         """Say that this instance is overloaded, or that it is no more."""
-        state = self.fleet.members.own.state
-        if state is MemberState.LIVE and load >= 1.0:
-            self.fleet.members.say(MemberState.OVERLOADED, f"load {load:.2f}")
-        if state is MemberState.OVERLOADED and load < 0.75:
-            self.fleet.members.say(MemberState.LIVE, f"load {load:.2f}")
+        self.fleet.members.take_load(load)
 
     def status(self) -> dict[str, Any]:
         """Return what operators are shown of versions and peers."""
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -1,7 +1,7 @@
 """All endpoints of the publication in force, and the links to them."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from result import Err
@@ -27,6 +27,7 @@
 
 __all__ = ["EndpointPool"]
 
+CARRIERS_PART = 0.5  # of a cap
 FEW_REQUESTS_RISE_WEIGHT = 0.5  # two slow exchanges in a row tell three quarters of the change
 
 
@@ -42,6 +43,7 @@
     policy: QueryPolicy = EVERY_MECHANISM
     publication: Publication = EMPTY_PUBLICATION
     holders: HolderBook = field(default_factory=HolderBook)
+    carriers: int | None = None
     links_by_name: dict[str, Link] = field(default_factory=dict)
     endpoints_by_service: dict[str, list[Endpoint]] = field(default_factory=dict)
     retiring: list[Link] = field(default_factory=list)
@@ -62,12 +64,19 @@
             return
         link.submit(attempt)
 
-    async def take_publication(self, publication: Publication, instances: Iterable[str]) -> None:
+    async def take_publication(
+        self,
+        publication: Publication,
+        instances: Iterable[str],
+        carriers: int | None = None,
+    ) -> None:
         """Link to the endpoints that are new, and retire the links to those that are gone.
 
-        Exchanges over a retired link end on their own, so no request in flight is cut.
+        Exchanges over a retired link end on their own, so no request in flight is cut. `carriers`
+        is how many instances have a part of the connections for themselves, this one among them.
         """
         self.publication = publication
+        self.carriers = carriers
         self.holders.take_instances(instances)
         self.holders.keep_only(publication.endpoints_by_name)
         for name, link in list(self.links_by_name.items()):
@@ -153,7 +162,7 @@
         holders = self.holders.holders_of(name, service.connections)
         limit = service.connections
         if self.policy.holders:
-            limit = share_of_holder(len(holders), limit) if self.own_name in holders else 0
+            limit = self._share(holders, limit)
         link = self.links_by_name.get(name) or self._revived(spec)
         if link is None:
             link = self._new_link(spec, limit)
@@ -165,6 +174,17 @@
         self.links_by_name[name] = link
         link.set_limit(limit)
 
+    def _share(self, holders: Sequence[str], cap: int) -> int:
+        """Return how many connections this instance may have to an endpoint.
+
+        Instances that callers are not sent to open few of theirs, so carriers have half of the cap
+        for themselves beside the share of all holders.
+        """
+        share = share_of_holder(len(holders), cap) if self.own_name in holders else 0
+        if self.carriers is None:
+            return share
+        return max(share, share_of_holder(self.carriers, int(CARRIERS_PART * cap)))
+
     def _new_link(self, spec: EndpointSpec, limit: int) -> Link:
         endpoint = Endpoint(
             spec=spec,
--- a/src/radishmount/fleet/__init__.py
+++ b/src/radishmount/fleet/__init__.py
@@ -4,9 +4,9 @@
     ADDRESSES_VALID_FOR_MS,
     AddressAnswer,
     choose_addresses,
-    choose_nearest,
 )
 from radishmount.fleet._backoff import Backoff
+from radishmount.fleet._carriers import FleetShares, carriers_of, choose_nearest, fleet_shares
 from radishmount.fleet._cost import ControlCost
 from radishmount.fleet._duty import fallback_interval_ms, is_watcher
 from radishmount.fleet._endpoint_news import EndpointNews
@@ -97,7 +97,10 @@
     "RosterNews",
     "Taken",
     "choose_addresses",
+    "FleetShares",
+    "carriers_of",
     "choose_nearest",
+    "fleet_shares",
     "fallback_interval_ms",
     "first_incarnation",
     "is_watcher",
--- a/src/radishmount/fleet/_addresses.py
+++ b/src/radishmount/fleet/_addresses.py
@@ -7,12 +7,11 @@
 from radishmount.rendezvous import rank
 
 
-__all__ = ["ADDRESSES_VALID_FOR_MS", "AddressAnswer", "choose_addresses", "choose_nearest"]
+__all__ = ["ADDRESSES_VALID_FOR_MS", "AddressAnswer", "choose_addresses"]
 
 ANSWERED_ADDRESSES = 4
 ADDRESSES_VALID_FOR_MS = 5_000
 LOAD_STEP = 0.25
-LEAST_NEAREST = 2  # one may be lost, and its callers still have another
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,21 +40,6 @@
     return AddressAnswer(instances=tuple(_with_two_data_centres(chosen, unfit)))
 
 
-def choose_nearest(fleet: Fleet, data_centre: str, limit: int) -> tuple[Instance, ...]:
-    """Return the instances for a caller that picks any of them: those of its data centre.
-
-    Where these are too few to lose one, instances of other data centres fill up. Suspected ones
-    come only where nobody else is known.
-    """
-    taking = [fleet.by_name[name] for name in fleet.by_name if fleet.takes_work(name)]
-    fit = [instance for instance in taking if fleet.is_fit(instance.name)] or taking
-    own = [instance for instance in fit if instance.data_centre == data_centre]
-    others = [instance for instance in fit if instance.data_centre != data_centre]
-    ranked = {instance.name: instance for instance in others}
-    fill = [ranked[name] for name in rank(data_centre, ranked)]
-    return tuple([*own, *fill[: max(0, LEAST_NEAREST - len(own))]][:limit])
-
-
 def _by_load(fleet: Fleet, names: list[str]) -> list[str]:
     """Return `names` with the less loaded first; the order within a step of load stays."""
     return sorted(names, key=lambda name: int(fleet.load_of(name) / LOAD_STEP))
--- a/src/radishmount/fleet/_instance.py
+++ b/src/radishmount/fleet/_instance.py
@@ -16,10 +16,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Instance:
-    """An entry instance of the list. Addresses are an IP number and a port."""
+    """An entry instance of the list. Addresses are an IP number and a port.
+
+    `capacity` is its processor's speed, compared with a whole core.
+    """
 
     name: str
     data_centre: str
     caller_address: str
     peer_address: str
     state: InstanceState = InstanceState.LIVE
+    capacity: float = 1.0
--- a/src/radishmount/fleet/_members.py
+++ b/src/radishmount/fleet/_members.py
@@ -8,6 +8,9 @@
 
 __all__ = ["Member", "Members"]
 
+OVERLOADED_AT = 1.0  # all of what the instance has is in use
+LIVE_AGAIN_BELOW = 0.75  # lower, so that callers do not come and go by turns
+
 
 @dataclass(slots=True)
 class Member:
@@ -62,6 +65,13 @@
         self._tell(self.own, cause)
         return True
 
+    def take_load(self, load: float) -> None:
+        """Say that this instance is overloaded, or that it is no more."""
+        if self.own.state is MemberState.LIVE and load >= OVERLOADED_AT:
+            self.say(MemberState.OVERLOADED, f"load {load:.2f}")
+        if self.own.state is MemberState.OVERLOADED and load < LIVE_AGAIN_BELOW:
+            self.say(MemberState.LIVE, f"load {load:.2f}")
+
     def suspect(self, name: str, incarnation: int) -> bool:
         """Say that an instance does not answer; tell whether that was news."""
         member = self.by_name.get(name)
--- a/src/radishmount/forwarding/_budget.py
+++ b/src/radishmount/forwarding/_budget.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from radishmount.fleet import FleetShares
 from radishmount.queries import ExtraBudget
 
 
@@ -9,7 +10,8 @@
 
 RATIO_MARGIN = 0.9  # the instances' windows do not begin together, so a tenth is kept back
 SLACK_MARGIN = 0.8  # an instance that has just joined is not counted by all others yet
-UNKNOWN_INSTANCES = 16  # a slack divided by this is safe until the fleet is known
+# A slack divided by this is safe until the fleet is known.
+UNKNOWN_SHARES = FleetShares(instances=16, carriers=16)
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,16 +31,17 @@
     """The repeats that this instance may send, for each service.
 
     The ratio holds for the requests that come here, so it needs no division; the slack is divided
-    over the `instances` that are listed, whether they can be reached or not.
+    over the instances that are listed, whether they can be reached or not, and half of it again
+    over those that callers are sent to.
     """
 
     bounds: RepeatBounds = field(default_factory=RepeatBounds)
-    instances: int = UNKNOWN_INSTANCES
+    shares: FleetShares = UNKNOWN_SHARES
     budgets_by_service: dict[str, ExtraBudget] = field(default_factory=dict)
 
-    def take_instances(self, count: int) -> None:
-        """Divide the slack over `count` instances."""
-        self.instances = max(1, count)
+    def take_shares(self, shares: FleetShares) -> None:
+        """Divide the slack over the instances that are listed, and those that carry requests."""
+        self.shares = shares
         self._divide()
 
     def take_bounds(self, bounds: RepeatBounds) -> None:
@@ -71,4 +74,4 @@
             budget.window_ms = self.bounds.window_ms
 
     def _reserve(self) -> float:
-        return self.bounds.slack * SLACK_MARGIN / self.instances
+        return self.shares.of(self.bounds.slack * SLACK_MARGIN)
--- a/src/radishmount/forwarding/_lag.py
+++ b/src/radishmount/forwarding/_lag.py
@@ -9,6 +9,7 @@
 FALL_WEIGHT = 0.05  # and remembered for some dozens
 TURNS_OF_REQUEST = 2.0  # one before a request is seen, one before its answer leaves
 LIMIT_MS = 30.0  # above this an instance is overloaded, and answers earlier help nobody
+OVERLOADED_MS = 40.0  # about half of the shortest target that routes usually have
 
 
 @dataclass(slots=True)
@@ -29,3 +30,7 @@
     def margin_ms(self) -> float:
         """Return how much earlier an answer has to be decided on to leave in time."""
         return min(LIMIT_MS, TURNS_OF_REQUEST * self.late_ms)
+
+    def load(self) -> float:
+        """Return the load that the lateness shows, 1.0 where the instance is too slow to use."""
+        return self.late_ms / OVERLOADED_MS
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -13,7 +13,7 @@
 from radishmount.counters import Counters
 from radishmount.discovery import EndpointList, Store, StoreFollower
 from radishmount.endpoints import EndpointPool, ForwardCall, OpenChannel, make_weighted_choice
-from radishmount.fleet import Instance, PaceSpread, choose_nearest
+from radishmount.fleet import Instance, PaceSpread, carriers_of, choose_nearest, fleet_shares
 from radishmount.forwarding import (
     ForwardBudget,
     Forwarded,
@@ -38,6 +38,7 @@
 ASSUMED_INSTANCES = 8  # the usual fleet, for the shares of connections until the roster is known
 ADDRESSES_VALID_MS = 2_000.0  # callers leave an instance that is lost within this time
 MAX_ADDRESSES = 64  # as many as callers read
+CARRIERS_CHECK_MS = 250.0  # a fraction of the time for which callers keep addresses
 SETTLE_CHECK_MS = 100.0  # a fraction of the time in which a fleet finds itself
 
 
@@ -85,6 +86,7 @@
     leaving: bool = False
     explanations: ExplainLog = field(default_factory=ExplainLog)
     in_flight: int = 0
+    carriers: frozenset[str] = frozenset()
 
     def start(self) -> None:
         """Start the tasks that keep the instance in step."""
@@ -93,6 +95,7 @@
         self.tasks.start("spread paces", self.pace_spread.run)
         self.tasks.start("follow store", self.follower.run)
         self.tasks.start("settle roster", self._settle)
+        self.tasks.start("follow carriers", self._follow_carriers)
         self.tasks.start("tell of changes", self.follower.run_changes)
 
     async def stop(self) -> None:
@@ -207,13 +210,16 @@
     async def renew_endpoints(self) -> None:
         """Bring the links in step with the configuration, the endpoints and the instances."""
         joined = self.endpoints.join(self.publication)
-        await self.pool.take_publication(joined, self._sharing_instances())
+        is_carrier = self.parts.own.name in self.carriers
+        carriers = len(self.carriers) if is_carrier and self.control.roster.is_settled() else None
+        await self.pool.take_publication(joined, self._sharing_instances(), carriers)
         self.pool.take_leaving(self.endpoints.draining_names)
 
     async def take_roster(self) -> None:
         """Divide connections and repeats anew over the instances that are known."""
+        self.carriers = carriers_of(self.control.fleet)
         if self.control.roster.is_settled():
-            self.tools.budget.take_instances(len(self.control.fleet.listed_names))
+            self.tools.budget.take_shares(fleet_shares(self.control.fleet, self.carriers))
         await self.renew_endpoints()
 
     def _sharing_instances(self) -> list[str]:
@@ -229,6 +235,14 @@
             await self.parts.clock.sleep_ms(SETTLE_CHECK_MS)
         await self.take_roster()
 
+    async def _follow_carriers(self) -> None:
+        """Divide anew when callers are sent to other instances, and tell of this one's load."""
+        while True:
+            await self.parts.clock.sleep_ms(CARRIERS_CHECK_MS)
+            self.control.fleet.members.take_load(self.tools.lag.load())
+            if carriers_of(self.control.fleet) != self.carriers:
+                await self.take_roster()
+
 
 def make_gateway(
     parts: GatewayParts, audit: AuditTrail, counters: Counters | None = None
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -100,6 +100,7 @@
             settings.data_centre,
             str(settings.caller_listen),
             str(settings.peer_listen),
+            capacity=settings.capacity,
         ),
         seeds=settings.seeds,
         clock=clock,
@@ -147,6 +148,17 @@
             return Ok(RunningInstance(gateway, servers, peers))
 
 
+@dataclass(slots=True)
+class SettingsFile:
+    """The settings file, and what told its content apart just before it was last read.
+
+    So a change that comes while the instance starts is seen later.
+    """
+
+    path: Path
+    stamp: tuple[int, int]
+
+
 class RunCommand(Command):
     """The only command of the program."""
 
@@ -164,6 +176,7 @@
         if not path:
             tell_error(self, f"{PROGRAM} needs --settings FILE or {BOOT_VARIABLE}")
             return Exit.BAD_USAGE
+        stamp = _stamp_of(Path(path))
         match read_deployment_settings(Path(path)):
             case Err(refusal):
                 tell_error(self, f"{PROGRAM}: {refusal}")
@@ -176,24 +189,24 @@
         if port and not port.isdecimal():
             tell_error(self, f"{PROGRAM}: --metrics-port takes a number")
             return Exit.BAD_USAGE
-        return asyncio.run(_run(Path(path), settings, int(port) if port else None))
+        file = SettingsFile(Path(path), stamp)
+        return asyncio.run(_run(file, settings, int(port) if port else None))
 
 
 async def _follow_settings(
-    path: Path, reload: asyncio.Event, instance: RunningInstance, clock: Clock
+    file: SettingsFile, reload: asyncio.Event, instance: RunningInstance
 ) -> None:
     """Take the settings file again when it has changed, with a signal or without one."""
-    known = _stamp_of(path)
     while True:
         try:
             async with asyncio.timeout(SETTINGS_CHECK_S):
                 await reload.wait()
         except TimeoutError:
-            if _stamp_of(path) == known:
+            if _stamp_of(file.path) == file.stamp:
                 continue
         reload.clear()
-        known = _stamp_of(path)
-        match read_deployment_settings(path):
+        file.stamp = _stamp_of(file.path)
+        match read_deployment_settings(file.path):
             case Err(refusal):
                 log_state_change("settings refused", cause=str(refusal))
             case Ok(settings):
@@ -227,7 +240,7 @@
             instance.servers.append(server)
 
 
-async def _run(path: Path, settings: DeploymentSettings, metrics_port: int | None) -> int:
+async def _run(file: SettingsFile, settings: DeploymentSettings, metrics_port: int | None) -> int:
     output = set_up_logging(settings.name)
     loop = asyncio.get_running_loop()
     clock = machine_clock(loop)
@@ -250,7 +263,7 @@
         listen = Listen(settings.caller_listen.host, metrics_port)
         serving = _serve_operators(instance, listen)
         tasks.append(asyncio.create_task(serving, name="serve operators"))
-    following = _follow_settings(path, reload, instance, clock)
+    following = _follow_settings(file, reload, instance)
     tasks.append(asyncio.create_task(following, name="follow settings"))
     await stop.wait()
     log_state_change("leaving")
--- a/src/radishmount/platform/_settings.py
+++ b/src/radishmount/platform/_settings.py
@@ -22,11 +22,13 @@
     """What an instance is told at its start. Times are in milliseconds.
 
     `seeds` are peer addresses of at most three instances, any of which may be stale or down.
-    `changes_due_ms` is when what the operator or an endpoint says is to be known everywhere.
+    `capacity` is the processor's speed compared with a whole core; `changes_due_ms` is when what
+    the operator or an endpoint says is to be known everywhere.
     """
 
     name: str
     data_centre: str
+    capacity: float
     caller_listen: Listen
     readiness_listen: Listen
     peer_listen: Listen
@@ -66,6 +68,14 @@
     ttl_max_s: float = Field(5.0, alias="ttl_max_s")
 
 
+class ProcessorModel(PlatformModel):
+    """What the process may use of its machine."""
+
+    # The share of a core that it gets, `cores` times as fast; one thread runs at a time.
+    cpu_share: float = Field(1.0, alias="cpuShare")
+    cores: float = 1.0
+
+
 class StoreModel(PlatformModel):
     """Where the platform's store is."""
 
@@ -79,6 +89,7 @@
     zone: str
     seeds: list[str] = []
     listen: ListenModel
+    limits: ProcessorModel = Field(default_factory=lambda: ProcessorModel.model_validate({}))
     bounds: BoundsModel = Field(default_factory=lambda: BoundsModel.model_validate({}))
     platform: StoreModel
 
@@ -88,6 +99,7 @@
         return DeploymentSettings(
             name=self.node_name,
             data_centre=self.zone,
+            capacity=self.limits.cpu_share * self.limits.cores,
             caller_listen=split_address(self.listen.front),
             readiness_listen=split_address(self.listen.ready),
             peer_listen=split_address(self.listen.control),
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -24,6 +24,7 @@
     LoadReport,
     make_weighted_choice,
 )
+from radishmount.fleet import FleetShares
 from radishmount.forwarding import (
     ForwardBudget,
     Forwarded,
@@ -138,6 +139,7 @@
         self.pool = EndpointPool(
             "entry", self._open, self.clock, self.counters, AuditTrail(self.clock), FORWARD_POLICY
         )
+        self.pool.holders.connections_per_holder = 1
         bounds = bounds or RepeatBounds(ratio=0.2, slack=1_000.0)
         self.tools = ForwardTools(
             self.pool,
@@ -145,7 +147,7 @@
             self.random,
             make_weighted_choice(DATA_CENTRE, Random(5), FORWARD_POLICY),
             self.counters,
-            ForwardBudget(bounds, instances=1),
+            ForwardBudget(bounds, FleetShares()),
         )
         self.last_id = 0
 
--- a/tests/forwarding/test_budget.py
+++ b/tests/forwarding/test_budget.py
@@ -1,5 +1,6 @@
 """Tests of the budget of repeats that all instances share."""
 
+from radishmount.fleet import FleetShares
 from radishmount.forwarding import ForwardBudget, RepeatBounds
 
 
@@ -24,24 +25,40 @@
         granted = 0
         for _ in range(instances):
             budget = ForwardBudget(BOUNDS)
-            budget.take_instances(instances)
+            budget.take_shares(FleetShares(instances, instances))
             granted += repeats_granted(budget, 100, 0.0)
 
         assert granted <= BOUNDS.ratio * 100 * instances + BOUNDS.slack
 
+    def test_carriers_and_all_others_together_stay_within_the_bounds(self) -> None:
+        granted = 0
+        for number in range(69):
+            budget = ForwardBudget(BOUNDS)
+            budget.take_shares(FleetShares(instances=69, carriers=8, is_carrier=number < 8))
+            granted += repeats_granted(budget, 10, 0.0)
+
+        assert granted <= BOUNDS.ratio * 10 * 69 + BOUNDS.slack
+
+    def test_a_carrier_has_more_of_the_slack(self) -> None:
+        carrier, other = ForwardBudget(BOUNDS), ForwardBudget(BOUNDS)
+        carrier.take_shares(FleetShares(instances=69, carriers=8))
+        other.take_shares(FleetShares(instances=69, carriers=8, is_carrier=False))
+
+        assert carrier.left("s", 0.0) > 8 * other.left("s", 0.0)
+
     def test_an_instance_that_knows_no_other_takes_little_of_the_slack(self) -> None:
         assert repeats_granted(ForwardBudget(BOUNDS), 0, 0.0) <= BOUNDS.slack / 9
 
     def test_a_longer_window_holds_what_was_spent_for_longer(self) -> None:
         budget = ForwardBudget(RepeatBounds(ratio=0.2, slack=50.0, window_ms=30_000.0))
-        budget.take_instances(1)
+        budget.take_shares(FleetShares())
         repeats_granted(budget, 10, 0.0)
 
         assert not budget.spend("s", 29_000.0)
 
     def test_new_bounds_hold_for_services_that_were_in_use_before(self) -> None:
         budget = ForwardBudget(BOUNDS)
-        budget.take_instances(1)
+        budget.take_shares(FleetShares())
         before = budget.left("s", 0.0)
 
         budget.take_bounds(RepeatBounds(ratio=0.2, slack=10.0, window_ms=20_000.0))
@@ -51,7 +68,7 @@
         assert not budget.spend("s", 19_000.0)
 
     def test_what_was_spent_comes_back_after_the_window(self) -> None:
-        budget = ForwardBudget(BOUNDS, instances=1)
+        budget = ForwardBudget(BOUNDS, FleetShares())
         first = repeats_granted(budget, 10, 0.0)
 
         assert not budget.spend("s", 9_000.0)
--- a/tests/forwarding/test_overload.py
+++ b/tests/forwarding/test_overload.py
@@ -71,3 +71,28 @@
             await asyncio.sleep(0.01)
 
             assert sum(len(b.abandoned) for b in world.of("s3")) >= 1
+
+
+class TestCarriers:
+    """The load pattern in which few of many instances carry all requests."""
+
+    async def test_a_carrier_has_connections_to_every_endpoint(self) -> None:
+        async with forward_world(4) as world:
+            names = ["entry", *(f"other-{n}" for n in range(68))]
+            await world.pool.take_publication(world.pool.publication, names, carriers=8)
+            as_carrier = {link.connection_limit for link in world.pool.links_by_name.values()}
+            await world.pool.take_publication(world.pool.publication, names)
+            as_other = {link.connection_limit for link in world.pool.links_by_name.values()}
+
+            assert as_carrier == {2}
+            assert as_other <= {0, 1}
+
+    async def test_equal_instances_have_what_they_had(self) -> None:
+        async with forward_world(4) as world:
+            names = ["entry", *(f"other-{n}" for n in range(8))]
+            limits = []
+            for carriers in (None, 9):
+                await world.pool.take_publication(world.pool.publication, names, carriers)
+                limits.append({link.connection_limit for link in world.pool.links_by_name.values()})
+
+            assert limits[0] == limits[1] == {4}
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -138,6 +138,7 @@
     return DeploymentSettings(
         name="front-1",
         data_centre="z1",
+        capacity=1.0,
         caller_listen=FREE,
         readiness_listen=FREE,
         peer_listen=FREE,
