Expect the exit of an instance that is started with settings that cannot be read

The trace: bad settings from before its reading until after its exit. The check passes over this exit only while such settings are in place.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -26,6 +26,7 @@
 NETWORKS = 200
 TERM_EXITS = frozenset({0})
 KILLED = -signal.SIGKILL
+BAD_SETTINGS_EXIT = 2
 
 
 @dataclass(slots=True, eq=False)
@@ -42,14 +43,22 @@
     expected_exits: set[int] = field(default_factory=set)
     seeds: tuple[str, ...] = ()
     slack: int = 50
+    has_bad_settings: bool = False
 
     @property
     def settings_path(self) -> Path:
         """Return where its settings are."""
         return self.folder / f"{self.name}.toml"
 
+    def spoil_settings(self) -> None:
+        """Write what no program can read; one that is being started may meet it."""
+        self.has_bad_settings = True
+        self.expected_exits.add(BAD_SETTINGS_EXIT)
+        self.settings_path.write_text("nodeName = 3 = 4")
+
     def write_settings(self) -> None:
         """Write the settings as the platform would."""
+        self.has_bad_settings = False
         listen = "\n".join(f'{name} = "{self.ip}:{port}"' for name, port in PORTS.items())
         seeds = ", ".join(f'"{seed}"' for seed in self.seeds)
         text = (
@@ -116,7 +125,8 @@
 
     async def _keep(self, instance: SoakInstance) -> None:
         while not self.ending:
-            instance.expected_exits = set()
+            # One that is started with settings that cannot be read says so and ends.
+            instance.expected_exits = {BAD_SETTINGS_EXIT} if instance.has_bad_settings else set()
             log = (instance.folder / f"{instance.name}.log").open("ab")
             instance.process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -121,7 +121,7 @@
 
     async def _change_settings(self, fault: Fault, instance: SoakInstance) -> None:
         if fault.kind is FaultKind.BAD_SETTINGS:
-            instance.settings_path.write_text("nodeName = 3 = 4")
+            instance.spoil_settings()
             self.fleet.signal(instance, signal.SIGHUP)
             await asyncio.sleep(min(fault.for_s, 1.0))
         else:
