--- a/src/radishmount/forwarding/_lag.py
+++ b/src/radishmount/forwarding/_lag.py
@@ -9,6 +9,7 @@
 FALL_WEIGHT = 0.05  # and remembered for some dozens
 TURNS_OF_REQUEST = 2.0  # one before a request is seen, one before its answer leaves
 LIMIT_MS = 30.0  # above this an instance is overloaded, and answers earlier help nobody
+SAMPLE_LIMIT_MS = 80.0  # a process that stood still for seconds is not overloaded afterwards
 OVERLOADED_MS = 40.0  # about half of the shortest target that routes usually have
 
 
@@ -24,6 +25,7 @@
 
     def add(self, late_ms: float) -> None:
         """Take how much later than planned a timer was handled."""
+        late_ms = min(late_ms, SAMPLE_LIMIT_MS)
         weight = RISE_WEIGHT if late_ms > self.late_ms else FALL_WEIGHT
         self.late_ms += weight * (late_ms - self.late_ms)
 
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -238,7 +238,9 @@
     async def _follow_carriers(self) -> None:
         """Divide anew when callers are sent to other instances, and tell of this one's load."""
         while True:
+            due_at_ms = self.parts.clock.now_ms() + CARRIERS_CHECK_MS
             await self.parts.clock.sleep_ms(CARRIERS_CHECK_MS)
+            self.tools.lag.add(max(0.0, self.parts.clock.now_ms() - due_at_ms))
             self.control.fleet.members.take_load(self.tools.lag.load())
             if carriers_of(self.control.fleet) != self.carriers:
                 await self.take_roster()
--- a/tests/forwarding/test_lag.py
+++ b/tests/forwarding/test_lag.py
@@ -23,6 +23,23 @@
 
         assert lag.margin_ms() > 14.0
 
+    def test_one_pause_of_seconds_is_no_overload(self) -> None:
+        lag = TurnLag()
+        lag.add(4_000.0)
+
+        assert lag.load() < 0.75
+
+    def test_an_instance_that_is_always_late_is_overloaded_until_it_is_not(self) -> None:
+        lag = TurnLag()
+        for _ in range(10):
+            lag.add(60.0)
+        overloaded = lag.load()
+        for _ in range(40):
+            lag.add(0.0)
+
+        assert overloaded > 1.0
+        assert lag.load() < 0.75
+
     def test_the_margin_is_bounded(self) -> None:
         assert TurnLag(500.0).margin_ms() == 30.0
 
