Tell only carriers of slow endpoints where these are few, and send no news that peers have sent already

Change: where at most 17 instances carry requests each tells the others directly; the rest of the fleet has no use for it. A watcher whose answer holds nothing new to it tells nobody.

Ruled out: the sub-requests: 106,000 at some 0.8 KB make a fifth of the bytes and 0.1 ms each. Failing first: none of the two is a fault of behaviour; new tests count frames and bytes.

--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -263,10 +263,11 @@
         else:
             self._put_all(answer, now_ms)
         after, self.known_revision = self.known_revision, answer.revision
+        is_news = answer.last_change > self.held_revision  # else a peer was quicker
         self.held_revision = max(self.held_revision, answer.last_change)
         if not answer.entries:
             return
-        if not is_full:
+        if is_news and not is_full:
             self.on_news(self._news_of(answer, after))
         await self.on_change()
 
--- a/src/radishmount/fleet/_pace_news.py
+++ b/src/radishmount/fleet/_pace_news.py
@@ -1,12 +1,14 @@
 """The spread of which endpoints are slow: what one instance finds out, all know."""
 
-from collections.abc import Callable, Iterable, Mapping
+import asyncio
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from result import Ok
+
 from radishmount.clock import Clock
 from radishmount.counters import Counters
 from radishmount.fleet._messages import PaceNews
-from radishmount.fleet._neighbours import NEIGHBOUR_LIMIT
 from radishmount.fleet._peers import Peers
 from radishmount.fleet._session import PeerSession
 
@@ -17,6 +19,7 @@
 TELL_AGAIN_MS = 2_000.0  # an endpoint that stays slow; what is told fades in about twice that
 CONFIRMING_APART_MS = 300.0  # longer than an endpoint usually pauses
 CONFIRMING_WITHIN_MS = 2_000.0  # less than the time between two pauses
+FEW_CARRIERS = 17  # a frame to each of these costs less than one on each stream of a large fleet
 MOST_TOLD = 200  # in one frame, far below its limit of bytes
 
 Paces = Mapping[str, float]
@@ -51,11 +54,11 @@
 class PaceSpread:
     """Tells peers which endpoints this instance found slow, and takes the same from them.
 
-    A small fleet is a full mesh: one frame to each other instance tells all. In a larger one news
-    travel on from neighbour to neighbour, a frame for each stream of the fleet. So they are sent
-    only when an endpoint was seen slow twice, here or by neighbours, with more time in between
-    than an endpoint usually pauses. `number` grows with what an instance tells, and news that were
-    seen are not sent on.
+    Only the instances that carry requests need to know. Where these are few, each tells the others
+    directly. Where they are many, news travel on from neighbour to neighbour, a frame for each
+    stream of the fleet. So they are sent only when an endpoint was seen slow twice, here or by
+    neighbours, with more time in between than an endpoint usually pauses. `number` grows with what
+    an instance tells, and news that were seen are not sent on.
     """
 
     peers: Peers
@@ -63,11 +66,13 @@
     counters: Counters
     find_slow: Callable[[], Iterable[PaceHint]]
     take_hints: Callable[[Paces], None]
+    carriers: Callable[[], Collection[str]]
     number: int = 0
     told_at_ms_by_endpoint: dict[str, float] = field(default_factory=dict)
     seen_by_origin: dict[str, int] = field(default_factory=dict)
     sightings_by_endpoint: dict[str, Sightings] = field(default_factory=dict)
     own_sighting_ms_by_endpoint: dict[str, float] = field(default_factory=dict)
+    opening: set[asyncio.Task[None]] = field(default_factory=set)
 
     def start(self) -> None:
         """Take what peers tell."""
@@ -86,7 +91,7 @@
         for hint in self.find_slow():
             if self._was_told(hint.endpoint, now_ms):
                 continue
-            if self._is_mesh():
+            if self._are_few():
                 paces[hint.endpoint] = hint.latency_ms
             elif self._is_new_sighting(hint):
                 is_confirmed = self._confirms(hint.endpoint, hint.seen_at_ms)
@@ -101,7 +106,11 @@
             return
         for name in paces:
             self.told_at_ms_by_endpoint[name] = now_ms
-        self._send(self._news(paces, is_confirmed=True), self.peers.sessions_by_name)
+        news = self._news(paces, is_confirmed=True)
+        if self._are_few():
+            self._send_to_carriers(news)
+        else:
+            self._send(news, self.peers.sessions_by_name)
 
     def _ask(self, paces: Paces) -> None:
         """Tell the neighbours what may be a pause; they tell all if they see it too."""
@@ -130,7 +139,7 @@
         for name in paces:
             self.told_at_ms_by_endpoint[name] = now_ms  # all know it by now
         self.take_hints(paces)
-        if not self._is_mesh():
+        if not self._are_few():
             others = [name for name in self.peers.sessions_by_name if name != session.peer.name]
             self._send(news, others)
 
@@ -174,8 +183,27 @@
         for name in [name for name, seen in sightings.items() if seen.last_at_ms < limit_ms]:
             del sightings[name]
 
-    def _is_mesh(self) -> bool:
-        return len(self.peers.fleet.by_name) <= NEIGHBOUR_LIMIT + 1
+    def _are_few(self) -> bool:
+        return len(self.carriers()) <= FEW_CARRIERS
+
+    def _send_to_carriers(self, news: PaceNews) -> None:
+        """Tell each other carrier directly; streams to those that are no neighbours are opened."""
+        for name in self.carriers():
+            if name == self.peers.fleet.own_name:
+                continue
+            if name in self.peers.sessions_by_name:
+                self._send(news, [name])
+                continue
+            if name in self.peers.opening_by_name:
+                continue  # one that does not answer is not to collect news that grow old
+            task = asyncio.create_task(self._open_and_send(news, name), name="tell a carrier")
+            self.opening.add(task)
+            task.add_done_callback(self.opening.discard)
+
+    async def _open_and_send(self, news: PaceNews, name: str) -> None:
+        opened = await self.peers.open(name)
+        if isinstance(opened, Ok):
+            self._send(news, [name])
 
     def _send(self, news: PaceNews, names: Iterable[str]) -> None:
         for name in list(names):
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -285,6 +285,7 @@
         counters,
         find_slow=pool.slow_paces,
         take_hints=pool.take_pace_hints,
+        carriers=lambda: gateway.carriers,
     )
     gateway = Gateway(
         parts=parts,
--- a/tests/discovery/test_spread.py
+++ b/tests/discovery/test_spread.py
@@ -50,6 +50,18 @@
         assert len(world.callers_in(before)) <= WATCHERS
         await world.stop()
 
+    async def test_a_change_is_sent_once_or_so_over_each_stream(self) -> None:
+        world = await SpreadWorld(entries=[entry("a")]).start(COUNT)
+        before = dict(world.network.bytes_by_name)
+        world.tell(entry("b"))
+        await asyncio.sleep(0.4)
+        streams = sum(len(f.control.peers.sessions_by_name) for f in world.by_name.values())
+        sent = sum(world.network.bytes_by_name.values()) - sum(before.values())
+
+        assert world.holding("a", "b") == set(world.by_name)
+        assert sent < streams * 250  # a frame of news has about 100 bytes, a heartbeat 70
+        await world.stop()
+
     async def test_watchers_that_are_lost_are_replaced_within_seconds(self) -> None:
         world = await SpreadWorld(entries=[entry("a")]).start(COUNT)
         for name in [n for n, f in world.by_name.items() if is_watcher(f.control.fleet)]:
--- a/tests/fleet/test_pace_news.py
+++ b/tests/fleet/test_pace_news.py
@@ -16,7 +16,8 @@
 class Spreads:
     """A spread at every instance of a world; `slow_by_name` is what each finds itself."""
 
-    def __init__(self, world) -> None:  # type: ignore[no-untyped-def]
+    def __init__(self, world, carriers=None) -> None:  # type: ignore[no-untyped-def]
+        self.carriers = list(world.controls_by_name) if carriers is None else carriers
         self.slow_by_name: dict[str, dict[str, float]] = {}
         self.heard_by_name: dict[str, list[dict[str, float]]] = {}
         self.counters_by_name = world.counters_by_name
@@ -32,6 +33,7 @@
                 world.counters_by_name[name],
                 find_slow=lambda name=name: self._hints_of(name),
                 take_hints=self.heard_by_name[name].append,
+                carriers=lambda: self.carriers,
             )
             spread.start()
             self.tasks.append(asyncio.create_task(spread.run()))
@@ -84,6 +86,22 @@
         spreads.stop()
         await world.stop()
 
+    async def test_few_carriers_of_a_large_fleet_are_told_directly(self) -> None:
+        world = make_world()
+        names = [f"e{n:02}" for n in range(30)]
+        await world.start_all(names, CENTRES)
+        carriers = ["e00", "e07", "e15", "e22"]
+        spreads = Spreads(world, carriers)
+
+        spreads.slow_by_name["e00"] = {"slow-1": 180.0}
+        await asyncio.sleep(0.3)
+
+        heard = [name for name in names if spreads.heard_by_name[name]]
+        assert heard == carriers[1:]
+        assert spreads.sent() == 3
+        spreads.stop()
+        await world.stop()
+
     async def test_a_fleet_on_rings_is_not_told_of_a_usual_pause(self) -> None:
         world = make_world()
         names = [f"e{n:02}" for n in range(30)]
