Gossip in groups, and compare digests before the roster is sent

Change: a new stream carries a digest of the known instances, and their descriptions only where the digests differ. Descriptions and member updates are passed on in groups of 50 ms, not to peers that have sent them; what an instance says of itself leaves at once. Slow endpoints are announced directly up to 64 preferred instances. Only instances that callers are sent to announce overload, at most once in the time for which callers keep addresses. Bytes sent are counted by kind of message and by data centre.

The new tests of traffic and digests fail on the code before.

--- a/src/radishmount/border/_peer_models.py
+++ b/src/radishmount/border/_peer_models.py
@@ -24,6 +24,7 @@
     Ping,
     ProbeReply,
     ProbeRequest,
+    RosterDigest,
     RosterNews,
 )
 
@@ -170,6 +171,13 @@
         return ListReply(self.version, instances, tuple(self.leaving_endpoints))
 
 
+class RosterDigestModel(PeerModel):
+    """A digest of the instances that the sender knows."""
+
+    data_type = RosterDigest
+    digest: NonNegativeInt
+
+
 class RosterNewsModel(PeerModel):
     """Instances that the receiver may not yet know."""
 
@@ -225,6 +233,7 @@
     ListRequestModel,
     ListReplyModel,
     EndpointChangesModel,
+    RosterDigestModel,
     RosterNewsModel,
     PaceNewsModel,
 )
--- a/src/radishmount/border/_peer_stream.py
+++ b/src/radishmount/border/_peer_stream.py
@@ -38,10 +38,12 @@
         msgpack_reader: MsgpackReader,
         writer: asyncio.StreamWriter,
         counters: Counters,
-        cpu_ms: Callable[[], float],
+        credentials: PeerCredentials,
     ) -> None:
         self.peer = handshake.peer
-        self._cpu_ms = cpu_ms
+        self._cpu_ms = credentials.cpu_ms
+        is_near = handshake.peer.data_centre == credentials.members.own_data_centre
+        self._distance = "same data centre" if is_near else "other data centre"
         self._reader = msgpack_reader
         self._writer = writer
         self._send_authenticator = handshake.send_authenticator
@@ -64,6 +66,8 @@
         self._writer.write(content)
         self._counters.add("control_bytes", "peer out", len(content))
         self._counters.add("control_frames", "out")
+        kind = type(frame.message).__name__
+        self._counters.add("peer_bytes", f"{kind} {self._distance}", len(content))
         return Ok(None)
 
     async def receive(self) -> Result[Frame, Refusal]:
@@ -119,9 +123,7 @@
                 )
                 msgpack_reader = MsgpackReader(reader)
                 handshake = await initiate_handshake(name, credentials, msgpack_reader, writer)
-                return Ok(
-                    TcpPeerStream(handshake, msgpack_reader, writer, counters, credentials.cpu_ms)
-                )
+                return Ok(TcpPeerStream(handshake, msgpack_reader, writer, counters, credentials))
         except PeerProtocolError as error:
             refusal = error.refusal
         except (OSError, TimeoutError) as error:
@@ -212,4 +214,4 @@
     except (OSError, TimeoutError):
         counters.add("peer_errors", Code.STRANGER.name)
         return None
-    return TcpPeerStream(handshake, msgpack_reader, writer, counters, credentials.cpu_ms)
+    return TcpPeerStream(handshake, msgpack_reader, writer, counters, credentials)
--- a/src/radishmount/fleet/__init__.py
+++ b/src/radishmount/fleet/__init__.py
@@ -34,6 +34,7 @@
     ProbeRequest,
     Request,
     Response,
+    RosterDigest,
     RosterNews,
 )
 from radishmount.fleet._neighbours import NEIGHBOUR_LIMIT, neighbours_of
@@ -104,6 +105,7 @@
     "Request",
     "Response",
     "Roster",
+    "RosterDigest",
     "RosterNews",
     "ApplyResult",
     "choose_addresses",
--- a/src/radishmount/fleet/_membership.py
+++ b/src/radishmount/fleet/_membership.py
@@ -41,6 +41,7 @@
 INDIRECT_PROBE_TIMEOUT_MS = 1_500.0
 PROBE_TIMEOUT_MS = 700.0
 RANDOM_PROBE_INTERVAL_MS = 10_000.0
+FORWARD_DELAY_MS = 50.0  # adds a fifth of a second on the longest path through a large fleet
 
 OnHeartbeat = Callable[[str, Heartbeat], None]
 
@@ -60,9 +61,12 @@
     """Keeps a stream to each neighbour, sends heartbeats and suspects silent neighbours.
 
     One task for each neighbour does this. Member updates that are new here are sent on to all
-    neighbours. `on_heartbeat` is called with each heartbeat and the name of its sender. The start
-    of the instance waits on the event `progress`, which is set when a neighbour has answered or
-    could not be reached, and by the control plane when a new version or list was applied.
+    neighbours but those that sent them: at once where they are about this instance, otherwise
+    after `FORWARD_DELAY_MS`, together with all that have come meanwhile. `sender` is the neighbour
+    whose heartbeat is being handled. `on_heartbeat` is called with each heartbeat and the name of
+    its sender. The start of the instance waits on the event `progress`, which is set when a
+    neighbour has answered or could not be reached, and by the control plane when a new version or
+    list was applied.
     """
 
     fleet: Fleet
@@ -78,7 +82,9 @@
     tasks_by_neighbour: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     tried_neighbours: set[str] = field(default_factory=set)
     pending_updates_by_name: dict[str, MemberUpdate] = field(default_factory=dict)
-    flush_scheduled: bool = False
+    senders_by_pending_name: dict[str, set[str]] = field(default_factory=dict)
+    sender: str = ""
+    flush_timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Register the handlers of heartbeats, pings and probes."""
@@ -118,6 +124,8 @@
 
     async def stop(self) -> None:
         """Cancel the task of each neighbour."""
+        if self.flush_timer is not None:
+            self.flush_timer.cancel()
         tasks = list(self.tasks_by_neighbour.values())
         for task in tasks:
             task.cancel()
@@ -239,12 +247,16 @@
     def _handle_heartbeat(self, session: PeerSession, heartbeat: Heartbeat) -> None:
         members = self.fleet.members
         peer = session.peer
-        members.record_contact(peer, heartbeat.load, self.clock.now_ms())
         own_update = MemberUpdate(peer.name, peer.incarnation, heartbeat.sequence, heartbeat.state)
+        self.sender = peer.name
+        members.record_contact(peer, heartbeat.load, self.clock.now_ms())
         for update in (own_update, *heartbeat.updates):
+            if self.pending_updates_by_name.get(update.name) == update:
+                self.senders_by_pending_name[update.name].add(peer.name)
             if self._is_refuted_by_recent_contact(update):
                 continue
             members.apply(update, f"told by {peer.name}")
+        self.sender = ""
         self._mark_tried(peer.name)
         for callback in self.on_heartbeat:
             callback(peer.name, heartbeat)
@@ -265,21 +277,33 @@
         return True
 
     def _queue_update(self, update: MemberUpdate, cause: str) -> None:
-        """Record an update; send it with all others of this iteration of the event loop."""
+        """Record an update, and schedule when it is sent to the neighbours with all pending ones.
+
+        In a large fleet the same update comes from several neighbours within milliseconds. During
+        `FORWARD_DELAY_MS` they are noted as senders, and need not be told.
+        """
         self.counters.add("member_updates", update.state)
         subject = f"instance/{update.name}"
         self.audit.record(subject, update.state, cause=cause, version=self.fleet.list_version)
         self.pending_updates_by_name[update.name] = update
-        if not self.flush_scheduled:
-            self.flush_scheduled = True
-            asyncio.get_running_loop().call_soon(self._send_pending_updates)
+        self.senders_by_pending_name[update.name] = {self.sender}
+        loop = asyncio.get_running_loop()
+        if update.name == self.fleet.own_name and self.flush_timer is not None:
+            self.flush_timer.cancel()
+            self.flush_timer = None
+        if self.flush_timer is None:
+            delay_ms = 0.0 if update.name == self.fleet.own_name else FORWARD_DELAY_MS
+            self.flush_timer = loop.call_later(delay_ms / 1000.0, self._send_pending_updates)
 
     def _send_pending_updates(self) -> None:
-        self.flush_scheduled = False
-        updates = tuple(self.pending_updates_by_name.values())
-        self.pending_updates_by_name.clear()
+        self.flush_timer = None
+        pending, self.pending_updates_by_name = self.pending_updates_by_name, {}
+        senders, self.senders_by_pending_name = self.senders_by_pending_name, {}
         for session in self._neighbour_sessions():
-            session.notify(self._make_heartbeat(updates))
+            name = session.peer.name
+            updates = tuple(u for u in pending.values() if name not in senders[u.name])
+            if updates:
+                session.notify(self._make_heartbeat(updates))
 
     def _neighbour_sessions(self) -> list[PeerSession]:
         found = []
--- a/src/radishmount/fleet/_messages.py
+++ b/src/radishmount/fleet/_messages.py
@@ -27,6 +27,7 @@
     "ProbeRequest",
     "Request",
     "Response",
+    "RosterDigest",
     "RosterNews",
 ]
 
@@ -137,6 +138,13 @@
     leaving_endpoints: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RosterDigest:
+    """A digest of all instances that the sender knows; it differs where their descriptions do."""
+
+    digest: int
+
+
 @dataclass(frozen=True, slots=True)
 class RosterNews:
     """Instances that the receiver may not know yet, each as it describes itself."""
--- a/src/radishmount/fleet/_roster.py
+++ b/src/radishmount/fleet/_roster.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import astuple, dataclass, field
 from random import Random
 
 from radishmount.audit import AuditTrail
@@ -10,9 +10,10 @@
 from radishmount.counters import Counters
 from radishmount.fleet._fleet import Fleet, InstanceList
 from radishmount.fleet._instance import Instance
-from radishmount.fleet._messages import MemberState, RosterNews
+from radishmount.fleet._messages import MemberState, RosterDigest, RosterNews
 from radishmount.fleet._peers import Peers
 from radishmount.fleet._session import PeerSession
+from radishmount.rendezvous import weight
 
 
 __all__ = ["Roster"]
@@ -32,9 +33,10 @@
 class Roster:
     """Builds the instance list from what instances announce about themselves.
 
-    On a new stream both ends send all instances that they know, and what is new to a receiver is
-    passed on to its other peers. One reachable seed is therefore enough for an instance to become
-    known everywhere. `on_change` is called after each group of changes.
+    On a new stream both ends send a digest of the instances that they know. Where the digests
+    differ, each end sends all of them, and what is new to a receiver is passed on to its other
+    peers, in groups. One reachable seed is therefore enough for an instance to become known
+    everywhere. `on_change` is called after each group of changes.
     """
 
     own: Instance
@@ -49,13 +51,17 @@
     down_since_ms_by_name: dict[str, float] = field(default_factory=dict)
     started_at_ms: float = 0.0
     notify_task: asyncio.Task[None] | None = None
+    senders_by_pending_name: dict[str, set[str]] = field(default_factory=dict)
+    forward_timer: asyncio.TimerHandle | None = None
+    digest_of_version: tuple[int, int] = (0, 0)
 
     def start(self) -> None:
         """List this instance, and send the known instances to each new peer."""
         self.started_at_ms = self.clock.now_ms()
         self.fleet.apply_list(InstanceList(1, (self.own,)))
+        self.peers.handle_notices(RosterDigest, self._handle_digest)
         self.peers.handle_notices(RosterNews, self._handle_notice)
-        self.peers.on_open.append(self._send_known_instances)
+        self.peers.on_open.append(self._send_digest)
 
     def is_settled(self) -> bool:
         """Return whether another instance is known, or none has been found in time."""
@@ -104,20 +110,55 @@
         since_ms = self.down_since_ms_by_name.setdefault(name, now_ms)
         return now_ms - since_ms > EXPIRY_MS
 
-    def _send_known_instances(self, session: PeerSession) -> None:
-        known = list(self.fleet.by_name.values())
-        for first in range(0, len(known), MAX_INSTANCES_PER_FRAME):
-            session.notify(RosterNews(tuple(known[first : first + MAX_INSTANCES_PER_FRAME])))
+    def digest(self) -> int:
+        """Return a digest of the known instances, which does not depend on their order."""
+        version = self.fleet.list_version
+        if self.digest_of_version[0] != version:
+            digest = 0
+            for instance in self.fleet.by_name.values():
+                digest ^= weight("roster", repr(astuple(instance))) >> 1  # fits a signed number
+            self.digest_of_version = (version, digest)
+        return self.digest_of_version[1]
+
+    def _send_digest(self, session: PeerSession) -> None:
+        session.notify(RosterDigest(self.digest()))
+
+    def _handle_digest(self, session: PeerSession, message: RosterDigest) -> None:
+        if message.digest != self.digest():
+            self._send_instances(session, list(self.fleet.by_name.values()))
+
+    def _send_instances(self, session: PeerSession, instances: list[Instance]) -> None:
+        for first in range(0, len(instances), MAX_INSTANCES_PER_FRAME):
+            session.notify(RosterNews(tuple(instances[first : first + MAX_INSTANCES_PER_FRAME])))
 
     def _handle_notice(self, session: PeerSession, message: RosterNews) -> None:
+        sender = session.peer.name
+        for instance in message.instances:
+            if instance.name in self.senders_by_pending_name:
+                self.senders_by_pending_name[instance.name].add(sender)
         new = [i for i in message.instances if self._is_new(i)]
         if not new:
             return
         by_name = {**self.fleet.by_name, **{instance.name: instance for instance in new}}
-        self._apply_list(list(by_name.values()), f"told by {session.peer.name}")
-        for other in list(self.peers.sessions_by_name.values()):
-            if other is not session:
-                other.notify(RosterNews(tuple(new)))
+        self._apply_list(list(by_name.values()), f"told by {sender}")
+        for instance in new:
+            self.senders_by_pending_name[instance.name] = {sender}
+        if self.forward_timer is None:
+            loop = asyncio.get_running_loop()
+            self.forward_timer = loop.call_later(BATCH_DELAY_MS / 1000.0, self._forward_pending)
+
+    def _forward_pending(self) -> None:
+        """Send what was new within `BATCH_DELAY_MS` to each peer that has not sent it itself."""
+        self.forward_timer = None
+        senders, self.senders_by_pending_name = self.senders_by_pending_name, {}
+        for session in list(self.peers.sessions_by_name.values()):
+            instances = [
+                self.fleet.by_name[name]
+                for name, names in senders.items()
+                if session.peer.name not in names and name in self.fleet.by_name
+            ]
+            if instances:
+                self._send_instances(session, instances)
 
     def _is_new(self, instance: Instance) -> bool:
         return instance.name != self.own.name and self.fleet.by_name.get(instance.name) != instance
--- a/src/radishmount/fleet/_slow_endpoints.py
+++ b/src/radishmount/fleet/_slow_endpoints.py
@@ -19,7 +19,9 @@
 REANNOUNCE_INTERVAL_MS = 2_000.0  # about half of the time after which a hint expires
 CONFIRM_MIN_SPAN_MS = 300.0  # longer than the usual pause of an endpoint
 CONFIRM_MAX_GAP_MS = 2_000.0  # less than the usual time between two pauses
-MAX_DIRECT_RECIPIENTS = 17  # a frame to each costs less than one on every stream of a large fleet
+# A frame to each costs less than one on every stream of a large fleet. Above this, the open streams
+# between all preferred instances would cost more than the frames save.
+MAX_DIRECT_RECIPIENTS = 64
 MAX_ENDPOINTS_PER_FRAME = 200  # far below the size limit of a frame
 
 LatenciesByEndpoint = Mapping[str, float]
@@ -54,8 +56,9 @@
 class SlowEndpointGossip:
     """Announces slow endpoints to peers, and calls `on_hints` with what peers announce.
 
-    Only preferred instances, those that callers are sent to, need to know. If there are few, each
-    sends its announcements to the others directly. If there are many, announcements are passed on
+    Only preferred instances, those that callers are sent to, need to know. Up to
+    `max_direct_recipients` of them, each sends its announcements to the others directly. If there
+    are more, announcements are passed on
     from neighbour to neighbour, which costs a frame on every stream of the fleet. Therefore they
     are sent only once an endpoint was observed to be slow twice, here or by neighbours, with more
     time in between than a usual pause of an endpoint. Messages are numbered by their origin, and
@@ -68,6 +71,7 @@
     find_slow: Callable[[], Iterable[SlowEndpointHint]]
     on_hints: Callable[[LatenciesByEndpoint], None]
     preferred_names: Callable[[], Collection[str]]
+    max_direct_recipients: int = MAX_DIRECT_RECIPIENTS
     last_number: int = 0
     announced_at_ms_by_endpoint: dict[str, float] = field(default_factory=dict)
     last_number_by_origin: dict[str, int] = field(default_factory=dict)
@@ -196,7 +200,7 @@
             del observations[name]
 
     def _sends_directly(self) -> bool:
-        return len(self.preferred_names()) <= MAX_DIRECT_RECIPIENTS
+        return len(self.preferred_names()) <= self.max_direct_recipients
 
     def _send_to_preferred(self, message: PaceNews) -> None:
         """Send to each other preferred instance, over a new stream where none is open."""
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -20,6 +20,7 @@
 from radishmount.endpoints import EndpointPool, ForwardCall, OpenChannel, make_weighted_choice
 from radishmount.fleet import (
     Instance,
+    MemberState,
     SlowEndpointGossip,
     choose_preferred,
     fleet_shares,
@@ -102,6 +103,7 @@
     explain_log: ExplainLog = field(default_factory=ExplainLog)
     in_flight: int = 0
     preferred_names: frozenset[str] = frozenset()
+    load_announced_at_ms: float = float("-inf")
 
     def start(self) -> None:
         """Start the control plane and the background tasks."""
@@ -223,8 +225,10 @@
         """Return the addresses of the preferred instances for a caller in `data_centre`."""
         preferred = choose_preferred(self.control.fleet, data_centre, MAX_ADDRESSES)
         addresses = tuple(instance.caller_address for instance in preferred)
-        valid_for_ms = min(MAX_ADDRESSES_VALID_FOR_MS, self.dependencies.addresses_valid_for_ms)
-        return CallerAddresses(addresses, valid_for_ms)
+        return CallerAddresses(addresses, self._addresses_valid_for_ms())
+
+    def _addresses_valid_for_ms(self) -> float:
+        return min(MAX_ADDRESSES_VALID_FOR_MS, self.dependencies.addresses_valid_for_ms)
 
     async def update_endpoints(self) -> None:
         """Update the connection pools to the publication, the endpoints and the instances."""
@@ -272,10 +276,27 @@
             self.forward_context.event_loop_lag.add(
                 max(0.0, self.dependencies.clock.now_ms() - due_at_ms)
             )
-            self.control.fleet.members.update_own_load(self.forward_context.event_loop_lag.load())
+            self._announce_load()
             if preferred_names(self.control.fleet) != self.preferred_names:
                 await self.apply_roster()
 
+    def _announce_load(self) -> None:
+        """Announce whether this instance is overloaded, if callers are sent to it.
+
+        An announcement costs a frame on every stream of the fleet. So it is made at most once in
+        the time for which callers keep addresses, as they notice no change in between.
+        """
+        members = self.control.fleet.members
+        is_overloaded = members.own.state is MemberState.OVERLOADED
+        if self.dependencies.own.name not in self.preferred_names and not is_overloaded:
+            return
+        now_ms = self.dependencies.clock.now_ms()
+        if now_ms - self.load_announced_at_ms < self._addresses_valid_for_ms():
+            return
+        members.update_own_load(self.forward_context.event_loop_lag.load())
+        if is_overloaded is not (members.own.state is MemberState.OVERLOADED):
+            self.load_announced_at_ms = now_ms
+
 
 def make_gateway(
     dependencies: GatewayDependencies, audit: AuditTrail, counters: Counters | None = None
--- a/src/radishmount/platform/__init__.py
+++ b/src/radishmount/platform/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from radishmount.platform._backend_channel import BackendChannel
+from radishmount.platform._backend_connection import BackendConnection
 from radishmount.platform._configuration import read_configuration
 from radishmount.platform._program import RunningInstance, main, start_instance
 from radishmount.platform._settings import DeploymentSettings, read_deployment_settings
@@ -12,6 +13,7 @@
 
 __all__ = [
     "BackendChannel",
+    "BackendConnection",
     "DeploymentSettings",
     "RunningInstance",
     "main",
--- a/src/radishmount/platform/_backend_channel.py
+++ b/src/radishmount/platform/_backend_channel.py
@@ -1,5 +1,6 @@
 """The HTTP client for back ends: encodes forwarded requests and interprets the responses."""
 
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 import aiohttp
@@ -44,13 +45,15 @@
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 ExchangeOutcome = Result[ForwardReply, Failure]
+Connect = Callable[[str, int, float], Awaitable[BackendConnection]]
 
 
 class BackendChannel:
-    """A connection to one back end, opened on first use and again after it was lost."""
+    """A connection to one back end, opened by `connect` on first use and after it was lost."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, connect: Connect = connect_backend) -> None:
         self._address = parse_address(address)
+        self._connect = connect
         self._connection: BackendConnection | None = None
 
     async def exchange(self, request: ForwardRequest, remaining_ms: float) -> ExchangeOutcome:
@@ -98,7 +101,7 @@
         if self._connection is None or not self._connection.is_usable(max_idle_s):
             await self.close()
             host, port = self._address.host, self._address.port
-            self._connection = await connect_backend(host, port, CONNECT_TIMEOUT_S)
+            self._connection = await self._connect(host, port, CONNECT_TIMEOUT_S)
         return self._connection
 
 
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -208,3 +208,36 @@
         fleet.members.apply(MemberUpdate("b", 1, 1, MemberState.LEAVING), "told")
 
         assert [i.name for i in choose_preferred(fleet, "milano", 64)] == ["a"]
+
+
+class TestDigests:
+    """Instances that know the same do not send it to each other again."""
+
+    async def test_a_stream_between_two_that_know_the_same_carries_no_descriptions(self) -> None:
+        harness = RosterHarness()
+        for number in range(4):
+            harness.start(f"e{number}", CENTRES[number % 2])
+        await asyncio.sleep(3.0)
+        harness.network.sent_frames_by_kind.clear()
+        await harness.memberships_by_name["e0"].peers.sessions_by_name["e3"].close()
+        await asyncio.sleep(2.0)
+        sent = dict(harness.network.sent_frames_by_kind)
+        await harness.stop()
+
+        assert sent["RosterDigest"] >= 2
+        assert "RosterNews" not in sent
+
+    async def test_two_parts_of_a_fleet_tell_each_other_all_once_they_meet(self) -> None:
+        harness = RosterHarness()
+        harness.network.split(("e0", "e2"), ("e1", "e3"))
+        for name in ("e0", "e1", "e2", "e3"):
+            harness.start(name)
+        await asyncio.sleep(5.0)
+        before = harness.known_names()
+        harness.network.heal()
+        await asyncio.sleep(8.0)
+        after = harness.known_names()
+        await harness.stop()
+
+        assert before["e2"] == {"e0", "e2"}
+        assert all(known == {"e0", "e1", "e2", "e3"} for known in after.values())
--- a/tests/fleet/test_slow_endpoints.py
+++ b/tests/fleet/test_slow_endpoints.py
@@ -16,7 +16,9 @@
 class GossipAtEachInstance:
     """A gossip at every instance of a harness; `slow_by_name` has what each observes itself."""
 
-    def __init__(self, harness, preferred=None) -> None:  # type: ignore[no-untyped-def]
+    def __init__(  # type: ignore[no-untyped-def]
+        self, harness, preferred=None, max_direct_recipients=17
+    ) -> None:
         self.preferred = list(harness.control_planes_by_name) if preferred is None else preferred
         self.slow_by_name: dict[str, dict[str, float]] = {}
         self.received_by_name: dict[str, list[dict[str, float]]] = {}
@@ -34,6 +36,7 @@
                 find_slow=lambda name=name: self._hints_at(name),
                 on_hints=self.received_by_name[name].append,
                 preferred_names=lambda: self.preferred,
+                max_direct_recipients=max_direct_recipients,
             )
             gossip.start()
             self.tasks.append(asyncio.create_task(gossip.run()))
--- a/tests/peer_fakes.py
+++ b/tests/peer_fakes.py
@@ -40,6 +40,9 @@
         self.network.sent_bytes_by_name[self.own_name] = self.network.sent_bytes_by_name.get(
             self.own_name, 0
         ) + len(packed)
+        kind = type(frame.message).__name__
+        counts = self.network.sent_frames_by_kind
+        counts[kind] = counts.get(kind, 0) + 1
         assert self.other is not None
         if self.network.delivers(self.own_name, self.peer.name):
             self._deliver_later(self.other, unpack_frame(packed))
@@ -87,6 +90,7 @@
     silent_pairs: set[frozenset[str]] = field(default_factory=set)
     down_names: set[str] = field(default_factory=set)
     sent_bytes_by_name: dict[str, int] = field(default_factory=dict)
+    sent_frames_by_kind: dict[str, int] = field(default_factory=dict)
     opened_count: int = 0
     tasks: set[asyncio.Task[object]] = field(default_factory=set)
     held_by_frozen_name: dict[str, list[Callable[[], None]]] = field(default_factory=dict)
