--- a/benchmarks/forward_cost.py
+++ b/benchmarks/forward_cost.py
@@ -1,7 +1,8 @@
 """Processor time of one forwarded search, by the number of its shards, without a network.
 
 Every layer from the plan to the parsed response runs, over connections whose transport answers
-from memory. The time of the kernel and of the event loop's selector is not included.
+from memory. The answers come one after the other, as they do from endpoints of unequal speed. The
+time of the kernel for sockets is not included.
 
     python benchmarks/forward_cost.py            # prints the table for 10 to 1,300 shards
     python benchmarks/forward_cost.py --profile  # prints where the time goes at 63 shards
@@ -21,7 +22,12 @@
 from radishmount.endpoints import EndpointPool, ForwardCall, make_weighted_choice
 from radishmount.forwarding import ForwardContext, forward, make_plan
 from radishmount.gateway import FORWARD_POLICY
-from radishmount.platform import BackendChannel, BackendConnection
+from radishmount.platform import (
+    BackendConnection,
+    Connect,
+    ResponseLimits,
+    make_backend_channel_opener,
+)
 from radishmount.publication import Publication, Service
 from radishmount.routes import Route
 
@@ -30,16 +36,19 @@
 PROFILED_SHARDS = 63
 SUB_REQUESTS_EACH = 20_000
 REPLICAS = 3
+FIRST_ANSWER_S = 0.005
+LAST_ANSWER_S = 0.030
 DATA_CENTRES = ("milano", "torino", "bergamo")
 RECORDS = b"".join(bytes([n]) * 16 for n in range(12))
 
 
 class MemoryTransport(asyncio.Transport):
-    """Answers each request with the same records, in the next turn of the event loop."""
+    """Answers each request with the same records, after `delay_s`."""
 
-    def __init__(self, connection: BackendConnection) -> None:
+    def __init__(self, connection: BackendConnection, delay_s: float) -> None:
         super().__init__()
         self._connection = connection
+        self._delay_s = delay_s
 
     def write(self, data: bytes) -> None:
         """Answer the request in `data`."""
@@ -51,7 +60,8 @@
             b"Radishmount-Server-Load: 1,0,4\r\nKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n"
         )
         answer = head % (request_id, len(RECORDS)) + RECORDS
-        asyncio.get_running_loop().call_soon(self._connection.data_received, answer)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._delay_s, self._connection.data_received, answer)
 
     def is_closing(self) -> bool:
         """Return that the transport is open."""
@@ -64,11 +74,19 @@
         """Do nothing, as there is no socket."""
 
 
-async def connect_in_memory(host: str, port: int, timeout_s: float) -> BackendConnection:
-    """Return a connection that is answered from memory."""
-    connection = BackendConnection(asyncio.get_running_loop())
-    connection.connection_made(MemoryTransport(connection))
-    return connection
+def memory_connector() -> Connect:
+    """Return a function that opens connections which are answered from memory."""
+    random = Random(4)
+
+    async def connect(
+        host: str, port: int, timeout_s: float, limits: ResponseLimits
+    ) -> BackendConnection:
+        connection = BackendConnection(asyncio.get_running_loop(), limits)
+        delay_s = random.uniform(FIRST_ANSWER_S, LAST_ANSWER_S)
+        connection.connection_made(MemoryTransport(connection, delay_s))
+        return connection
+
+    return connect
 
 
 async def make_context(services: list[str]) -> ForwardContext:
@@ -76,7 +94,7 @@
     clock, counters = loop_clock(asyncio.get_running_loop()), Counters()
     pool = EndpointPool(
         "entry",
-        lambda address: BackendChannel(address, connect_in_memory),
+        make_backend_channel_opener(ResponseLimits(), memory_connector()),
         clock,
         counters,
         AuditTrail(clock),
--- a/src/radishmount/endpoints/_forward_exchange.py
+++ b/src/radishmount/endpoints/_forward_exchange.py
@@ -30,7 +30,8 @@
     """One attempt at `call`. Any endpoint other than `expected_endpoint` refuses to run it.
 
     A request that is not `idempotent` must not run twice, so it is best sent over a connection
-    that is known to work.
+    that is known to work. `needs_headers` is false where only the body and the signature of the
+    reply are used, as for a shard.
     """
 
     call: ForwardCall
@@ -38,6 +39,7 @@
     expected_endpoint: str
     deadline_at_ms: float
     idempotent: bool = True
+    needs_headers: bool = True
     index_version: int | None = None
 
 
--- a/src/radishmount/forwarding/_execution.py
+++ b/src/radishmount/forwarding/_execution.py
@@ -1,8 +1,10 @@
 """Runs one forwarded request: sends its attempts, hedges and retries until it is finished."""
 
 import asyncio
+import heapq
 from dataclasses import dataclass, field
 from math import inf
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -34,16 +36,21 @@
     """The state of one forwarded request. `run` returns once the outcome is decided.
 
     `reply_count` and `failed_count` are the numbers of services with a usable reply and of those
-    that no further attempt is made for.
+    that no further attempt is made for. `hedge_heap` holds times at which hedges are due, with
+    the service; an entry is out of date once the progress of its service has another time.
     """
 
     plan: ForwardPlan
     context: ForwardContext
-    mailbox: Mailbox = field(default_factory=Mailbox)
+    mailbox: Mailbox = field(init=False)
     progress_by_service: dict[str, ServiceProgress] = field(default_factory=dict)
     attempts: list[Attempt] = field(default_factory=list)
     reply_count: int = 0
     failed_count: int = 0
+    hedge_heap: list[tuple[float, str]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.mailbox = Mailbox(is_urgent=lambda outcome: not self._is_usable(outcome))
 
     async def run(self) -> None:
         """Send to every service, then handle outcomes until the request is finished."""
@@ -67,7 +74,7 @@
             if self._is_finished(now_ms):
                 return
             due_at_ms = self._next_due_at_ms(now_ms)
-            await self.mailbox.wait(due_at_ms - now_ms)
+            await self.mailbox.wait(due_at_ms - now_ms, self._missing_replies(now_ms))
             lag_ms = self.context.clock.now_ms() - due_at_ms
             if lag_ms >= 0.0:
                 self.context.event_loop_lag.add(lag_ms)
@@ -94,18 +101,31 @@
         """Return whether `at_ms` has passed, or is closer than the precision of a timer."""
         return at_ms <= now_ms + TIMER_SLACK_MS
 
+    def _missing_replies(self, now_ms: float) -> int:
+        """Return the least number of further replies that can finish the request."""
+        if self._is_due(self.plan.partial_reply_at_ms, now_ms):
+            return max(1, self.plan.min_replies - self.reply_count)
+        return len(self.plan.services) - self.reply_count - self.failed_count
+
     def _next_due_at_ms(self, now_ms: float) -> float:
         due_at_ms = self.plan.deadline_at_ms
         if not self._is_due(self.plan.partial_reply_at_ms, now_ms):
             due_at_ms = min(due_at_ms, self.plan.partial_reply_at_ms)
-        for progress in self.progress_by_service.values():
-            due_at_ms = min(due_at_ms, progress.hedge_at_ms)
-        return due_at_ms
+        return min(due_at_ms, self._next_hedge_at_ms())
+
+    def _next_hedge_at_ms(self) -> float:
+        """Return when the next hedge is due, infinite where none is scheduled."""
+        while self.hedge_heap:
+            hedge_at_ms, service = self.hedge_heap[0]
+            if self.progress_by_service[service].hedge_at_ms == hedge_at_ms:
+                return hedge_at_ms
+            heapq.heappop(self.hedge_heap)
+        return inf
 
     def _send_due_hedges(self, now_ms: float) -> None:
-        for progress in self.progress_by_service.values():
-            if not self._is_due(progress.hedge_at_ms, now_ms):
-                continue
+        while self._is_due(self._next_hedge_at_ms(), now_ms):
+            _, service = heapq.heappop(self.hedge_heap)
+            progress = self.progress_by_service[service]
             progress.hedge_at_ms = inf
             self._send_hedge(progress, now_ms)
 
@@ -141,6 +161,7 @@
         if not self.plan.route.idempotent:
             return
         progress.hedge_at_ms = now_ms + self._hedge_delay_ms()
+        heapq.heappush(self.hedge_heap, (progress.hedge_at_ms, progress.service))
 
     def _hedge_delay_ms(self) -> float:
         window = self.context.latency_window(self.plan.route.name)
@@ -174,6 +195,7 @@
             expected_endpoint=endpoint.name,
             deadline_at_ms=self.plan.deadline_at_ms,
             idempotent=self.plan.route.idempotent,
+            needs_headers=not self.plan.is_fan_out,
         )
         attempt = Attempt(
             request, endpoint, self.mailbox.deliver, submitted_at_ms=now_ms, purpose=purpose
@@ -188,7 +210,8 @@
     def _handle_outcome(self, attempt: Attempt, outcome: Result[ForwardReply, Failure]) -> None:
         progress = self.progress_by_service[attempt.request.service]
         progress.open_attempts.remove(attempt)
-        now_ms = self.context.clock.now_ms()
+        ended_at_ms = attempt.ended_at_ms
+        now_ms = self.context.clock.now_ms() if ended_at_ms is None else ended_at_ms
         match outcome:
             case Ok(reply):
                 progress.possible_runs += 1
@@ -200,7 +223,7 @@
     def _handle_reply(
         self, progress: ServiceProgress, attempt: Attempt, reply: ForwardReply, now_ms: float
     ) -> None:
-        is_usable = reply.is_success if self.plan.is_fan_out else not reply.is_server_error
+        is_usable = self._is_usable_reply(reply)
         if not is_usable:
             attempt.endpoint.record_error_reply(now_ms)
         if progress.reply is not None:
@@ -218,6 +241,13 @@
             window = self.context.latency_window(self.plan.route.name)
             window.add(now_ms - progress.first_sent_at_ms)
 
+    def _is_usable(self, outcome: Result[Any, Failure]) -> bool:
+        return isinstance(outcome, Ok) and self._is_usable_reply(outcome.ok_value)
+
+    def _is_usable_reply(self, reply: ForwardReply) -> bool:
+        """Return whether a reply may be part of the answer to the caller."""
+        return reply.is_success if self.plan.is_fan_out else not reply.is_server_error
+
     def _handle_failure(self, progress: ServiceProgress, failure: Failure, now_ms: float) -> None:
         """Retry elsewhere, unless an attempt is open or a retry might run the request twice."""
         if progress.reply is not None:
--- a/src/radishmount/platform/_backend_channel.py
+++ b/src/radishmount/platform/_backend_channel.py
@@ -1,27 +1,29 @@
 """The HTTP client for back ends: encodes forwarded requests and interprets the responses."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 
-import aiohttp
-from aiohttp.http_exceptions import HttpProcessingError
 from result import Err, Ok, Result
 
 from radishmount.border import parse_address
 from radishmount.codes import Code, RunStatus
 from radishmount.endpoints import (
-    Channel,
     Failure,
+    ForwardCall,
     ForwardReply,
     ForwardRequest,
+    HeaderPairs,
     LoadReport,
+    OpenChannel,
     OrderAttemptOutcome,
     OrderRequest,
 )
-from radishmount.platform._backend_connection import (
-    BackendConnection,
+from radishmount.platform._backend_connection import BackendConnection, connect_backend
+from radishmount.platform._backend_response import (
     CompleteResponse,
-    connect_backend,
+    ResponseLimits,
+    ResponseRejectedError,
 )
 from radishmount.platform._protocol_names import (
     EXPECTED_ENDPOINT_HEADER,
@@ -34,7 +36,7 @@
 )
 
 
-__all__ = ["BackendChannel", "open_backend_channel"]
+__all__ = ["BackendChannel", "Connect", "make_backend_channel_opener"]
 
 # Ten times the sum of a round trip between data centres and the TCP handshake.
 CONNECT_TIMEOUT_S = 0.25
@@ -43,17 +45,54 @@
 # few milliseconds.
 MAX_IDLE_NON_IDEMPOTENT_S = 0.5
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+HEADER_ENCODING = ("utf-8", "surrogateescape")
+# The names of headers that a response is searched for, as the parser returns them.
+ECHOED_ID_KEY = REQUEST_ID_HEADER.lower().encode()
+SIGNATURE_KEY = SIGNATURE_HEADER.lower().encode()
+LOAD_KEY = LOAD_HEADER.lower().encode()
+NOT_EXECUTED_KEY = NOT_EXECUTED_HEADER.lower().encode()
+HOP_BY_HOP_KEYS = frozenset(name.encode() for name in HOP_BY_HOP_HEADERS)
+
+NO_LOAD_REPORT = LoadReport()
 
 ExchangeOutcome = Result[ForwardReply, Failure]
-Connect = Callable[[str, int, float], Awaitable[BackendConnection]]
+Connect = Callable[[str, int, float, ResponseLimits], Awaitable[BackendConnection]]
+
+
+@dataclass(slots=True)
+class CallEncoder:
+    """Encodes calls, and keeps the bytes of the last one, which the shards of a search share."""
+
+    call: ForwardCall | None = None
+    head: bytes = b""
+
+    def encode(self, request: ForwardRequest, remaining_ms: float) -> bytes:
+        """Return the bytes of `request`, whose sender waits for another `remaining_ms`."""
+        call = request.call
+        if call is not self.call:
+            self.head = _encode_head(call)
+            self.call = call
+        own_lines = (
+            f"{TIME_LEFT_HEADER}: {int(remaining_ms)}\r\n"
+            f"{EXPECTED_ENDPOINT_HEADER}: {request.expected_endpoint}\r\n\r\n"
+        )
+        return self.head + own_lines.encode(*HEADER_ENCODING) + call.body
 
 
 class BackendChannel:
     """A connection to one back end, opened by `connect` on first use and after it was lost."""
 
-    def __init__(self, address: str, connect: Connect = connect_backend) -> None:
+    def __init__(
+        self,
+        address: str,
+        limits: ResponseLimits | None = None,
+        connect: Connect = connect_backend,
+        encoder: CallEncoder | None = None,
+    ) -> None:
         self._address = parse_address(address)
+        self._limits = limits or ResponseLimits()
         self._connect = connect
+        self._encoder = encoder or CallEncoder()
         self._connection: BackendConnection | None = None
 
     async def exchange(self, request: ForwardRequest, remaining_ms: float) -> ExchangeOutcome:
@@ -63,14 +102,14 @@
             connection = await self._get_connection(max_idle_s)
         except (OSError, TimeoutError) as error:
             return Err(Failure(Code.NOT_CONNECTED, detail=repr(error)))
-        content = _encode(request, remaining_ms)
+        content = self._encoder.encode(request, remaining_ms)
         try:
             response = await connection.send_request(
                 content, has_body=request.call.method != "HEAD"
             )
-        except HttpProcessingError as error:
+        except ResponseRejectedError as error:
             return Err(Failure(Code.BAD_REPLY, RunStatus.UNKNOWN, detail=repr(error)))
-        except (aiohttp.ClientError, OSError) as error:
+        except OSError as error:
             return Err(Failure(Code.CONNECTION_LOST, RunStatus.UNKNOWN, detail=repr(error)))
         return _parse_response(response, request)
 
@@ -101,54 +140,75 @@
         if self._connection is None or not self._connection.is_usable(max_idle_s):
             await self.close()
             host, port = self._address.host, self._address.port
-            self._connection = await self._connect(host, port, CONNECT_TIMEOUT_S)
+            self._connection = await self._connect(host, port, CONNECT_TIMEOUT_S, self._limits)
         return self._connection
 
 
-def open_backend_channel(address: str) -> Channel:
-    """Return a channel to the back end at `address` (`host:port`), not connected yet."""
-    return BackendChannel(address)
+def make_backend_channel_opener(
+    limits: ResponseLimits, connect: Connect = connect_backend
+) -> OpenChannel:
+    """Return a function that opens a channel to the back end at an address (`host:port`).
+
+    The channel is not connected yet. All channels of the function share the `limits`.
+    """
+    encoder = CallEncoder()
+    return lambda address: BackendChannel(address, limits, connect, encoder)
 
 
-def _encode(request: ForwardRequest, remaining_ms: float) -> bytes:
-    call = request.call
+def _encode_head(call: ForwardCall) -> bytes:
+    """Return the request line and the headers that all attempts at `call` have in common."""
     lines = [f"{call.method} {call.target} HTTP/1.1"]
     lines.extend(f"{name}: {value}" for name, value in call.headers)
     lines.append(f"{REQUEST_ID_HEADER}: {call.request_id}")
-    lines.append(f"{TIME_LEFT_HEADER}: {int(remaining_ms)}")
-    lines.append(f"{EXPECTED_ENDPOINT_HEADER}: {request.expected_endpoint}")
     if call.body or call.method in METHODS_WITH_BODY:
         lines.append(f"Content-Length: {len(call.body)}")
-    head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("utf-8", "surrogateescape") + call.body
+    return ("\r\n".join(lines) + "\r\n").encode(*HEADER_ENCODING)
 
 
 def _parse_response(response: CompleteResponse, request: ForwardRequest) -> ExchangeOutcome:
-    headers = response.message.headers
-    load = _parse_load(headers.get(LOAD_HEADER, ""))
-    status = response.message.code
-    echoed = headers.get(REQUEST_ID_HEADER)
-    if echoed is not None and echoed != request.call.request_id:
-        return Err(
-            Failure(Code.BAD_REPLY, RunStatus.UNKNOWN, detail=f"the response is for {echoed}")
-        )
+    headers = response.by_name
+    load = _parse_load(headers.get(LOAD_KEY, b""))
+    status = response.status
+    echoed = headers.get(ECHOED_ID_KEY)
+    if echoed is not None and echoed.decode(*HEADER_ENCODING) != request.call.request_id:
+        detail = f"the response is for {echoed!r}"
+        return Err(Failure(Code.BAD_REPLY, RunStatus.UNKNOWN, detail=detail))
     if status == HTTPStatus.MISDIRECTED_REQUEST:
         return Err(
             Failure(Code.OTHER_ENDPOINT, RunStatus.NOT_RUN, detail=request.expected_endpoint)
         )
-    if NOT_EXECUTED_HEADER in headers:
+    if NOT_EXECUTED_KEY in headers:
         return Err(Failure(Code.SHED, RunStatus.NOT_RUN, detail=str(status), load=load))
-    pairs = tuple(
-        (name, value) for name, value in headers.items() if name.lower() not in HOP_BY_HOP_HEADERS
+    signature = headers.get(SIGNATURE_KEY, b"").decode(*HEADER_ENCODING)
+    reply = ForwardReply(
+        request.service,
+        status,
+        _end_to_end_headers(response, request),
+        response.body,
+        signature,
+        load,
+    )
+    if reply.is_success and not signature:
+        # A caller cannot tell such a response from one of another origin.
+        return Err(Failure(Code.BAD_REPLY, RunStatus.UNKNOWN, detail="a success without signature"))
+    return Ok(reply)
+
+
+def _end_to_end_headers(response: CompleteResponse, request: ForwardRequest) -> HeaderPairs:
+    """Return the headers that are passed on to the caller."""
+    if not request.needs_headers:
+        return ()
+    return tuple(
+        (name.decode(*HEADER_ENCODING), value.decode(*HEADER_ENCODING))
+        for name, value in response.headers
+        if name.lower() not in HOP_BY_HOP_KEYS
     )
-    signature = headers.get(SIGNATURE_HEADER, "")
-    return Ok(ForwardReply(request.service, status, pairs, response.body, signature, load))
 
 
-def _parse_load(text: str) -> LoadReport:
+def _parse_load(value: bytes) -> LoadReport:
     """Parse the load header: `running,queued,slots`, the numbers of requests and of slots."""
     try:
-        running, waiting, slots = (int(figure) for figure in text.split(","))
+        running, waiting, slots = (int(figure) for figure in value.split(b","))
     except ValueError:
-        return LoadReport()  # back ends of some services do not report their load
+        return NO_LOAD_REPORT  # back ends of some services do not report their load
     return LoadReport(slots=slots, in_flight=running, queued=waiting)
--- a/src/radishmount/platform/_backend_connection.py
+++ b/src/radishmount/platform/_backend_connection.py
@@ -1,56 +1,85 @@
-"""One HTTP connection to a back end, built on aiohttp's client protocol."""
+"""One HTTP connection to a back end, for one request at a time."""
 
 import asyncio
 import re
 import socket
-from dataclasses import dataclass
-
-from aiohttp.client_proto import ResponseHandler
-from aiohttp.http import RawResponseMessage
-
+from math import inf
+from typing import cast
+
+from radishmount.platform._backend_response import (
+    CompleteResponse,
+    ResponseLimits,
+    ResponseReader,
+    ResponseRejectedError,
+)
 from radishmount.platform._sockets import make_keepalive_socket
 
 
-__all__ = ["BackendConnection", "CompleteResponse", "connect_backend"]
+__all__ = ["BackendConnection", "connect_backend"]
 
-KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
+KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d{1,9})")
 KEEP_ALIVE_MARGIN_S = 0.5  # a request must arrive before the back end's keep-alive timer expires
-MAX_RESPONSE_HEADER_BYTES = 32_768  # twice the limit for callers
-
 
-@dataclass(frozen=True, slots=True)
-class CompleteResponse:
-    """A response that was received to its end: the parsed head and the body."""
 
-    message: RawResponseMessage
-    body: bytes
-
-
-class BackendConnection(ResponseHandler):
-    """aiohttp's response protocol, which also records how the connection ended.
+class BackendConnection(asyncio.Protocol):
+    """A connection over which a request is sent once the response to the one before is complete.
 
     Bytes that arrive while no request is in flight belong to no response, so they close the
-    connection.
+    connection. So do bytes beyond the `limits`, framing included.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, limits: ResponseLimits | None = None
+    ) -> None:
+        self._loop = loop
+        self._limits = limits or ResponseLimits()
+        self._transport: asyncio.Transport | None = None
+        self._reader: ResponseReader | None = None
+        self._waiter: asyncio.Future[CompleteResponse] | None = None
+        self._received_bytes = 0
+        self._is_reusable = True
+        self._usable_until_s = inf
         self.is_busy = False
-        self.was_reset = False
-        self.usable_until_s = float("inf")
         self.last_used_at_s = loop.time()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport of the open connection."""
+        self._transport = cast(asyncio.Transport, transport)
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the pending response; close the connection if there is none."""
-        if not self.is_busy:
-            self.force_close()
+        reader = self._reader
+        if reader is None:
+            self.abort()
             return
-        super().data_received(data)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Record whether the connection was reset: then a body without a length is incomplete."""
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
+        self._received_bytes += len(data)
+        self._limits.pending_bytes += len(data)
+        if not self._limits.accepts(self._received_bytes):
+            self._end_exchange(ResponseRejectedError("the response is too long"))
+            return
+        reader.feed(data)
+        if reader.rejection is not None:
+            self._end_exchange(ResponseRejectedError(reader.rejection))
+        elif reader.response is not None:
+            self._end_exchange(None)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the pending exchange; only an orderly end may complete a body without a length."""
+        self._transport = None
+        reader = self._reader
+        if reader is None:
+            return
+        if exc is None:
+            reader.end()
+        if reader.response is not None:
+            self._end_exchange(None)
+        else:
+            detail = "reset" if exc is not None else "closed"
+            self._end_exchange(
+                ConnectionResetError(
+                    f"the connection was {detail} before the response was complete"
+                )
+            )
 
     def is_usable(self, max_idle_s: float) -> bool:
         """Return whether another request may be sent.
@@ -58,53 +87,83 @@
         False if the connection is closed, was idle for more than `max_idle_s`, or has reached the
         keep-alive timeout that the back end gave.
         """
-        now_s = self._loop.time()
-        if not self.is_connected() or self.should_close:
+        if self._transport is None or self._transport.is_closing() or not self._is_reusable:
             return False
-        return now_s < self.usable_until_s and now_s - self.last_used_at_s <= max_idle_s
+        now_s = self._loop.time()
+        return now_s < self._usable_until_s and now_s - self.last_used_at_s <= max_idle_s
 
     async def send_request(self, content: bytes, *, has_body: bool) -> CompleteResponse:
         """Send an encoded request and return the complete response to it.
 
-        Raises OSError or aiohttp.ClientError if the connection ends before that, and
-        HttpProcessingError if the response is not valid HTTP. `has_body` is false for responses
-        to HEAD.
+        Raises OSError if the connection ends before that, and ResponseRejectedError if the bytes
+        that come are no response or beyond the limits. `has_body` is false for responses to HEAD.
         """
         self.is_busy = True
-        self.set_response_params(
-            skip_payload=not has_body,
-            read_until_eof=True,
-            auto_decompress=False,
-            max_line_size=MAX_RESPONSE_HEADER_BYTES,
-            max_field_size=MAX_RESPONSE_HEADER_BYTES,
-        )
-        if self.transport is None:
+        if self._transport is None:
             raise ConnectionResetError("the connection ended before the request was sent")
-        self.transport.write(content)
-        message, payload = await self.read()
-        body = await payload.read()
-        is_framed = message.chunked or "Content-Length" in message.headers
-        if has_body and not is_framed and self.was_reset:
-            raise ConnectionResetError("the connection was reset before the end of the response")
+        self._reader = ResponseReader(self._limits.max_response_bytes, has_body=has_body)
+        self._waiter = self._loop.create_future()
+        try:
+            self._transport.write(content)
+            response = await self._waiter
+        finally:
+            self._release_reader()
         self.is_busy = False
         self.last_used_at_s = self._loop.time()
-        self._note_keep_alive(message)
-        return CompleteResponse(message, body)
-
-    def _note_keep_alive(self, message: RawResponseMessage) -> None:
-        found = KEEP_ALIVE_TIMEOUT_PATTERN.search(message.headers.get("Keep-Alive", ""))
+        return response
+
+    def close(self) -> None:
+        """Close the connection after the bytes that were written are sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection, so that the back end stops its work."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _end_exchange(self, error: Exception | None) -> None:
+        """Wake the sender with the complete response, or with `error`."""
+        reader, waiter = self._reader, self._waiter
+        self._is_reusable = error is None and reader is not None and reader.is_reusable
+        if waiter is not None and reader is not None and not waiter.done():
+            if reader.response is not None:
+                self._note_keep_alive(reader.response)
+                waiter.set_result(reader.response)
+            else:
+                waiter.set_exception(error or ConnectionResetError())
+        self._release_reader()
+        if error is not None:
+            self.abort()
+        elif not self._is_reusable:
+            self.close()
+
+    def _release_reader(self) -> None:
+        """Forget the bytes of the response; any that follow belong to none."""
+        self._limits.pending_bytes -= self._received_bytes
+        self._received_bytes = 0
+        self._reader = None
+        self._waiter = None
+
+    def _note_keep_alive(self, response: CompleteResponse) -> None:
+        value = response.by_name.get(b"keep-alive")
+        found = None if value is None else KEEP_ALIVE_TIMEOUT_PATTERN.search(value)
         if found is not None:
-            self.usable_until_s = self._loop.time() + int(found[1]) - KEEP_ALIVE_MARGIN_S
+            self._usable_until_s = self._loop.time() + int(found[1]) - KEEP_ALIVE_MARGIN_S
 
 
-async def connect_backend(host: str, port: int, timeout_s: float) -> BackendConnection:
+async def connect_backend(
+    host: str, port: int, timeout_s: float, limits: ResponseLimits
+) -> BackendConnection:
     """Open a connection; raise OSError, or TimeoutError after `timeout_s`."""
     loop = asyncio.get_running_loop()
     sock = make_keepalive_socket((socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP))
     try:
         async with asyncio.timeout(timeout_s):
             await loop.sock_connect(sock, (host, port))
-            _, protocol = await loop.create_connection(lambda: BackendConnection(loop), sock=sock)
+            _, protocol = await loop.create_connection(
+                lambda: BackendConnection(loop, limits), sock=sock
+            )
     except BaseException:
         sock.close()
         raise
--- /dev/null
+++ b/src/radishmount/platform/_backend_response.py
@@ -0,0 +1,191 @@
+"""Reads one HTTP/1.1 response of a back end, within bounds on its bytes."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import httptools
+
+
+__all__ = [
+    "CompleteResponse",
+    "DEFAULT_MAX_RESPONSE_BYTES",
+    "ResponseLimits",
+    "ResponseReader",
+    "ResponseRejectedError",
+]
+
+MAX_HEAD_BYTES = 32_768  # twice the limit for callers
+MAX_INTERIM_RESPONSES = 8
+DEFAULT_MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+DEFAULT_MAX_TOTAL_BYTES = 64 * 1024 * 1024
+
+RawHeaders = list[tuple[bytes, bytes]]
+
+
+class ResponseRejectedError(Exception):
+    """The bytes of a back end are no response, or more than this instance accepts."""
+
+
+@dataclass(slots=True)
+class ResponseLimits:
+    """Bounds the bytes of one response, and of all that are being received at the same time.
+
+    A back end in trouble may send a head or a body without end. The connections of an instance
+    share one object; `pending_bytes` is what they hold at present.
+    """
+
+    max_response_bytes: int = DEFAULT_MAX_RESPONSE_BYTES
+    max_total_bytes: int = DEFAULT_MAX_TOTAL_BYTES
+    pending_bytes: int = 0
+
+    def accepts(self, response_bytes: int) -> bool:
+        """Return whether a response may go on, of which `response_bytes` have come."""
+        if response_bytes > self.max_response_bytes:
+            return False
+        return self.pending_bytes <= self.max_total_bytes
+
+
+@dataclass(slots=True)
+class CompleteResponse:
+    """A response that was received to its end. The names in `headers` are as they were sent.
+
+    `by_name` has the first value of each header under its name in lower case.
+    """
+
+    status: int
+    headers: RawHeaders
+    by_name: dict[bytes, bytes]
+    body: bytes
+
+
+class ResponseReader:
+    """Takes the bytes of a connection until one response is complete.
+
+    Interim responses (100 to 199) before it are skipped. After each call of `feed` or `end`,
+    `response` is the complete response or `rejection` tells why there will be none; as long as
+    both are None, more bytes are needed. The connection may be used again only if `is_reusable`.
+
+        reader = ResponseReader(max_body_bytes=4096, has_body=True)
+        reader.feed(b"HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\nok")
+        assert reader.response.body == b"ok"
+    """
+
+    __slots__ = (
+        "_body",
+        "_by_name",
+        "_expects_body",
+        "_head_bytes",
+        "_headers",
+        "_interim_responses",
+        "_is_framed",
+        "_is_head_complete",
+        "_keeps_alive",
+        "_max_body_bytes",
+        "_parser",
+        "_surplus",
+        "rejection",
+        "response",
+    )
+
+    def __init__(self, max_body_bytes: int, *, has_body: bool) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._expects_body = has_body
+        self._headers: RawHeaders = []
+        self._by_name: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+        self._head_bytes = 0
+        self._interim_responses = 0
+        self._is_framed = False
+        self._is_head_complete = False
+        self._keeps_alive = False
+        self._surplus = False
+        self.response: CompleteResponse | None = None
+        self.rejection: str | None = None
+        self._parser = httptools.HttpResponseParser(self)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether the response ended with its last byte and the connection stays open."""
+        return self.response is not None and self._keeps_alive and not self._surplus
+
+    def feed(self, data: bytes) -> None:
+        """Parse the next bytes of the connection."""
+        if not self._is_head_complete:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject("the back end switched to another protocol")
+        except httptools.HttpParserError as error:
+            self._surplus = True
+            self._reject(repr(error))
+        if not self._is_head_complete and self._head_bytes > MAX_HEAD_BYTES:
+            self._reject("the head is too long")
+
+    def end(self) -> None:
+        """Take the orderly end of the connection, which completes a body without a length."""
+        if self._is_head_complete and not self._is_framed:
+            self._complete()
+
+    def on_message_begin(self) -> None:
+        """Note bytes that follow the complete response."""
+        if self.response is not None:
+            self._surplus = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header; in a trailer, it is not a header of the response."""
+        if self._is_head_complete:
+            return
+        self._headers.append((name, value))
+        self._by_name.setdefault(name.lower(), value)
+
+    def on_headers_complete(self) -> None:
+        """Take the end of a head."""
+        if self._is_head_complete:
+            return
+        status = self._parser.get_status_code()
+        if status < HTTPStatus.OK:
+            self._skip_interim_response()
+            return
+        self._is_head_complete = True
+        if sum(len(name) + len(value) for name, value in self._headers) > MAX_HEAD_BYTES:
+            self._reject("the head is too long")
+        if not self._expects_body:
+            self._complete()
+            return
+        declared = self._by_name.get(b"content-length")
+        self._is_framed = declared is not None or b"transfer-encoding" in self._by_name
+        if declared is not None and int(declared) > self._max_body_bytes:
+            self._reject(f"a body of {int(declared)} bytes was announced")
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        if self.response is not None:
+            self._surplus = True
+            return
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Take the end of a response."""
+        if self._is_head_complete and self.response is None:
+            self._complete()
+
+    def _skip_interim_response(self) -> None:
+        self._interim_responses += 1
+        self._headers.clear()
+        self._by_name.clear()
+        self._head_bytes = 0
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            self._reject("too many interim responses")
+
+    def _complete(self) -> None:
+        if self.rejection is not None:
+            return
+        self._keeps_alive = self._parser.should_keep_alive()
+        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        status = self._parser.get_status_code()
+        self.response = CompleteResponse(status, self._headers, self._by_name, body)
+
+    def _reject(self, reason: str) -> None:
+        if self.response is None and self.rejection is None:
+            self.rejection = reason
--- a/src/radishmount/platform/_ingress.py
+++ b/src/radishmount/platform/_ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
+from math import isfinite
 from urllib.parse import parse_qs
 
 import orjson
@@ -151,9 +152,10 @@
 
 def _time_left_ms(request: web.BaseRequest) -> float | None:
     try:
-        return float(request.headers[TIME_LEFT_HEADER])
+        time_left_ms = float(request.headers[TIME_LEFT_HEADER])
     except (KeyError, ValueError):
         return None  # the timeout of the route applies
+    return max(0.0, time_left_ms) if isfinite(time_left_ms) else None
 
 
 def _reply_response(answer: ForwardReply | MergedAnswer) -> web.Response:
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -28,11 +28,12 @@
     serve_peers,
 )
 from radishmount.clock import Clock, suspend_aware_clock
-from radishmount.codes import Refusal
+from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
 from radishmount.fleet import Instance
 from radishmount.gateway import Gateway, GatewayDependencies, make_gateway
-from radishmount.platform._backend_channel import open_backend_channel
+from radishmount.platform._backend_channel import make_backend_channel_opener
+from radishmount.platform._backend_response import DEFAULT_MAX_RESPONSE_BYTES, ResponseLimits
 from radishmount.platform._configuration import read_configuration
 from radishmount.platform._ingress import (
     make_caller_server,
@@ -56,10 +57,14 @@
 __all__ = ["main"]
 
 PROGRAM = "radishmount-platform"
+HIGHEST_PORT = 65_535
+HIGHEST_RESPONSE_BYTES = 1024 * 1024 * 1024
 OPERATOR_SERVER_DELAY_MS = 1_000.0  # under load, a starting instance serves callers first
 SETTINGS_POLL_INTERVAL_S = 1.0  # a stat of the file takes some microseconds
 # The platform provides no secret, so the peer key only keeps fleets apart.
 PEER_KEY_PREFIX = b"radishmount "
+# Of the memory limit; a response is held once as it arrives and once when it is joined.
+RESPONSE_MEMORY_SHARE = 0.2
 # The share of the grace period that callers get to resolve addresses again and move elsewhere.
 CALLER_MIGRATION_SHARE = 0.4
 # Times the published idle limit: a caller that respects the limit never races with the close.
@@ -99,11 +104,18 @@
 
 
 async def start_instance(
-    settings: DeploymentSettings, clock: Clock, random: Random, audit: AuditTrail
+    settings: DeploymentSettings,
+    clock: Clock,
+    random: Random,
+    audit: AuditTrail,
+    max_response_bytes: int = DEFAULT_MAX_RESPONSE_BYTES,
 ) -> Result[RunningInstance, Refusal]:
     """Start an instance from its settings; a refusal names the address that cannot be bound."""
     register_peer_models(*ENDPOINT_PEER_MODELS)
     counters = Counters()
+    response_limits = ResponseLimits(
+        max_response_bytes, int(RESPONSE_MEMORY_SHARE * settings.memory_bytes)
+    )
     # The peer port is the same in the whole fleet.
     key = PEER_KEY_PREFIX + str(settings.peer_listen_address.port).encode()
     dependencies = GatewayDependencies(
@@ -118,7 +130,7 @@
         clock=clock,
         random=random,
         store=HttpStoreClient(settings.store_address),
-        open_channel=open_backend_channel,
+        open_channel=make_backend_channel_opener(response_limits),
         open_peer_for=lambda members, counters: make_peer_opener(
             PeerCredentials(key, members, clock.cpu_ms), counters
         ),
@@ -179,6 +191,13 @@
     options = [
         option("metrics-port", None, "The port for operators; none by default.", flag=False),
         option("settings", "s", f"The settings file; {BOOT_VARIABLE} by default.", flag=False),
+        option(
+            "max-response-bytes",
+            None,
+            "The largest response of an endpoint, in bytes; "
+            f"{DEFAULT_MAX_RESPONSE_BYTES} by default.",
+            flag=False,
+        ),
         option("check", None, "Only check the settings."),
     ]
 
@@ -188,6 +207,14 @@
         if not path:
             print_error_line(self, f"{PROGRAM} needs --settings FILE or {BOOT_VARIABLE}")
             return Exit.BAD_USAGE
+        port = self._number("metrics-port", HIGHEST_PORT)
+        max_response_bytes = self._number("max-response-bytes", HIGHEST_RESPONSE_BYTES)
+        if isinstance(port, Err):
+            print_error_line(self, f"{PROGRAM}: {port.err_value}")
+            return Exit.BAD_USAGE
+        if isinstance(max_response_bytes, Err):
+            print_error_line(self, f"{PROGRAM}: {max_response_bytes.err_value}")
+            return Exit.BAD_USAGE
         fingerprint = _fingerprint_of(Path(path))
         match read_deployment_settings(Path(path)):
             case Err(refusal):
@@ -197,12 +224,25 @@
                 pass
         if self.option("check"):
             return Exit.OK
-        port = self.option("metrics-port") or ""
-        if port and not port.isdecimal():
-            print_error_line(self, f"{PROGRAM}: --metrics-port takes a number")
-            return Exit.BAD_USAGE
         file = SettingsFile(Path(path), fingerprint)
-        return asyncio.run(_run(file, settings, int(port) if port else None))
+        return asyncio.run(
+            _run(
+                file,
+                settings,
+                port.ok_value,
+                max_response_bytes.ok_value or DEFAULT_MAX_RESPONSE_BYTES,
+            )
+        )
+
+    def _number(self, name: str, highest: int) -> Result[int | None, Refusal]:
+        """Return the number given for an option, none if it was not given."""
+        text = self.option(name) or ""
+        if not text:
+            return Ok(None)
+        if not text.isdecimal() or not 1 <= int(text) <= highest:
+            detail = f"--{name} takes a number from 1 to {highest}"
+            return Err(Refusal(Code.BAD_SETTING, detail=detail))
+        return Ok(int(text))
 
 
 async def _reload_settings_on_change(
@@ -252,7 +292,12 @@
             instance.servers.append(server)
 
 
-async def _run(file: SettingsFile, settings: DeploymentSettings, metrics_port: int | None) -> int:
+async def _run(
+    file: SettingsFile,
+    settings: DeploymentSettings,
+    metrics_port: int | None,
+    max_response_bytes: int,
+) -> int:
     output = set_up_logging(settings.name)
     loop = asyncio.get_running_loop()
     clock = suspend_aware_clock(loop)
@@ -262,7 +307,7 @@
     reload = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     audit = AuditTrail(clock, emit=log_audit_line)
-    started = await start_instance(settings, clock, Random(), audit)
+    started = await start_instance(settings, clock, Random(), audit, max_response_bytes)
     if isinstance(started, Err):
         sys.stderr.write(f"{PROGRAM}: {started.err_value}\n")
         return Exit.UNREACHABLE
--- a/src/radishmount/platform/_settings.py
+++ b/src/radishmount/platform/_settings.py
@@ -15,6 +15,7 @@
 __all__ = ["DeploymentSettings", "read_deployment_settings"]
 
 MS_PER_S = 1000.0
+BYTES_PER_MB = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +23,8 @@
     """The settings of an instance. Times are in milliseconds.
 
     `seeds` are peer addresses of at most three instances, any of which may be stale or down.
-    `capacity` is the CPU capacity, where 1.0 is one whole core. Changes that the operator or an
+    `capacity` is the CPU capacity, where 1.0 is one whole core. `memory_bytes` is the memory that
+    the process may use. Changes that the operator or an
     endpoint publishes must reach all instances within `max_propagation_ms`.
     """
 
@@ -39,6 +41,7 @@
     addresses_valid_for_ms: float
     max_propagation_ms: float
     retry_budget_settings: RetryBudgetSettings
+    memory_bytes: int
 
 
 class PlatformModel(BaseModel):
@@ -68,13 +71,14 @@
     ttl_max_s: float = Field(5.0, alias="ttl_max_s")
 
 
-class ProcessorModel(PlatformModel):
-    """The CPU limits of the process."""
+class LimitsModel(PlatformModel):
+    """The CPU and memory limits of the process."""
 
     # Only one thread runs at a time. It gets the share `cpu_share` of a core that is `cores` times
     # as fast as a whole core.
     cpu_share: float = Field(1.0, alias="cpuShare")
     cores: float = 1.0
+    memory_mb: int = Field(256, alias="memoryMb", ge=1)
 
 
 class StoreModel(PlatformModel):
@@ -90,7 +94,7 @@
     zone: str
     seeds: list[str] = []
     listen: ListenModel
-    limits: ProcessorModel = Field(default_factory=lambda: ProcessorModel.model_validate({}))
+    limits: LimitsModel = Field(default_factory=lambda: LimitsModel.model_validate({}))
     bounds: BoundsModel = Field(default_factory=lambda: BoundsModel.model_validate({}))
     platform: StoreModel
 
@@ -115,6 +119,7 @@
                 slack=bounds.retry_budget_slack,
                 window_ms=bounds.budget_window_s * MS_PER_S,
             ),
+            memory_bytes=self.limits.memory_mb * BYTES_PER_MB,
         )
 
 
--- a/src/radishmount/platform/_store_client.py
+++ b/src/radishmount/platform/_store_client.py
@@ -30,6 +30,7 @@
 
 CALL_TIMEOUT_S = 1.0  # 250 times the response time that the platform states
 ALL_KEYS_PREFIX = ""
+MAX_ANSWER_BYTES = 16 * 1024 * 1024  # several times a page, or a watch that returns much history
 
 
 class BackendModel(PlatformModel):
@@ -129,9 +130,11 @@
                 self._url + path, params=query, timeout=timeout
             ) as response:
                 status = response.status
-                content = await response.read()
+                content = await _read_bounded(response)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return _unavailable(repr(error))
+        if content is None:
+            return _unavailable(f"more than {MAX_ANSWER_BYTES} bytes")
         if status == HTTPStatus.GONE:
             return Err(StoreFailure(StoreFailureKind.COMPACTED, Refusal(Code.PLATFORM_WENT_BACK)))
         if status != HTTPStatus.OK:
@@ -152,6 +155,19 @@
         return self._session
 
 
+async def _read_bounded(response: aiohttp.ClientResponse) -> bytes | None:
+    """Return the body of a response, None if it is longer than `MAX_ANSWER_BYTES`."""
+    parts: list[bytes] = []
+    missing = MAX_ANSWER_BYTES
+    async for part in response.content.iter_any():
+        missing -= len(part)
+        if missing < 0:
+            response.close()
+            return None
+        parts.append(part)
+    return b"".join(parts)
+
+
 def read_listed_endpoint(name: str, value: str) -> ListedEndpoint | None:
     """Parse the entry `value` (JSON in base64) of a back end; return None if it is invalid."""
     try:
@@ -174,7 +190,7 @@
     entries: list[StoreEntry] = []
     for item in items:
         if item.key == CONFIGURATION_KEY and not item.removed:
-            entries.append(ConfigurationEntry(base64.b64decode(item.value)))
+            entries.append(ConfigurationEntry(_decode_configuration(item.value)))
         if not item.key.startswith(ENDPOINT_PREFIX):
             continue
         name = item.key.removeprefix(ENDPOINT_PREFIX)
@@ -185,6 +201,14 @@
     return entries
 
 
+def _decode_configuration(value: str) -> bytes:
+    """Return the configuration in `value`; text that is not base64 is returned for its error."""
+    try:
+        return base64.b64decode(value, validate=True)
+    except ValueError:
+        return value.encode("utf-8", "surrogatepass")  # the configuration that fails is reported
+
+
 def _unavailable(detail: str) -> Err[StoreFailure]:
     refusal = Refusal(Code.PLATFORM_DOWN, detail=detail)
     return Err(StoreFailure(StoreFailureKind.UNAVAILABLE, refusal))
--- a/src/radishmount/standins/_back_end.py
+++ b/src/radishmount/standins/_back_end.py
@@ -47,9 +47,10 @@
 
     After a reply it closes the connection if `closes_after_reply` is set, and resets it if
     `resets_after_reply` is set. With `answers_early` it replies before it reads the body, and keeps
-    the connection open. It waits `work_ms` before each reply. `received` holds the requests
-    received, `connections` counts the connections accepted, and `ended_connections` those that have
-    ended.
+    the connection open. With `endless_part` it sends that part after the reply, again and again,
+    until the client closes the connection. It waits `work_ms` before each reply. `received` holds
+    the requests received, `sent_bytes` counts what was sent, `connections` counts the connections
+    accepted, and `ended_connections` those that have ended.
     """
 
     name: str
@@ -58,6 +59,8 @@
     resets_after_reply: bool = False
     answers_early: bool = False
     work_ms: float = 0.0
+    endless_part: bytes = b""
+    sent_bytes: int = 0
     received: list[ReceivedRequest] = field(default_factory=list)
     connections: int = 0
     ended_connections: int = 0
@@ -101,8 +104,9 @@
                     await reader.read()
                     return
                 await asyncio.sleep(self.work_ms / 1000.0)
-                writer.write(content)
-                await writer.drain()
+                await self._send(writer, content)
+                while self.endless_part:
+                    await self._send(writer, self.endless_part)
                 if self.answers_early:
                     self.received[-1] = await _read_body(reader, request)
                 if self.resets_after_reply:
@@ -118,6 +122,11 @@
             self.ended_connections += 1
             writer.close()
 
+    async def _send(self, writer: asyncio.StreamWriter, content: bytes) -> None:
+        self.sent_bytes += len(content)
+        writer.write(content)
+        await writer.drain()
+
 
 async def _read_head(reader: asyncio.StreamReader, connection: int) -> ReceivedRequest:
     head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/platform/test_backend_channel.py
+++ b/tests/platform/test_backend_channel.py
@@ -1,13 +1,15 @@
 """Tests of the connection to a back end, against stand-ins that send exact bytes."""
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
+import pytest
 from result import Err, Result
 
 from radishmount.codes import Code, RunStatus
 from radishmount.endpoints import Failure, ForwardCall, ForwardReply, ForwardRequest
-from radishmount.platform import BackendChannel
+from radishmount.platform import BackendChannel, ResponseLimits, make_backend_channel_opener
 from radishmount.standins import BackEndStandIn, ReceivedRequest
 
 
@@ -99,14 +101,18 @@
 
     async def test_a_chunked_body_is_joined(self) -> None:
         text = (
-            "HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {id}\r\n"
+            "Radishmount-Server-Stamp: s.{id}\r\nTransfer-Encoding: chunked\r\n\r\n"
             "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
         )
         async with channel_to(BackEndStandIn("b", respond_in_turn(text))) as channel:
             assert (await send(channel)).ok_value.body == b"abc"
 
     async def test_a_body_without_a_length_ends_when_the_connection_closes(self) -> None:
-        text = "HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {id}\r\n\r\nabc"
+        text = (
+            "HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {id}\r\n"
+            "Radishmount-Server-Stamp: s.{id}\r\n\r\nabc"
+        )
         async with channel_to(
             BackEndStandIn("b", respond_in_turn(text), closes_after_reply=True)
         ) as channel:
@@ -236,3 +242,67 @@
         )
         async with channel_to(BackEndStandIn("b", respond_in_turn(text))) as channel:
             assert (await send(channel)).ok_value.status == 503
+
+
+class TestEndlessResponses:
+    """A back end in trouble sends bytes that are no response until the caller closes.
+
+    An instance that kept all of them would exceed its memory within seconds, and take all its
+    other requests with it.
+    """
+
+    @pytest.mark.parametrize(
+        ("start", "endless"),
+        [
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"400\r\n%b\r\n"),
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=", b"%b"),
+            ("HTTP/1.1 200 OK\r\n\r\n", b"%b"),
+            ("HTTP/1.1 200 OK\r\nX-First: ", b"%b"),
+            ("HTTP/1.1 200 OK\r\n", b"X-Next: %b\r\n"),
+            ("", b"HTTP/1.1 103 Early Hints\r\nLink: %b\r\n\r\n"),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", b"%b"),
+        ],
+    )
+    async def test_the_exchange_ends_with_an_unknown_outcome(
+        self, start: str, endless: bytes
+    ) -> None:
+        back_end = BackEndStandIn(
+            "b", respond_in_turn(start), endless_part=endless.replace(b"%b", b"a" * 1024) * 64
+        )
+        async with channel_to(back_end) as channel:
+            async with asyncio.timeout(10.0):
+                failure = (await send(channel)).err_value
+                while back_end.ended_connections == 0:
+                    await asyncio.sleep(0.001)
+
+        assert (failure.code, failure.ran) == (Code.BAD_REPLY, RunStatus.UNKNOWN)
+        assert back_end.sent_bytes < 64 * 1024 * 1024
+
+    async def test_memory_is_released_when_the_exchange_has_ended(self) -> None:
+        limits = ResponseLimits(max_response_bytes=100_000)
+        back_end = BackEndStandIn(
+            "b", respond_in_turn("HTTP/1.1 200 OK\r\n\r\n"), endless_part=b"a" * 65_536
+        )
+        async with channel_to(back_end):
+            open_channel = make_backend_channel_opener(limits)
+            channels = [open_channel(back_end.address) for _ in range(8)]
+            outcomes = await asyncio.gather(*(send(channel) for channel in channels))
+
+        assert [outcome.err_value.code for outcome in outcomes] == [Code.BAD_REPLY] * 8
+        assert limits.pending_bytes == 0
+
+
+class TestSuccessesWithoutSignature:
+    """A success that is not signed cannot be told from bytes of another origin."""
+
+    async def test_the_request_may_have_run(self) -> None:
+        text = "HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {id}\r\nContent-Length: 2\r\n\r\nok"
+        async with channel_to(BackEndStandIn("b", respond_in_turn(text))) as channel:
+            failure = (await send(channel)).err_value
+
+        assert (failure.code, failure.ran) == (Code.BAD_REPLY, RunStatus.UNKNOWN)
+
+    async def test_a_failure_needs_none(self) -> None:
+        text = "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno"
+        async with channel_to(BackEndStandIn("b", respond_in_turn(text))) as channel:
+            assert (await send(channel)).ok_value.status == 404
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -8,7 +8,9 @@
 
 from platform_harness import fan_out_route, make_configuration, single_route
 from radishmount.codes import Code
+from radishmount.discovery import ConfigurationEntry, EndpointEntry
 from radishmount.platform import read_configuration, read_deployment_settings, read_listed_endpoint
+from radishmount.platform._store_client import ItemModel, _parse_entries
 
 
 BACK_END = {
@@ -95,6 +97,22 @@
         assert read_listed_endpoint("i-1", value) is None
 
 
+class TestStoreClient:
+    """What a foreign writer puts into the store ends no read of the other entries."""
+
+    @pytest.mark.parametrize("value", ["abc", "!", "\u00e9", "", "AAAA====AAAA"])
+    def test_a_configuration_that_is_not_base64_is_reported_as_unreadable(self, value: str) -> None:
+        items = [
+            ItemModel(key="op/config", value=value, revision=1),
+            ItemModel(key="servers/i-1", value=encoded(BACK_END), revision=2),
+        ]
+        configuration, endpoint = _parse_entries(items)
+
+        assert isinstance(configuration, ConfigurationEntry)
+        assert isinstance(endpoint, EndpointEntry)
+        assert read_configuration(configuration.body).is_err()
+
+
 class TestConfiguration:
     """The operator's configuration becomes a publication."""
 
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -149,6 +149,7 @@
         addresses_valid_for_ms=5_000.0,
         max_propagation_ms=3_000.0,
         retry_budget_settings=RetryBudgetSettings(0.2, 100.0),
+        memory_bytes=200_000_000,
     )
 
 
