Correct faults that were found by reading, each with a test that failed before

Cause and change, one by one: - A hello of a key holder that is not msgpack raised out of the handshake; it is refused as BAD_FRAME. - A stream whose opening was cancelled in the handshake kept its connection; it is closed. - Names of endpoints could have 200 characters in published objects and 100 in frames between instances, so a longer name was lost in gossip; 200 everywhere. - Slow endpoints beyond the 200 of one frame were noted as announced without being sent; they go in further frames. - After its reader had gone, the log output went on filling its buffer and waking its task; lines are dropped and counted. - A restart on another index version that one shard needed could be taken back by another shard before it was seen.

Tests: the new ones fail on the code before and pass now; tests/fleet, logs, queries, discovery and platform pass.

--- a/src/radishmount/border/_peer_endpoint_models.py
+++ b/src/radishmount/border/_peer_endpoint_models.py
@@ -4,7 +4,13 @@
 
 from pydantic import Field
 
-from radishmount.border._peer_models import Address, NonNegativeInt, PeerModel, PeerName
+from radishmount.border._peer_models import (
+    Address,
+    EndpointName,
+    NonNegativeInt,
+    PeerModel,
+    PeerName,
+)
 from radishmount.discovery import (
     EndpointPage,
     EndpointPageRequest,
@@ -29,7 +35,7 @@
     """One listed endpoint."""
 
     data_type = ListedEndpoint
-    name: Annotated[str, Field(min_length=1, max_length=200)]
+    name: EndpointName
     service: Annotated[str, Field(min_length=1, max_length=200)]
     address: Address
     data_centre: PeerName
@@ -46,7 +52,7 @@
     revision: NonNegativeInt
     endpoints: Annotated[list[Any], Field(max_length=MAX_PAGE_LENGTH)]
     has_more: bool
-    missing: Annotated[list[PeerName], Field(max_length=MAX_PAGE_LENGTH)]
+    missing: Annotated[list[EndpointName], Field(max_length=MAX_PAGE_LENGTH)]
 
     def to_data(self) -> EndpointPage:
         """Return the message as a data class."""
@@ -61,8 +67,8 @@
     after: NonNegativeInt
     revision: NonNegativeInt
     endpoints: Annotated[list[Any], Field(max_length=MAX_PAGE_LENGTH)]
-    removed: Annotated[list[PeerName], Field(max_length=MAX_PAGE_LENGTH)]
-    missing: Annotated[list[PeerName], Field(max_length=MAX_PAGE_LENGTH)]
+    removed: Annotated[list[EndpointName], Field(max_length=MAX_PAGE_LENGTH)]
+    missing: Annotated[list[EndpointName], Field(max_length=MAX_PAGE_LENGTH)]
 
     def to_data(self) -> StoreNews:
         """Return the message as a data class."""
--- a/src/radishmount/border/_peer_handshake.py
+++ b/src/radishmount/border/_peer_handshake.py
@@ -159,9 +159,17 @@
     raise PeerProtocolError(Refusal(Code.BAD_FRAME, detail="expected a hello with a proof"))
 
 
+def _unpack(hello: bytes) -> object:
+    """Return the value of a hello; raise PeerProtocolError if it is not msgpack."""
+    try:
+        return msgpack.unpackb(hello)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise PeerProtocolError(Refusal(Code.BAD_FRAME, detail=repr(error))) from error
+
+
 def _parse_opener_hello(opener_hello: bytes, own_name: str) -> tuple[PeerIdentity, int]:
     """Return the identity of the opener, and the incarnation of this instance known to it."""
-    match msgpack.unpackb(opener_hello):
+    match _unpack(opener_hello):
         case [
             int() as protocol,
             str() as name,
@@ -190,7 +198,7 @@
 
 
 def _parse_acceptor_hello(acceptor_hello: bytes) -> tuple[PeerIdentity, int]:
-    match msgpack.unpackb(acceptor_hello):
+    match _unpack(acceptor_hello):
         case [
             str() as name,
             str() as data_centre,
--- a/src/radishmount/border/_peer_models.py
+++ b/src/radishmount/border/_peer_models.py
@@ -29,7 +29,7 @@
 )
 
 
-__all__ = ["MAX_PIECE_BYTES", "PEER_MODELS", "PeerModel", "values_of"]
+__all__ = ["EndpointName", "MAX_PIECE_BYTES", "PEER_MODELS", "PeerModel", "values_of"]
 
 MAX_PIECE_BYTES = 64 * 1024
 MAX_UPDATES = 1000
@@ -38,6 +38,7 @@
 MAX_ENDPOINTS = 10_000
 
 PeerName = Annotated[str, Field(min_length=1, max_length=100)]
+EndpointName = Annotated[str, Field(min_length=1, max_length=200)]  # as in published objects
 Address = Annotated[str, Field(max_length=100)]
 NonNegativeInt = Annotated[int, Field(ge=0, lt=2**63)]
 
@@ -163,7 +164,7 @@
     data_type = ListReply
     version: NonNegativeInt
     instances: Annotated[list[Any], Field(max_length=MAX_INSTANCES)]
-    leaving_endpoints: Annotated[list[PeerName], Field(max_length=MAX_ENDPOINTS)]
+    leaving_endpoints: Annotated[list[EndpointName], Field(max_length=MAX_ENDPOINTS)]
 
     def to_data(self) -> ListReply:
         """Return the message as a data class."""
@@ -195,7 +196,7 @@
     data_type = PaceNews
     origin: PeerName
     number: NonNegativeInt
-    endpoints: Annotated[list[PeerName], Field(max_length=MAX_SLOW_ENDPOINTS)]
+    endpoints: Annotated[list[EndpointName], Field(max_length=MAX_SLOW_ENDPOINTS)]
     paces: Annotated[list[NonNegativeInt], Field(max_length=MAX_SLOW_ENDPOINTS)]
     is_confirmed: bool
 
@@ -216,7 +217,7 @@
     """Endpoints that announced that they are leaving."""
 
     data_type = EndpointChanges
-    leaving: Annotated[list[PeerName], Field(max_length=MAX_ENDPOINTS)]
+    leaving: Annotated[list[EndpointName], Field(max_length=MAX_ENDPOINTS)]
 
     def to_data(self) -> EndpointChanges:
         """Return the message as a data class."""
--- a/src/radishmount/border/_peer_stream.py
+++ b/src/radishmount/border/_peer_stream.py
@@ -116,6 +116,7 @@
     async def open_peer(name: str, address: str) -> Result[PeerStream, Refusal]:
         socket_address = parse_address(address)
         writer = None
+        stream = None
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(
@@ -123,14 +124,15 @@
                 )
                 msgpack_reader = MsgpackReader(reader)
                 handshake = await initiate_handshake(name, credentials, msgpack_reader, writer)
-                return Ok(TcpPeerStream(handshake, msgpack_reader, writer, counters, credentials))
+                stream = TcpPeerStream(handshake, msgpack_reader, writer, counters, credentials)
+                return Ok(stream)
         except PeerProtocolError as error:
-            refusal = error.refusal
+            return Err(error.refusal)
         except (OSError, TimeoutError) as error:
-            refusal = Refusal(Code.PEER_UNREACHABLE, detail=f"{name}: {error!r}")
-        if writer is not None:
-            writer.close()
-        return Err(refusal)
+            return Err(Refusal(Code.PEER_UNREACHABLE, detail=f"{name}: {error!r}"))
+        finally:
+            if stream is None and writer is not None:
+                writer.close()
 
     return open_peer
 
--- a/src/radishmount/fleet/_slow_endpoints.py
+++ b/src/radishmount/fleet/_slow_endpoints.py
@@ -107,23 +107,19 @@
 
     def _announce(self, latency_ms_by_endpoint: LatenciesByEndpoint, now_ms: float) -> None:
         """Announce slow endpoints to all instances that need to know."""
-        if not latency_ms_by_endpoint:
-            return
-        for name in latency_ms_by_endpoint:
-            self.announced_at_ms_by_endpoint[name] = now_ms
-        message = self._make_message(latency_ms_by_endpoint, is_confirmed=True)
-        if self._sends_directly():
-            self._send_to_preferred(message)
-        else:
-            self._send(message, self.peers.sessions_by_name)
+        for part in _frames_of(latency_ms_by_endpoint):
+            for name in part:
+                self.announced_at_ms_by_endpoint[name] = now_ms
+            message = self._make_message(part, is_confirmed=True)
+            if self._sends_directly():
+                self._send_to_preferred(message)
+            else:
+                self._send(message, self.peers.sessions_by_name)
 
     def _ask_neighbours(self, latency_ms_by_endpoint: LatenciesByEndpoint) -> None:
         """Send neighbours what may be a short pause; a neighbour that observes it announces it."""
-        if latency_ms_by_endpoint:
-            self._send(
-                self._make_message(latency_ms_by_endpoint, is_confirmed=False),
-                self.peers.sessions_by_name,
-            )
+        for part in _frames_of(latency_ms_by_endpoint):
+            self._send(self._make_message(part, is_confirmed=False), self.peers.sessions_by_name)
 
     def _make_message(
         self, latency_ms_by_endpoint: LatenciesByEndpoint, *, is_confirmed: bool
@@ -131,7 +127,7 @@
         # Numbers begin at the incarnation, above those of earlier starts of this instance.
         incarnation = self.peers.fleet.members.own.incarnation
         self.last_number = max(self.last_number + 1, incarnation)
-        names = tuple(latency_ms_by_endpoint)[:MAX_ENDPOINTS_PER_FRAME]
+        names = tuple(latency_ms_by_endpoint)
         rounded = tuple(round(latency_ms_by_endpoint[name]) for name in names)
         return PaceNews(self.peers.fleet.own_name, self.last_number, names, rounded, is_confirmed)
 
@@ -228,3 +224,11 @@
             session = self.peers.sessions_by_name.get(name)
             if session is not None and session.notify(message):
                 self.counters.add("pace_news", "out")
+
+
+def _frames_of(latency_ms_by_endpoint: LatenciesByEndpoint) -> Iterable[LatenciesByEndpoint]:
+    """Yield the endpoints in parts that fit into a frame each."""
+    names = list(latency_ms_by_endpoint)
+    for first in range(0, len(names), MAX_ENDPOINTS_PER_FRAME):
+        part = names[first : first + MAX_ENDPOINTS_PER_FRAME]
+        yield {name: latency_ms_by_endpoint[name] for name in part}
--- a/src/radishmount/logs/_output.py
+++ b/src/radishmount/logs/_output.py
@@ -30,8 +30,8 @@
     has_lines: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, line: bytes) -> None:
-        """Add one line, including its newline, or drop it if the buffer is full."""
-        if len(self.buffer) + len(line) > BUFFER_BYTES:
+        """Add one line, including its newline, or drop it if it cannot be written."""
+        if self.is_closed or len(self.buffer) + len(line) > BUFFER_BYTES:
             self.dropped += 1
             return
         self.buffer += line
--- a/src/radishmount/queries/_fan_out.py
+++ b/src/radishmount/queries/_fan_out.py
@@ -161,7 +161,8 @@
         if endpoint is None:
             progress.tried_endpoints.clear()
             progress.is_unavailable = not self._has_usable_replica(progress, now_ms)
-            self.must_restart = progress.is_unavailable and self._can_restart(progress, now_ms)
+            if progress.is_unavailable and self._can_restart(progress, now_ms):
+                self.must_restart = True
             self._schedule(progress, now_ms + progress.next_backoff_ms())
             return
         purpose = progress.next_purpose
--- a/tests/discovery/test_gossip.py
+++ b/tests/discovery/test_gossip.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from radishmount.discovery import EndpointRemoval, StoreFailureKind
-from radishmount.fleet import is_watcher
+from radishmount.discovery import EndpointPageRequest, EndpointRemoval, StoreFailureKind
+from radishmount.fleet import Heartbeat, MemberState, is_watcher
 from store_harness import GossipHarness, endpoint_entry
 
 
@@ -15,6 +15,11 @@
 WATCHERS = 6  # two in each of three data centres
 
 
+def heartbeat_at(revision: int) -> Heartbeat:
+    """Return the heartbeat of an instance that has the change of a revision."""
+    return Heartbeat(1, MemberState.LIVE, 0.0, 1, "d", revision)
+
+
 class TestGossip:
     """A few instances watch the store, and all know its entries."""
 
@@ -91,6 +96,51 @@
         assert harness.instances_listing("a", "b") == set(harness.by_name)
         await harness.stop()
 
+    async def test_an_instance_behind_one_peer_fetches_though_other_peers_are_behind_too(
+        self,
+    ) -> None:
+        """Half of a fleet may miss a change; their heartbeats do not show that none is missed."""
+        harness = await GossipHarness(entries=[endpoint_entry("a")]).start(COUNT)
+        instance = next(
+            i for i in harness.by_name.values() if not is_watcher(i.control_plane.fleet)
+        )
+        gossip = instance.control_plane.endpoint_gossip
+        revision = gossip.follower.known_revision
+        for _ in range(20):
+            gossip.on_heartbeat("ahead", heartbeat_at(revision + 1))
+            gossip.on_heartbeat("equal", heartbeat_at(revision))
+            await asyncio.sleep(0.1)
+
+        # There is no instance of that name, so the fetch that was begun has failed.
+        errors = [label for name, label in gossip.counters.by_name if name.endswith("fetch_errors")]
+        assert errors
+        await harness.stop()
+
+    async def test_pages_have_every_name_that_is_kept_after_an_outage(self) -> None:
+        """A long outage lets all entries lapse; an instance that starts then needs all names."""
+        harness = await GossipHarness(entries=[]).start(2)
+        follower = harness.by_name["e0"].control_plane.endpoint_gossip.follower
+        endpoints = follower.endpoints
+        names = [f"i-{n:04}" for n in range(1_200)]
+        for number, name in enumerate(names):
+            endpoints.put(name, endpoint_entry(name).endpoint, 0.0)
+            if number % 2:
+                endpoints.missing_until_ms_by_name[name] = 1e9
+        gossip = harness.by_name["e0"].control_plane.endpoint_gossip
+        listed: list[str] = []
+        missing: list[str] = []
+        has_more = True
+        while has_more:
+            after = listed[-1] if listed else ""
+            page = (await gossip._handle_request("e1", EndpointPageRequest(after))).ok_value
+            listed.extend(entry.name for entry in page.endpoints)
+            missing.extend(page.missing)
+            has_more = page.has_more
+
+        assert listed == names[::2]
+        assert sorted(missing) == names[1::2]
+        await harness.stop()
+
     async def test_an_instance_that_misses_a_notice_fetches_the_change_from_a_peer(self) -> None:
         harness = await GossipHarness(entries=[endpoint_entry("a")]).start(COUNT)
         deprived = next(
--- a/tests/fleet/test_peer_wire.py
+++ b/tests/fleet/test_peer_wire.py
@@ -7,11 +7,23 @@
 import pytest
 from result import Ok
 
+from radishmount.border import (
+    ENDPOINT_PEER_MODELS,
+    PeerCredentials,
+    make_peer_opener,
+    pack_frame,
+    register_peer_models,
+    unpack_frame,
+)
 from radishmount.border._msgpack_reader import MAX_HANDSHAKE_BYTES, MsgpackReader, PeerProtocolError
-from radishmount.border._peer_auth import FrameAuthenticator
+from radishmount.border._peer_auth import FrameAuthenticator, make_proof
 from radishmount.border._peer_codec import MODELS_BY_KIND
 from radishmount.border._peer_compression import compress, decompress
+from radishmount.border._peer_handshake import OPENER, accept_handshake
 from radishmount.codes import Code
+from radishmount.counters import Counters
+from radishmount.discovery import EndpointPage, StoreNews
+from radishmount.fleet import EndpointChanges, Notice, PaceNews, PeerIdentity
 
 
 KEY = b"k" * 32
@@ -107,3 +119,86 @@
         model = MODELS_BY_KIND[kind]
 
         assert list(model.model_fields) == [field.name for field in fields(model.data_type)]
+
+
+class TestNamesOfEndpoints:
+    """Names may be as long in every message as in published objects."""
+
+    @pytest.mark.parametrize(
+        "message",
+        [
+            EndpointPage(1, (), False, ("e" * 200,)),
+            StoreNews(1, 2, removed=("e" * 200,), missing=("e" * 200,)),
+            PaceNews("entry-a", 1, ("e" * 200,), (180,), True),
+            EndpointChanges(("e" * 200,)),
+        ],
+    )
+    def test_a_frame_with_a_long_name_is_read(self, message: object) -> None:
+        register_peer_models(*ENDPOINT_PEER_MODELS)
+        packed = pack_frame(Notice(message)).ok_value
+
+        assert unpack_frame(packed) == Ok(Notice(message))
+
+
+class HandshakeMembers:
+    """What a handshake needs to know of the fleet."""
+
+    own_data_centre = "milano"
+
+    def identity(self) -> PeerIdentity:
+        return PeerIdentity("entry-a", "milano", 1)
+
+    def known_incarnation(self, name: str) -> int:
+        return 0
+
+
+class WrittenBytes:
+    """Keeps what a handshake writes."""
+
+    def __init__(self) -> None:
+        self.content = b""
+
+    def write(self, content: bytes) -> None:
+        self.content += content
+
+
+class TestHello:
+    """A holder of the key may have a fault, and must not end anything but its own stream."""
+
+    @pytest.mark.parametrize("hello", [b"", b"\xc1", b"\x92\x01", b"\x01\x02", b"\xd9\x01\xff"])
+    async def test_a_hello_that_is_no_msgpack_is_refused(self, hello: bytes) -> None:
+        credentials = PeerCredentials(KEY, HandshakeMembers(), lambda: 0.0)
+        stream, written = asyncio.StreamReader(), WrittenBytes()
+        accepting = asyncio.create_task(
+            accept_handshake(credentials, MsgpackReader(stream), written)
+        )
+        await asyncio.sleep(0)
+        nonce = msgpack.unpackb(written.content)
+        proof = make_proof(KEY, OPENER, nonce + hello)
+        stream.feed_data(msgpack.packb([hello, proof]))
+
+        with pytest.raises(PeerProtocolError) as raised:
+            await accepting
+        assert raised.value.refusal.code is Code.BAD_FRAME
+
+    async def test_a_stream_that_is_not_wanted_any_more_is_closed(self) -> None:
+        """An opener that is cancelled in the handshake would keep its connection for good."""
+        accepted = asyncio.Event()
+        ended = asyncio.Event()
+
+        async def stay_silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            accepted.set()
+            await reader.read()
+            ended.set()
+            writer.close()
+
+        server = await asyncio.start_server(stay_silent, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        credentials = PeerCredentials(KEY, HandshakeMembers(), lambda: 0.0)
+        open_peer = make_peer_opener(credentials, Counters())
+        opening = asyncio.create_task(open_peer("entry-b", f"127.0.0.1:{port}"))
+        await accepted.wait()
+        opening.cancel()
+        async with asyncio.timeout(10.0):
+            await ended.wait()
+        server.close()
--- a/tests/fleet/test_slow_endpoints.py
+++ b/tests/fleet/test_slow_endpoints.py
@@ -77,6 +77,22 @@
         gossips.stop()
         await harness.stop()
 
+    async def test_more_endpoints_than_fit_into_a_frame_are_all_announced(self) -> None:
+        """A slow data centre of a large fleet makes hundreds of endpoints slow at once."""
+        harness = make_fleet_harness()
+        names = [f"e{n}" for n in range(3)]
+        await harness.start_all(names, CENTRES)
+        gossips = GossipAtEachInstance(harness)
+
+        gossips.slow_by_name["e0"] = {f"slow-{n}": 180.0 for n in range(450)}
+        await asyncio.sleep(0.2)
+
+        for name in names[1:]:
+            received = [endpoint for hints in gossips.received_by_name[name] for endpoint in hints]
+            assert len(received) == len(set(received)) == 450
+        gossips.stop()
+        await harness.stop()
+
     async def test_an_endpoint_that_stays_slow_is_announced_once_to_a_large_fleet(self) -> None:
         harness = make_fleet_harness()
         names = [f"e{n:02}" for n in range(30)]
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -176,6 +176,11 @@
             endpoint for endpoint in self.endpoints_by_name.values() if endpoint.service == service
         ]
 
+    def use_all_services(self) -> None:
+        """Have the pool make its connection pools, as the first request to each service does."""
+        for service in self.services:
+            assert len(list(self.pool.endpoints_of(service))) == 3
+
     def fan_out_route(self, **fields: Any) -> Route:
         """Return a route to all services."""
         defaults: dict[str, Any] = {
--- a/tests/forwarding/test_execution.py
+++ b/tests/forwarding/test_execution.py
@@ -31,6 +31,21 @@
             assert slow_start_weight(cold, 4_000.0) == 1.0
             assert [slow_start_weight(endpoint, 0.0) for endpoint in warm] == [1.0, 1.0]
 
+    async def test_an_endpoint_that_stays_cold_for_long_keeps_the_least_weight(self) -> None:
+        """A weight below zero would make the choice raise, or turn it around."""
+        async with forward_harness(1, cold_ms_by_name={"s0-a": 60_000.0}) as harness:
+            cold = next(iter(harness.pool.endpoints_of("s0")))
+
+            assert slow_start_weight(cold, 0.0) == pytest.approx(0.1)
+
+    async def test_a_service_not_used_before_is_as_cold_as_when_it_was_published(self) -> None:
+        """Connection pools are made on first use, which may be long after the endpoint started."""
+        async with forward_harness(1, cold_ms_by_name={"s0-a": 4_000.0}) as harness:
+            await asyncio.sleep(4.0)
+            cold = next(iter(harness.pool.endpoints_of("s0")))
+
+            assert slow_start_weight(cold, harness.clock.now_ms()) == 1.0
+
     async def test_an_error_response_is_not_merged(self) -> None:
         async with forward_harness(4) as harness:
             for endpoint in harness.endpoints_of("s1"):
--- a/tests/forwarding/test_overload.py
+++ b/tests/forwarding/test_overload.py
@@ -76,11 +76,43 @@
             assert sum(len(endpoint.cancelled_ids) for endpoint in harness.endpoints_of("s3")) >= 1
 
 
+class TestUnusedServices:
+    """Pattern: in a large fleet most instances forward nothing, and hold nothing for it."""
+
+    async def test_connection_pools_are_made_on_the_first_request_of_a_service(self) -> None:
+        async with forward_harness(4) as harness:
+            assert harness.pool.connection_pools_by_name == {}
+
+            assert (await harness.send(harness.single_route())).is_ok()
+
+            assert set(harness.pool.connection_pools_by_name) == {"s0-a", "s0-b", "s0-c"}
+
+    async def test_a_change_leaves_unused_services_as_they_are(self) -> None:
+        async with forward_harness(4) as harness:
+            await harness.send(harness.single_route())
+
+            await harness.pool.apply_publication(harness.pool.publication, ["entry", "other"])
+            harness.pool.apply_leaving_list(frozenset({"s0-a", "s1-a"}))
+
+            assert set(harness.pool.connection_pools_by_name) == {"s0-a", "s0-b", "s0-c"}
+            leaving = [e.name for e in harness.pool.endpoints_of("s1") if e.is_leaving(0.0)]
+            assert leaving == ["s1-a"]
+
+    async def test_a_hint_about_an_endpoint_not_used_so_far_is_kept(self) -> None:
+        """An instance that has just become preferred must not try slow endpoints first."""
+        async with forward_harness(2) as harness:
+            harness.pool.apply_slow_endpoint_hints({"s1-b": 700.0, "unknown": 700.0})
+
+            (slow,) = [e for e in harness.pool.endpoints_of("s1") if e.name == "s1-b"]
+            assert slow.latency.value_ms == 700.0
+
+
 class TestPreferredInstances:
     """Callers send all requests to a few of many instances."""
 
     async def test_a_preferred_instance_has_connections_to_every_endpoint(self) -> None:
         async with forward_harness(4) as harness:
+            harness.use_all_services()
             names = ["entry", *(f"other-{n}" for n in range(68))]
             await harness.pool.apply_publication(harness.pool.publication, names, preferred_count=8)
             limits_if_preferred = {
@@ -98,6 +130,7 @@
 
     async def test_connection_limits_do_not_change_when_all_instances_are_preferred(self) -> None:
         async with forward_harness(4) as harness:
+            harness.use_all_services()
             names = ["entry", *(f"other-{n}" for n in range(8))]
             limits = []
             for preferred_count in (None, 9):
--- a/tests/logs/test_output.py
+++ b/tests/logs/test_output.py
@@ -41,6 +41,22 @@
         assert len(output.buffer) <= 262_144
         assert output.pop_dropped_count() == 10_000 - len(output.buffer) // len(LINE)
 
+    def test_lines_after_the_reader_has_gone_are_dropped(self) -> None:
+        """Kept lines would fill the buffer, and wake the writing task again and again."""
+
+        def fail(content: bytes) -> int:
+            raise BrokenPipeError
+
+        output = LogOutput(fail, bytearray())
+        output.put(LINE)
+        output.flush()
+        output.has_lines.clear()
+        output.put(LINE)
+
+        assert not output.buffer
+        assert not output.has_lines.is_set()
+        assert output.pop_dropped_count() == 1
+
     def test_a_reader_that_resumes_gets_complete_lines(self) -> None:
         reader = Reader(1_500)
         output = LogOutput(reader.write, bytearray())
