Push endpoint changes within data centres only, and make pools on first use

At rest, four times a second, the preferred instances were found by ranking all others for each data centre, and each change made or updated the connection pools of all endpoints, also at the instances that forward nothing. An instance behind one peer was not noticed while other peers were behind too, and at most 500 lapsed entries were passed on. An endpoint that stays cold for more than 5.6 s got a weight below zero.

Change: what a watcher reads goes to its data centre at once and is passed on there in groups, to those that lack it; other data centres get what their heartbeats lack. Connection pools are made when a service is used first; without probes nothing else needs them. The others are ranked only where a data centre has too few fast instances. The time behind is kept for each peer, pages have all lapsed names.

--- a/src/radishmount/control/_seeded_control_plane.py
+++ b/src/radishmount/control/_seeded_control_plane.py
@@ -156,7 +156,7 @@
         membership=membership,
         bundle_distribution=BundleDistribution(active_publication, peers, clock, counters),
         roster=Roster(own, dependencies.seeds, fleet, peers, clock, random, audit, counters),
-        endpoint_gossip=EndpointGossip(follower, peers, clock, counters),
+        endpoint_gossip=EndpointGossip(follower, peers, clock, random, counters),
         active_publication=active_publication,
         follower=follower,
         freshness=make_freshness(
--- a/src/radishmount/discovery/_gossip.py
+++ b/src/radishmount/discovery/_gossip.py
@@ -1,7 +1,10 @@
 """Gossip of store changes between instances, for those that do not watch the store."""
 
 import asyncio
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
+from functools import reduce
+from random import Random
 from typing import Any
 
 from result import Err, Ok, Result
@@ -17,7 +20,11 @@
 
 __all__ = ["EndpointGossip"]
 
-MAX_LAG_MS = 600.0  # a change passes through a fleet in a tenth of this
+MAX_LAG_MS = 600.0  # a change passes through a fleet in about half of this
+FORWARD_MIN_DELAY_MS = 50.0  # changes of many endpoints come within seconds
+FORWARD_MAX_DELAY_MS = 150.0  # the longer of two neighbours' delays saves a message
+RECENT_MS = 5_000.0  # several heartbeats
+SELF_HELP_MS = 300.0  # in which the watchers of a data centre have read and passed on a change
 PAGE_LENGTH = 500  # entries of about 150 bytes, within the size limit of a frame
 PAGE_TIMEOUT_MS = 1_000.0  # about a hundred round trips within a region
 
@@ -26,16 +33,26 @@
 class EndpointGossip:
     """Passes on changes of the store, and fetches all endpoints from a peer after a missed change.
 
-    A change that was new here is sent once to every peer but its sender. An instance that stays
-    behind a peer for `MAX_LAG_MS` fetches all endpoints from it. It also restarts its own watch of
-    the store, whose connection may be dead without an error.
+    Each data centre has its own watchers, so changes are pushed only within a data centre. What a
+    watcher reads leaves at once. Others pass on what was new to them after a short random delay,
+    together with all that came meanwhile, and only to peers that are not known to have it. A peer
+    elsewhere gets what its heartbeats show to be missing after `SELF_HELP_MS`, as its watchers may
+    not reach the store.
+
+    An instance that stays behind a peer for `MAX_LAG_MS` fetches all endpoints from it. It also
+    restarts its own watch of the store, whose connection may be dead without an error.
     """
 
     follower: StoreFollower
     peers: Peers
     clock: Clock
+    random: Random
     counters: Counters
-    behind_since_ms: float | None = None
+    pending_news: list[StoreNews] = field(default_factory=list)
+    forward_timer: asyncio.TimerHandle | None = None
+    revision_by_peer: dict[str, int] = field(default_factory=dict)
+    recent_news: deque[tuple[float, StoreNews]] = field(default_factory=deque)
+    behind_since_ms_by_peer: dict[str, float] = field(default_factory=dict)
     fetch_task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -44,38 +61,106 @@
         self.peers.handle_notices(StoreNews, self._handle_notice)
         self.follower.on_news = self.broadcast
 
-    def broadcast(self, news: StoreNews, sender: str = "") -> None:
-        """Send a change to every peer but its sender."""
-        if len(news.endpoints) + len(news.removed) + len(news.missing) > PAGE_LENGTH:
-            return  # too large for a frame; peers notice that they are behind and fetch it
-        for session in list(self.peers.sessions_by_name.values()):
-            if session.peer.name != sender:
-                session.notify(news)
+    def broadcast(self, news: StoreNews) -> None:
+        """Send a change that was read here to every peer that does not have it."""
+        self._add_pending(news)
+        self._send_pending()
+
+    def _forward_later(self, news: StoreNews) -> None:
+        self._add_pending(news)
+        if self.forward_timer is not None:
+            return
+        delay_ms = self.random.uniform(FORWARD_MIN_DELAY_MS, FORWARD_MAX_DELAY_MS)
+        loop = asyncio.get_running_loop()
+        self.forward_timer = loop.call_later(delay_ms / 1000.0, self._send_pending)
+
+    def _add_pending(self, news: StoreNews) -> None:
+        """Add a change to those that wait to be sent, if it follows on them and fits the frame."""
+        self._remember(news)
+        if news.length > PAGE_LENGTH:
+            return  # peers notice that they are behind and fetch it
+        pending_length = sum(pending.length for pending in self.pending_news)
+        is_gap = bool(self.pending_news) and news.after > self.pending_news[-1].revision
+        if is_gap or pending_length + news.length > PAGE_LENGTH:
+            self._send_pending()
+        self.pending_news.append(news)
+
+    def _send_pending(self) -> None:
+        """Send to each peer what it lacks of the changes that wait, as one message."""
+        pending, self.pending_news = self.pending_news, []
+        if self.forward_timer is not None:
+            self.forward_timer.cancel()
+            self.forward_timer = None
+        own_data_centre = self.peers.fleet.own_data_centre
+        sessions = [
+            session
+            for session in self.peers.sessions_by_name.values()
+            if session.peer.data_centre == own_data_centre
+        ]
+        known = self.revision_by_peer
+        self.revision_by_peer = {s.peer.name: known.get(s.peer.name, 0) for s in sessions}
+        message_by_count: dict[int, StoreNews] = {}
+        for session in sessions:
+            revision = self.revision_by_peer[session.peer.name]
+            lacking = [news for news in pending if news.revision > revision]
+            if not lacking:
+                continue
+            if len(lacking) not in message_by_count:
+                message_by_count[len(lacking)] = reduce(StoreNews.followed_by, lacking)
+            session.notify(message_by_count[len(lacking)])
+
+    def _remember(self, news: StoreNews) -> None:
+        now_ms = self.clock.now_ms()
+        if self.recent_news and news.after > self.recent_news[-1][1].revision:
+            self.recent_news.clear()  # there may be changes between them
+        self.recent_news.append((now_ms, news))
+        while now_ms - self.recent_news[0][0] > RECENT_MS:
+            self.recent_news.popleft()
+
+    def _send_missing(self, peer: str, revision: int) -> None:
+        """Send a peer at `revision` the recent changes that it should have got by now."""
+        session = self.peers.sessions_by_name.get(peer)
+        limit_ms = self.clock.now_ms() - SELF_HELP_MS
+        lacking = [
+            news
+            for at_ms, news in self.recent_news
+            if news.revision > revision and at_ms < limit_ms
+        ]
+        if session is None or not lacking or lacking[0].after > revision:
+            return
+        message = reduce(StoreNews.followed_by, lacking)
+        if message.length <= PAGE_LENGTH:
+            session.notify(message)
 
     def on_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
         """Fetch the endpoints of a peer if this instance stays behind its revision for too long."""
+        self.revision_by_peer[peer] = heartbeat.list_version
+        self._send_missing(peer, heartbeat.list_version)
         self.follower.confirm(heartbeat.list_version, heartbeat.list_age_ms)
         if not self.follower.is_behind(heartbeat.list_version):
-            self.behind_since_ms = None
+            self.behind_since_ms_by_peer.pop(peer, None)
             return
         now_ms = self.clock.now_ms()
-        if self.behind_since_ms is None:
-            self.behind_since_ms = now_ms
-        if self.follower.last_change_revision and now_ms - self.behind_since_ms < MAX_LAG_MS:
+        behind_since_ms = self.behind_since_ms_by_peer.setdefault(peer, now_ms)
+        if self.follower.last_change_revision and now_ms - behind_since_ms < MAX_LAG_MS:
             return
         self.follower.restart_watch()
         if self.fetch_task is None or self.fetch_task.done():
             self.fetch_task = asyncio.create_task(self._fetch(peer), name="fetch endpoints")
 
     async def stop(self) -> None:
-        """Cancel a fetch that is in progress."""
+        """Cancel a fetch that is in progress, and drop what waits to be sent."""
+        if self.forward_timer is not None:
+            self.forward_timer.cancel()
         if self.fetch_task is not None:
             self.fetch_task.cancel()
             await asyncio.gather(self.fetch_task, return_exceptions=True)
 
     def _handle_notice(self, session: PeerSession, news: StoreNews) -> None:
-        if self.follower.apply_news(session.peer.name, news):
-            self.broadcast(news, session.peer.name)
+        peer = session.peer.name
+        self.revision_by_peer[peer] = max(self.revision_by_peer.get(peer, 0), news.revision)
+        if self.follower.apply_news(peer, news):
+            self._forward_later(news)
 
     async def _fetch(self, peer: str) -> None:
         listed: list[ListedEndpoint] = []
@@ -93,7 +178,7 @@
             missing.update(page.missing)
             if not page.has_more or not page.endpoints:
                 break
-        self.behind_since_ms = None
+        self.behind_since_ms_by_peer.clear()
         await self.follower.apply_peer_state(peer, revision, listed, missing)
 
     async def _handle_request(
@@ -101,11 +186,12 @@
     ) -> Result[Any, Refusal]:
         endpoints = self.follower.endpoints
         listed = [entry for entry in endpoints.present_endpoints() if entry.name > request.after]
-        missing = sorted(endpoints.missing_until_ms_by_name)[:PAGE_LENGTH]
+        names = sorted(name for name in endpoints.missing_until_ms_by_name if name > request.after)
+        has_more = len(listed) > PAGE_LENGTH
+        if has_more:
+            listed = listed[:PAGE_LENGTH]
+            names = [name for name in names if name <= listed[-1].name]
         page = EndpointPage(
-            self.follower.last_change_revision,
-            tuple(listed[:PAGE_LENGTH]),
-            len(listed) > PAGE_LENGTH,
-            tuple(missing),
+            self.follower.last_change_revision, tuple(listed), has_more, tuple(names)
         )
         return Ok(page)
--- a/src/radishmount/discovery/_messages.py
+++ b/src/radishmount/discovery/_messages.py
@@ -21,6 +21,22 @@
     removed: tuple[str, ...] = ()
     missing: tuple[str, ...] = ()
 
+    @property
+    def length(self) -> int:
+        """Return the number of endpoints that changed."""
+        return len(self.endpoints) + len(self.removed) + len(self.missing)
+
+    def followed_by(self, news: "StoreNews") -> "StoreNews":
+        """Return this and later changes as one; there must be none between them."""
+        changed = {*(e.name for e in news.endpoints), *news.removed, *news.missing}
+        return StoreNews(
+            after=min(self.after, news.after),
+            revision=news.revision,
+            endpoints=(*(e for e in self.endpoints if e.name not in changed), *news.endpoints),
+            removed=(*(n for n in self.removed if n not in changed), *news.removed),
+            missing=(*(n for n in self.missing if n not in changed), *news.missing),
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointPageRequest:
--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -116,8 +116,11 @@
 
 
 def slow_start_weight(endpoint: Endpoint, now_ms: float) -> float:
-    """Return the share of its usual load that an endpoint gets, rising to 1 in `SLOW_START_MS`."""
-    passed = (now_ms - endpoint.available_since_ms) / SLOW_START_MS
+    """Return the share of its usual load that an endpoint gets, rising to 1 in `SLOW_START_MS`.
+
+    An endpoint that stays cold for longer is available from a time in the future.
+    """
+    passed = max(0.0, (now_ms - endpoint.available_since_ms) / SLOW_START_MS)
     return min(1.0, SLOW_START_MIN_WEIGHT + (1.0 - SLOW_START_MIN_WEIGHT) * passed)
 
 
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -22,7 +22,7 @@
 from radishmount.endpoints._waker import wake
 from radishmount.fleet import SlowEndpointHint
 from radishmount.policy import DEFAULT_POLICY, QueryPolicy
-from radishmount.publication import EMPTY_PUBLICATION, EndpointSpec, Publication
+from radishmount.publication import EMPTY_PUBLICATION, EndpointSpec, Publication, Service
 
 
 __all__ = ["EndpointPool"]
@@ -35,7 +35,10 @@
 class EndpointPool:
     """The endpoints of the active publication, with a connection pool for each.
 
-    `on_leaving` is called with the name of an endpoint whose own report says that it is leaving.
+    Where the policy has no probes, the pools of a service are made on its first use: most instances
+    of a large fleet forward to few services. `first_seen_ms_by_name` tells since when an endpoint
+    is published, and `on_leaving` is called with the name of an endpoint whose own report says that
+    it is leaving.
     """
 
     own_name: str
@@ -51,12 +54,19 @@
     endpoints_by_service: dict[str, list[Endpoint]] = field(default_factory=dict)
     retired_connection_pools: list[ConnectionPool] = field(default_factory=list)
     leaving_names: frozenset[str] = frozenset()
+    first_seen_ms_by_name: dict[str, float] = field(default_factory=dict)
     on_leaving: Callable[[str], None] = lambda name: None
     update_waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
     def endpoints_of(self, service: str) -> Iterable[Endpoint]:
         """Return the endpoints of `service`."""
-        return self.endpoints_by_service.get(service, ())
+        endpoints = self.endpoints_by_service.get(service)
+        if endpoints is not None:
+            return endpoints
+        published = self.publication.services_by_name.get(service)
+        if published is None:
+            return ()
+        return self._update_service(published)
 
     def submit(self, attempt: AnyAttempt) -> None:
         """Hand `attempt` to the connection pool of its endpoint.
@@ -91,14 +101,16 @@
             spec = publication.endpoints_by_name.get(name)
             if spec is None or spec.address != connection_pool.endpoint.spec.address:
                 self._retire(self.connection_pools_by_name.pop(name))
-        for name in publication.endpoints_by_name:
-            self._update_connection_pool(name, publication)
-        self.endpoints_by_service = {
-            service.name: [
-                self.connection_pools_by_name[spec.name].endpoint for spec in service.endpoints
-            ]
-            for service in publication.services_by_name.values()
+        now_ms = self.clock.now_ms()
+        seen_ms_by_name = self.first_seen_ms_by_name
+        self.first_seen_ms_by_name = {
+            name: seen_ms_by_name.get(name, now_ms) for name in publication.endpoints_by_name
         }
+        used_services = self.endpoints_by_service
+        self.endpoints_by_service = {}
+        for service in publication.services_by_name.values():
+            if self.policy.probes or service.name in used_services:
+                self._update_service(service)
         self._wake_update_waiters()
 
     def apply_leaving_list(self, names: frozenset[str]) -> None:
@@ -129,6 +141,9 @@
         """Raise latency estimates towards what a peer saw, until own samples lower them again."""
         now_ms = self.clock.now_ms()
         for name, latency_ms in latency_ms_by_name.items():
+            service = self.publication.services_by_endpoint.get(name)
+            if service is not None:
+                self.endpoints_of(service.name)  # makes the pools of a service not used so far
             connection_pool = self.connection_pools_by_name.get(name)
             if connection_pool is not None:
                 connection_pool.endpoint.latency.add_lower_bound(latency_ms, now_ms)
@@ -166,9 +181,18 @@
         connection_pools = [*self.connection_pools_by_name.values(), *self.retired_connection_pools]
         await asyncio.gather(*(connection_pool.stop() for connection_pool in connection_pools))
 
-    def _update_connection_pool(self, name: str, publication: Publication) -> None:
-        service = publication.services_by_endpoint[name]
-        spec = publication.endpoints_by_name[name]
+    def _update_service(self, service: Service) -> list[Endpoint]:
+        """Make or update the connection pools of a service, and return its endpoints."""
+        for spec in service.endpoints:
+            self._update_connection_pool(spec, service)
+        endpoints = [
+            self.connection_pools_by_name[spec.name].endpoint for spec in service.endpoints
+        ]
+        self.endpoints_by_service[service.name] = endpoints
+        return endpoints
+
+    def _update_connection_pool(self, spec: EndpointSpec, service: Service) -> None:
+        name = spec.name
         subset = self.subsets.subset_for(name, service.connections)
         limit = service.connections
         if self.policy.holders:
@@ -208,7 +232,8 @@
         if not self.policy.probes:
             endpoint.is_tracked_by_discovery = True
             # The slow start ends at the moment at which the endpoint is no longer cold.
-            endpoint.available_since_ms = self.clock.now_ms() + spec.cold_for_ms - SLOW_START_MS
+            first_seen_ms = self.first_seen_ms_by_name.get(spec.name, self.clock.now_ms())
+            endpoint.available_since_ms = first_seen_ms + spec.cold_for_ms - SLOW_START_MS
             endpoint.latency.rise_weight = FEW_REQUESTS_RISE_WEIGHT
         endpoint.set_listed_as_leaving(spec.name in self.leaving_names, self.clock.now_ms())
         return ConnectionPool(
--- a/src/radishmount/fleet/_preferred.py
+++ b/src/radishmount/fleet/_preferred.py
@@ -40,25 +40,16 @@
     are added, then the fastest of other data centres. Suspected and overloaded instances are used
     only if no others are known.
     """
-    accepting = [fleet.by_name[name] for name in fleet.by_name if fleet.accepts_work(name)]
-    healthy = [instance for instance in accepting if fleet.is_healthy(instance.name)] or accepting
-    own = [instance for instance in healthy if instance.data_centre == data_centre]
-    others = [instance for instance in healthy if instance.data_centre != data_centre]
-    chosen = _fast_instances(own)
-    for candidates in (own, others):
-        for instance in _sort_by_capacity(candidates, data_centre):
-            if len(chosen) < MIN_PREFERRED and instance not in chosen:
-                chosen.append(instance)
-    return tuple(chosen[:limit])
+    return tuple(_choose(_usable_instances(fleet), data_centre)[:limit])
 
 
 def preferred_names(fleet: Fleet) -> frozenset[str]:
     """Return the names of all instances that callers in any data centre are sent to."""
-    names: set[str] = set()
-    for data_centre in {instance.data_centre for instance in fleet.by_name.values()}:
-        preferred = choose_preferred(fleet, data_centre, len(fleet.by_name))
-        names.update(instance.name for instance in preferred)
-    return frozenset(names)
+    usable = _usable_instances(fleet)
+    data_centres = {instance.data_centre for instance in fleet.by_name.values()}
+    return frozenset(
+        instance.name for data_centre in data_centres for instance in _choose(usable, data_centre)
+    )
 
 
 def fleet_shares(fleet: Fleet, preferred: frozenset[str]) -> FleetShares:
@@ -70,6 +61,25 @@
     )
 
 
+def _usable_instances(fleet: Fleet) -> list[Instance]:
+    """Return the healthy instances, or all that accept work if none is healthy."""
+    accepting = [instance for name, instance in fleet.by_name.items() if fleet.accepts_work(name)]
+    return [instance for instance in accepting if fleet.is_healthy(instance.name)] or accepting
+
+
+def _choose(usable: list[Instance], data_centre: str) -> list[Instance]:
+    own = [instance for instance in usable if instance.data_centre == data_centre]
+    chosen = _fast_instances(own)
+    if len(chosen) >= MIN_PREFERRED:
+        return chosen  # ranking the others takes milliseconds in a large fleet
+    others = [instance for instance in usable if instance.data_centre != data_centre]
+    for candidates in (own, others):
+        for instance in _sort_by_capacity(candidates, data_centre):
+            if len(chosen) < MIN_PREFERRED and instance not in chosen:
+                chosen.append(instance)
+    return chosen
+
+
 def _fast_instances(instances: list[Instance]) -> list[Instance]:
     most = max((instance.capacity for instance in instances), default=0.0)
     return [instance for instance in instances if instance.capacity >= FAST_CAPACITY_RATIO * most]
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -185,7 +185,7 @@
             "publication_version": float(view.version),
             "publication_age_ms": self.active_publication.age_ms(),
             "endpoints_age_ms": view.endpoints_age_ms,
-            "endpoints_known": float(len(self.pool.connection_pools_by_name)),
+            "endpoints_known": float(len(self.pool.first_seen_ms_by_name)),
             "store_reached": float(self.follower.is_store_reachable),
             "instances_listed": float(len(self.control.fleet.listed_names)),
             "peer_streams": float(len(self.control.peers.sessions_by_name)),
--- a/tests/discovery/test_gossip.py
+++ b/tests/discovery/test_gossip.py
@@ -73,6 +73,49 @@
         assert sent < streams * 250  # a StoreNews frame has about 100 bytes, a heartbeat 70
         await harness.stop()
 
+    async def test_a_change_is_pushed_within_data_centres_only(self) -> None:
+        """Pattern: hundreds of endpoints start within seconds, and so does the fleet.
+
+        A change that each instance sends over each of its streams crosses data centres hundreds of
+        times, though the watchers of each data centre read it from the store.
+        """
+        harness = await GossipHarness(entries=[endpoint_entry("a")]).start(COUNT)
+        harness.network.sent_frames_by_kind.clear()
+        harness.network.crossing_frames_by_kind.clear()
+        for number in range(20):
+            harness.write(endpoint_entry(f"b-{number}"))
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.6)
+        names = ("a", *(f"b-{number}" for number in range(20)))
+
+        assert harness.instances_listing(*names) == set(harness.by_name)
+        # Two batches of changes, at most twice over each of about five streams in a data centre.
+        assert harness.network.sent_frames_by_kind["StoreNews"] < 2 * 2 * 5 * COUNT
+        crossing = [
+            session
+            for instance in harness.by_name.values()
+            for session in instance.control_plane.peers.sessions_by_name.values()
+            if session.peer.data_centre != instance.control_plane.fleet.own_data_centre
+        ]
+        assert len(crossing) > COUNT
+        assert "StoreNews" not in harness.network.crossing_frames_by_kind
+        assert harness.network.crossing_frames_by_kind["Heartbeat"] > 0
+        await harness.stop()
+
+    async def test_a_data_centre_whose_watchers_are_refused_gets_changes_from_others(self) -> None:
+        """Pattern: the store turns a third of the instances away and serves the others."""
+        harness = await GossipHarness(entries=[endpoint_entry("a")]).start(COUNT)
+        for instance in harness.by_name.values():
+            if instance.control_plane.fleet.own_data_centre == "torino":
+                instance.store.failure_kind = StoreFailureKind.UNAVAILABLE
+                instance.store.changed.set()
+        await asyncio.sleep(0.5)
+        harness.write(endpoint_entry("b"), EndpointRemoval("a"))
+        await asyncio.sleep(2.0)
+
+        assert harness.instances_listing("b") == set(harness.by_name)
+        await harness.stop()
+
     async def test_watchers_that_are_lost_are_replaced_within_seconds(self) -> None:
         harness = await GossipHarness(entries=[endpoint_entry("a")]).start(COUNT)
         for name in [n for n, i in harness.by_name.items() if is_watcher(i.control_plane.fleet)]:
--- a/tests/peer_fakes.py
+++ b/tests/peer_fakes.py
@@ -43,6 +43,9 @@
         kind = type(frame.message).__name__
         counts = self.network.sent_frames_by_kind
         counts[kind] = counts.get(kind, 0) + 1
+        if self.network.members_by_name[self.own_name].own_data_centre != self.peer.data_centre:
+            crossing = self.network.crossing_frames_by_kind
+            crossing[kind] = crossing.get(kind, 0) + 1
         assert self.other is not None
         if self.network.delivers(self.own_name, self.peer.name):
             self._deliver_later(self.other, unpack_frame(packed))
@@ -91,6 +94,7 @@
     down_names: set[str] = field(default_factory=set)
     sent_bytes_by_name: dict[str, int] = field(default_factory=dict)
     sent_frames_by_kind: dict[str, int] = field(default_factory=dict)
+    crossing_frames_by_kind: dict[str, int] = field(default_factory=dict)
     opened_count: int = 0
     tasks: set[asyncio.Task[object]] = field(default_factory=set)
     held_by_frozen_name: dict[str, list[Callable[[], None]]] = field(default_factory=dict)
