Fetch a new bundle within the data centre where it is offered there

Change: without an offer from the own data centre an instance waits 200 ms for one, unless it has no publication yet. The test of crossing pieces fails on the code before.

--- a/src/radishmount/control/_control_plane.py
+++ b/src/radishmount/control/_control_plane.py
@@ -238,7 +238,9 @@
         counters,
         held_versions=lambda: control_plane.held_versions(),
     )
-    bundle_distribution = BundleDistribution(active_publication, peers, clock, counters)
+    bundle_distribution = BundleDistribution(
+        active_publication, peers, clock, counters, fleet.is_near
+    )
     list_sync = InstanceListSync(list_updater, peers, counters)
     bundle_poller = PlatformPoller(fleet, clock, random, counters, "bundle")
     list_poller = PlatformPoller(fleet, clock, random, counters, "instances")
--- a/src/radishmount/control/_seeded_control_plane.py
+++ b/src/radishmount/control/_seeded_control_plane.py
@@ -154,7 +154,9 @@
         fleet=fleet,
         peers=peers,
         membership=membership,
-        bundle_distribution=BundleDistribution(active_publication, peers, clock, counters),
+        bundle_distribution=BundleDistribution(
+            active_publication, peers, clock, counters, fleet.is_near
+        ),
         roster=Roster(own, dependencies.seeds, fleet, peers, clock, random, audit, counters),
         endpoint_gossip=EndpointGossip(follower, peers, clock, random, counters),
         active_publication=active_publication,
--- a/src/radishmount/fleet/_fleet.py
+++ b/src/radishmount/fleet/_fleet.py
@@ -50,6 +50,11 @@
         """
         return sorted({*self.by_name, self.own_name})
 
+    def is_near(self, name: str) -> bool:
+        """Return whether the instance `name` is listed in the data centre of this one."""
+        instance = self.by_name.get(name)
+        return instance is not None and instance.data_centre == self.own_data_centre
+
     def accepts_work(self, name: str) -> bool:
         """Return whether callers may be sent to the instance `name`."""
         instance = self.by_name.get(name)
--- a/src/radishmount/publication/_bundle_distribution.py
+++ b/src/radishmount/publication/_bundle_distribution.py
@@ -1,6 +1,7 @@
 """Distributes bundles between instances: each one fetches newer bundles from its peers."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -19,6 +20,8 @@
 MAX_BUNDLE_BYTES = 32 * 1024 * 1024
 PIECE_TIMEOUT_MS = 2_000.0
 MAX_INVALID_BUNDLES = 256
+# In which the watchers of a data centre have read a new bundle themselves and offered it.
+NEAR_OFFER_WAIT_MS = 200.0
 
 
 class ConfigurationSource(Protocol):
@@ -47,13 +50,15 @@
 class BundleDistribution:
     """Fetches newer bundles from peers, and serves pieces of the active bundle to them.
 
-    One bundle is fetched at a time. A bundle that was found to be invalid is not fetched again.
+    One bundle is fetched at a time, from a peer that `is_near` if one offers it in time. A bundle
+    that was found to be invalid is not fetched again.
     """
 
     active_publication: ActivePublication
     peers: PeerRequester
     clock: Clock
     counters: Counters
+    is_near: Callable[[str], bool] = lambda peer: True
     fetch_task: asyncio.Task[None] | None = None
     offers_by_peer: dict[str, tuple[int, str]] = field(default_factory=dict)
     invalid_bundles: set[tuple[int, str]] = field(default_factory=set)
@@ -81,8 +86,11 @@
 
     async def _fetch_offers(self) -> None:
         """Fetch the offered versions, highest first, until no offer is left."""
+        is_starting = self.active_publication.current.version == 0
+        if not is_starting and not any(self.is_near(peer) for peer in self.offers_by_peer):
+            await self.clock.sleep_ms(NEAR_OFFER_WAIT_MS)
         while self.offers_by_peer:
-            peer = max(self.offers_by_peer, key=lambda name: self.offers_by_peer[name][0])
+            peer = max(self.offers_by_peer, key=self._rank_of_offer)
             version, digest = self.offers_by_peer.pop(peer)
             if (
                 version <= self.active_publication.current.version
@@ -99,6 +107,10 @@
             if self.active_publication.current.version < version:
                 self._mark_invalid(version, digest)
 
+    def _rank_of_offer(self, peer: str) -> tuple[int, bool]:
+        version, _ = self.offers_by_peer[peer]
+        return version, self.is_near(peer)
+
     async def fetch(self, peer: str, version: int) -> Result[bytes, Refusal]:
         """Return the whole bundle of `version`, fetched from `peer` piece by piece."""
         body = bytearray()
--- a/tests/discovery/test_gossip.py
+++ b/tests/discovery/test_gossip.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from radishmount.discovery import EndpointPageRequest, EndpointRemoval, StoreFailureKind
+from radishmount.discovery import (
+    ConfigurationEntry,
+    EndpointPageRequest,
+    EndpointRemoval,
+    StoreFailureKind,
+)
 from radishmount.fleet import Heartbeat, MemberState, is_watcher
 from store_harness import GossipHarness, endpoint_entry
 
@@ -102,6 +107,38 @@
         assert harness.network.crossing_frames_by_kind["Heartbeat"] > 0
         await harness.stop()
 
+    async def test_a_configuration_is_fetched_within_the_data_centre(self) -> None:
+        """Pattern: a configuration of a thousand routes is published to hundreds of instances."""
+        harness = await GossipHarness(entries=[ConfigurationEntry(b"1 one")]).start(COUNT)
+        harness.network.crossing_frames_by_kind.clear()
+        harness.write(ConfigurationEntry(b"2 two " + b"x" * 200_000))
+        await asyncio.sleep(1.0)
+        versions = {
+            instance.control_plane.active_publication.current.version
+            for instance in harness.by_name.values()
+        }
+
+        assert versions == {2}
+        assert "BundlePiece" not in harness.network.crossing_frames_by_kind
+        await harness.stop()
+
+    async def test_a_configuration_crosses_where_no_watcher_of_the_data_centre_has_it(self) -> None:
+        harness = await GossipHarness(entries=[ConfigurationEntry(b"1 one")]).start(COUNT)
+        for instance in harness.by_name.values():
+            if instance.control_plane.fleet.own_data_centre == "torino":
+                instance.store.failure_kind = StoreFailureKind.UNAVAILABLE
+                instance.store.changed.set()
+        await asyncio.sleep(0.5)
+        harness.write(ConfigurationEntry(b"2 two"))
+        await asyncio.sleep(1.5)
+        versions = {
+            instance.control_plane.active_publication.current.version
+            for instance in harness.by_name.values()
+        }
+
+        assert versions == {2}
+        await harness.stop()
+
     async def test_a_data_centre_whose_watchers_are_refused_gets_changes_from_others(self) -> None:
         """Pattern: the store turns a third of the instances away and serves the others."""
         harness = await GossipHarness(entries=[endpoint_entry("a")]).start(COUNT)
