Keep the order of watchers until the list of instances changes

Cause: in a profile of 195 instances at rest on virtual time, a quarter of the time went into ranking the names of the data centre four times a second to see whether this instance is a watcher.

Change: the fleet keeps the order for the version of the list; the decision looks at the two or three first names. Who is a watcher is unchanged, tests of watchers and of the gossip pass as they are.

--- a/src/radishmount/fleet/_fleet.py
+++ b/src/radishmount/fleet/_fleet.py
@@ -5,6 +5,7 @@
 from radishmount.fleet._instance import Instance, InstanceState
 from radishmount.fleet._member_table import MemberTable
 from radishmount.fleet._messages import MemberState
+from radishmount.rendezvous import rank
 
 
 __all__ = ["Fleet", "InstanceList"]
@@ -21,13 +22,19 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """The instances as this instance, `own_name`, sees them."""
+    """The instances as this instance, `own_name`, sees them.
+
+    `watch_order` has the names in its data centre in the order in which they become watchers of the
+    platform; it is kept for the list of version `watch_order_version`.
+    """
 
     own_name: str
     own_data_centre: str
     members: MemberTable
     instance_list: InstanceList = InstanceList(0, ())
     by_name: dict[str, Instance] = field(default_factory=dict)
+    watch_order: tuple[str, ...] = ()
+    watch_order_version: int = -1
 
     def apply_list(self, instance_list: InstanceList) -> bool:
         """Replace the present list by a newer one; return whether it was newer."""
@@ -50,6 +57,17 @@
         """
         return sorted({*self.by_name, self.own_name})
 
+    def ranked_for_watch(self) -> tuple[str, ...]:
+        """Return the names in the own data centre, those first that are to watch the platform.
+
+        Ranking takes a hash for each name, and watchers are asked for several times a second.
+        """
+        if self.watch_order_version != self.list_version:
+            near = {name for name in self.by_name if self.is_near(name)}
+            self.watch_order = tuple(rank("platform watch", near | {self.own_name}))
+            self.watch_order_version = self.list_version
+        return self.watch_order
+
     def is_near(self, name: str) -> bool:
         """Return whether the instance `name` is listed in the data centre of this one."""
         instance = self.by_name.get(name)
--- a/src/radishmount/fleet/_watchers.py
+++ b/src/radishmount/fleet/_watchers.py
@@ -2,7 +2,6 @@
 
 from radishmount.fleet._fleet import Fleet
 from radishmount.fleet._messages import MemberState
-from radishmount.rendezvous import rank
 
 
 __all__ = ["WATCHERS_PER_DATA_CENTRE", "fallback_interval_ms", "is_watcher"]
@@ -18,14 +17,14 @@
     Watchers are chosen by rendezvous hashing. Suspected and leaving instances are skipped, so that
     others replace them within seconds. After a network partition, each side has its own watchers.
     """
-    names = [
-        instance.name
-        for instance in fleet.by_name.values()
-        if instance.data_centre == fleet.own_data_centre and _can_watch(fleet, instance.name)
-    ]
-    if fleet.own_name not in names:
-        names.append(fleet.own_name)
-    return fleet.own_name in rank("platform watch", names)[:WATCHERS_PER_DATA_CENTRE]
+    before_own = 0
+    for name in fleet.ranked_for_watch():
+        if name == fleet.own_name:
+            return True
+        before_own += _can_watch(fleet, name)
+        if before_own == WATCHERS_PER_DATA_CENTRE:
+            return False
+    return True
 
 
 def fallback_interval_ms(fleet: Fleet) -> float:
