--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -18,6 +18,12 @@
 SLOW_WORK_MS = 400.0
 RECORDS_PER_PART = 3
 RECORD_BYTES = 16
+ENDLESS_STARTS = (
+    b"HTTP/1.1 200 OK\r\nX-Filler: ",
+    b"HTTP/1.1 200 OK\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
+)
+ENDLESS_PART = b"x" * 16_384
 RECORD_VALUES = 256**RECORD_BYTES
 
 
@@ -25,7 +31,8 @@
 class SoakEndpoint:
     """One endpoint, the relay in front of it, and its current faults.
 
-    `loses_replies` ends the connection in place of a reply. `sequence` numbers what it registers.
+    `loses_replies` ends the connection in place of a reply. `endless_start` begins a reply that has
+    no end, in its head or in its body. `sequence` numbers what it registers.
     """
 
     name: str
@@ -35,11 +42,18 @@
     sheds_load: bool = False
     loses_replies: bool = False
     answers_twice: bool = False
+    endless_start: bytes = b""
     is_draining: bool = False
     sequence: int = 1
 
+    def answer_without_end(self) -> None:
+        """Begin replies that go on until the caller closes."""
+        self.endless_start = ENDLESS_STARTS[len(self.back_end.received) % len(ENDLESS_STARTS)]
+        self.back_end.endless_part = ENDLESS_PART
+
     def heal(self) -> None:
         """End all faults."""
+        self.endless_start = self.back_end.endless_part = b""
         self.sheds_load = self.loses_replies = self.answers_twice = (
             self.back_end.resets_after_reply
         ) = False
@@ -160,6 +174,8 @@
         self.records.body_by_stamp[stamp] = body
         if endpoint.loses_replies:
             return b""
+        if endpoint.endless_start:
+            return endpoint.endless_start
         stamp_header = f"Radishmount-Server-Stamp: {stamp}\r\n"
         answer = _head(200, request.request_id, len(body), stamp_header) + body
         return answer * 2 if endpoint.answers_twice else answer
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -34,12 +34,17 @@
     ENDPOINT_SILENT = "endpoint connections silent"
     ENDPOINT_RESET = "endpoint connections reset"
     ENDPOINT_LEAVES = "endpoint leaves"
+    ENDPOINT_ENDLESS = "endpoint answers without end"
     CALLERS_RESET = "callers' connections reset"
     CALLERS_DELAYED = "callers' connections delayed"
     PUBLISH = "new version"
     RESHARD = "new shards"
 
 
+# Drawn after the series, so that the series of a seed stay as they were before this kind came.
+LATER_KINDS = (FaultKind.ENDPOINT_ENDLESS,)
+SERIES_KINDS = [kind for kind in FaultKind if kind not in LATER_KINDS]
+LATER_PROBABILITY = 0.5  # of each later kind in a schedule
 MAX_FAULTS_PER_SERIES = 4  # not counting repeated ones
 SERIES_GAP_S = (0.8, 2.5)
 FAULT_GAP_S = (0.0, 0.5)  # shorter than most faults, so that they overlap
@@ -67,7 +72,7 @@
     while at_s < length_s:
         series_at_s = at_s
         for _ in range(random.randint(1, MAX_FAULTS_PER_SERIES)):
-            kind = random.choice(list(FaultKind))
+            kind = random.choice(SERIES_KINDS)
             fault = Fault(
                 series_at_s, kind, random.randrange(1_000), random.uniform(*DURATION_RANGE_S)
             )
@@ -77,4 +82,8 @@
                 faults.append(Fault(again_s, kind, fault.target, random.uniform(*DURATION_RANGE_S)))
             series_at_s += random.uniform(*FAULT_GAP_S)
         at_s = series_at_s + random.uniform(*SERIES_GAP_S)
+    for kind in LATER_KINDS:
+        if random.random() < LATER_PROBABILITY:
+            fault_at_s, target = random.uniform(0.5, length_s), random.randrange(1_000)
+            faults.append(Fault(fault_at_s, kind, target, random.uniform(*DURATION_RANGE_S)))
     return sorted((fault for fault in faults if fault.at_s < length_s), key=lambda f: f.at_s)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -171,6 +171,8 @@
                 endpoint.loses_replies = endpoint.back_end.resets_after_reply = True
             case FaultKind.ENDPOINT_EXTRA:
                 endpoint.answers_twice = True
+            case FaultKind.ENDPOINT_ENDLESS:
+                endpoint.answer_without_end()
             case FaultKind.ENDPOINT_SHEDS:
                 endpoint.sheds_load = True
             case FaultKind.ENDPOINT_CUT:
