--- a/src/radishmount/discovery/_gossip.py
+++ b/src/radishmount/discovery/_gossip.py
@@ -38,8 +38,8 @@
     Each data centre has its own watchers, so changes are pushed only within a data centre. What a
     watcher reads leaves at once. Others pass on what was new to them after a short random delay,
     together with all that came meanwhile, and only to peers that are not known to have it. A peer
-    elsewhere gets what its heartbeats show to be missing after `OWN_WATCHERS_DELAY_MS`, as its watchers may
-    not reach the store.
+    elsewhere, whose watchers may not reach the store, gets what its heartbeats show to be missing
+    after `OWN_WATCHERS_DELAY_MS`.
 
     An instance that stays behind a peer for `MAX_LAG_MS` fetches all endpoints from it. It also
     restarts its own watch of the store, whose connection may be dead without an error.
