--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -414,7 +414,9 @@
         self.network = f"127.{random.randrange(16, 240)}.{random.randrange(1, 250)}"
         self.machines: list[Machine] = []
         self.machines = [Machine(self, number) for number in range(1, count + 1)]
-        self.ports = {name: self._free_port() for name in ("front", "ready", "control", "directory")}
+        self.ports = {
+            name: self._free_port() for name in ("front", "ready", "control", "directory")
+        }
         self.tasks: list[asyncio.Task] = []
 
     def _free_port(self) -> int:
