--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -26,6 +26,7 @@
 GRACE_S = 6.0
 RESTART_S = 0.5
 MEMORY_MB = 300
+FLEETS: list["Fleet"] = []  # those whose processes may still run
 
 
 class Record:
@@ -353,7 +354,11 @@
                     env=self.fleet.environment(self),
                 )
             self.fleet.record(f"{self.name} started")
-            status = await self.process.wait()
+            try:
+                status = await self.process.wait()
+            finally:
+                if self.process.returncode is None:  # the case ends
+                    self.process.send_signal(signal.SIGKILL)
             if self.stopping:
                 return
             if not self.expected:
@@ -418,6 +423,7 @@
             name: self._free_port() for name in ("front", "ready", "control", "directory")
         }
         self.tasks: list[asyncio.Task] = []
+        FLEETS.append(self)
 
     def _free_port(self) -> int:
         with socket.socket() as probe:
@@ -449,6 +455,10 @@
         return not waiting
 
     async def stop(self) -> None:
+        """End every process; a second call does nothing."""
+        if self not in FLEETS:
+            return
+        FLEETS.remove(self)
         for machine in self.machines:
             machine.stopping = True
             machine.signal(signal.SIGCONT)
@@ -592,12 +602,18 @@
     os.environ.setdefault("LANG", "C.UTF-8")
 
     async def bounded() -> int:
+        stopped = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stopped.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 return await case(record)
-        except TimeoutError:
-            record.say("the case did not end in time")
+        except (TimeoutError, asyncio.CancelledError):
+            record.say("the case did not end in time, or was stopped")
             return COULD_NOT_RUN
+        finally:
+            for fleet in list(FLEETS):
+                await fleet.stop()
 
     try:
         verdict = asyncio.run(bounded())
