Report instances that list other endpoints at the same revision, and what a full read found

Change: heartbeats carry a digest of the list (the roster's digest, now shared); a peer with another digest at the same revision is counted (endpoint_lists_differ) and written once for a revision; a full read writes how many endpoints it listed, how many were gone, its revision and that of its newest entry. No decision uses the digest yet.

--- a/src/radishmount/border/_peer_models.py
+++ b/src/radishmount/border/_peer_models.py
@@ -96,6 +96,7 @@
     bundle_digest: Annotated[str, Field(max_length=128)]
     list_version: NonNegativeInt
     list_age_ms: Annotated[float, Field(ge=0.0)]
+    list_digest: NonNegativeInt
     updates: Annotated[list[Any], Field(max_length=MAX_UPDATES)]
 
     def to_data(self) -> Heartbeat:
@@ -109,6 +110,7 @@
             self.bundle_digest,
             self.list_version,
             self.list_age_ms,
+            self.list_digest,
             updates,
         )
 
--- a/src/radishmount/control/_seeded_control_plane.py
+++ b/src/radishmount/control/_seeded_control_plane.py
@@ -101,7 +101,11 @@
         current = self.active_publication.current
         follower = self.follower
         return HeldVersions(
-            current.version, current.digest, follower.last_change_revision, follower.age_ms()
+            current.version,
+            current.digest,
+            follower.last_change_revision,
+            follower.age_ms(),
+            follower.endpoints.digest,
         )
 
     def on_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
@@ -158,7 +162,7 @@
             active_publication, peers, clock, counters, fleet.is_near
         ),
         roster=Roster(own, dependencies.seeds, fleet, peers, clock, random, audit, counters),
-        endpoint_gossip=EndpointGossip(follower, peers, clock, random, counters),
+        endpoint_gossip=EndpointGossip(follower, peers, clock, random, audit, counters),
         active_publication=active_publication,
         follower=follower,
         freshness=make_freshness(
--- a/src/radishmount/discovery/_endpoint_list.py
+++ b/src/radishmount/discovery/_endpoint_list.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
+from radishmount.digest import digest_of_items
 from radishmount.discovery._listed_endpoint import ListedEndpoint
 from radishmount.publication import EndpointSpec, Publication, Service
 
@@ -24,6 +25,7 @@
     by_name: dict[str, ListedEndpoint] = field(default_factory=dict)
     missing_until_ms_by_name: dict[str, float] = field(default_factory=dict)
     grace_until_ms: float = float("-inf")
+    known_digest: int | None = None
 
     def begin_grace(self, now_ms: float) -> None:
         """Begin the grace period, as the store has just become reachable again."""
@@ -34,13 +36,15 @@
         if endpoint is None:
             self.remove(name, now_ms)
             return
-        self.missing_until_ms_by_name.pop(name, None)
+        if self.missing_until_ms_by_name.pop(name, None) or self.by_name.get(name) != endpoint:
+            self.known_digest = None
         self.by_name[name] = endpoint
 
     def remove(self, name: str, now_ms: float) -> None:
         """Remove an endpoint: at once, or at the end of a grace period that has begun."""
         if name not in self.by_name:
             return
+        self.known_digest = None
         if now_ms < self.grace_until_ms:
             self.missing_until_ms_by_name.setdefault(name, self.grace_until_ms)
             return
@@ -49,6 +53,7 @@
     def keep_missing(self, name: str, now_ms: float) -> None:
         """Keep an endpoint whose entry is gone for a grace period from now, as a peer does."""
         if name in self.by_name:
+            self.known_digest = None
             self.missing_until_ms_by_name.setdefault(name, now_ms + GRACE_PERIOD_MS)
 
     def replace_all(
@@ -77,6 +82,7 @@
         grace = {name: self.missing_until_ms_by_name[name] for name in kept}
         self.replace_all(by_name, now_ms)
         self.missing_until_ms_by_name |= grace
+        self.known_digest = None
 
     def expire(self, now_ms: float) -> bool:
         """Drop endpoints whose grace period is over; return whether there were any."""
@@ -86,6 +92,13 @@
             self.by_name.pop(name, None)
         return bool(expired)
 
+    @property
+    def digest(self) -> int:
+        """Return a digest of the endpoints whose entries exist."""
+        if self.known_digest is None:
+            self.known_digest = digest_of_items(self.present_endpoints())
+        return self.known_digest
+
     @property
     def draining_names(self) -> frozenset[str]:
         """Return the names of the endpoints that announced that they are leaving."""
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -265,8 +265,7 @@
         if answer.revision < self.known_revision:
             return  # a peer has sent newer ones meanwhile
         if is_full:
-            listed = {e.name: e.endpoint for e in answer.entries if isinstance(e, EndpointEntry)}
-            self.endpoints.replace_all(listed, now_ms)
+            self._apply_full_read(answer, now_ms)
         else:
             self._apply_changes(answer, now_ms)
         after, self.known_revision = self.known_revision, answer.revision
@@ -279,6 +278,17 @@
             self.on_news(self._make_news(answer, after))
         await self.on_change()
 
+    def _apply_full_read(self, answer: StoreAnswer, now_ms: float) -> None:
+        listed = {e.name: e.endpoint for e in answer.entries if isinstance(e, EndpointEntry)}
+        gone_count = len(set(self.endpoints.by_name) - set(listed))
+        self.endpoints.replace_all(listed, now_ms)
+        self.audit.record(
+            "endpoints",
+            "read in full",
+            cause=f"{len(listed)} listed, {gone_count} gone, newest entry {answer.last_change}",
+            version=answer.revision,
+        )
+
     def _apply_changes(self, answer: StoreAnswer, now_ms: float) -> None:
         for entry in answer.entries:
             if isinstance(entry, ConfigurationEntry):
--- a/src/radishmount/discovery/_gossip.py
+++ b/src/radishmount/discovery/_gossip.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 
+from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.codes import Refusal
 from radishmount.counters import Counters
@@ -51,6 +52,7 @@
     peers: Peers
     clock: Clock
     random: Random
+    audit: AuditTrail
     counters: Counters
     pending_news: list[StoreNews] = field(default_factory=list)
     forward_timer: asyncio.TimerHandle | None = None
@@ -58,6 +60,7 @@
     recent_news: deque[tuple[float, StoreNews]] = field(default_factory=deque)
     behind_since_ms_by_peer: dict[str, float] = field(default_factory=dict)
     fetch_task: asyncio.Task[None] | None = None
+    differing_revision_by_peer: dict[str, int] = field(default_factory=dict)
 
     def start(self) -> None:
         """Register the handlers of page requests and changes; broadcast changes of the store."""
@@ -140,6 +143,7 @@
         """Send a peer what it lacks, or fetch its endpoints if this instance stays behind it."""
         self.revision_by_peer[peer] = heartbeat.list_version
         self._send_missing(peer, heartbeat.list_version)
+        self._compare_lists(peer, heartbeat)
         self.follower.confirm(heartbeat.list_version, heartbeat.list_age_ms)
         if not self.follower.is_behind(heartbeat.list_version):
             self.behind_since_ms_by_peer.pop(peer, None)
@@ -152,6 +156,18 @@
         if self.fetch_task is None or self.fetch_task.done():
             self.fetch_task = asyncio.create_task(self._fetch(peer), name="fetch endpoints")
 
+    def _compare_lists(self, peer: str, heartbeat: Heartbeat) -> None:
+        """Report a peer that lists other endpoints at the same revision, once for a revision."""
+        revision = self.follower.last_change_revision
+        is_same = heartbeat.list_digest == self.follower.endpoints.digest
+        if heartbeat.list_version != revision or is_same:
+            self.differing_revision_by_peer.pop(peer, None)
+            return
+        self.counters.add("endpoint_lists_differ")
+        if self.differing_revision_by_peer.get(peer) != revision:
+            self.differing_revision_by_peer[peer] = revision
+            self.audit.record("endpoints", "differ", cause=f"{peer} lists others", version=revision)
+
     async def stop(self) -> None:
         """Cancel a fetch that is in progress, and drop what waits to be sent."""
         if self.forward_timer is not None:
--- a/src/radishmount/fleet/_membership.py
+++ b/src/radishmount/fleet/_membership.py
@@ -54,6 +54,7 @@
     bundle_digest: str
     list_version: int
     list_age_ms: float = 0.0
+    list_digest: int = 0
 
 
 @dataclass(slots=True)
@@ -324,5 +325,6 @@
             bundle_digest=held.bundle_digest,
             list_version=held.list_version,
             list_age_ms=held.list_age_ms,
+            list_digest=held.list_digest,
             updates=updates,
         )
--- a/src/radishmount/fleet/_messages.py
+++ b/src/radishmount/fleet/_messages.py
@@ -71,7 +71,7 @@
     """Shows that the sender is alive, and which versions it holds.
 
     `load` is the share of the sender's capacity in use; at 1.0 it refuses work. `list_age_ms` is
-    the time since its list was last confirmed to be the newest.
+    the time since its list was last confirmed to be the newest, and `list_digest` a digest of it.
     """
 
     sequence: int
@@ -81,6 +81,7 @@
     bundle_digest: str
     list_version: int
     list_age_ms: float = 0.0
+    list_digest: int = 0
     updates: tuple[MemberUpdate, ...] = ()
 
 
--- a/src/radishmount/fleet/_roster.py
+++ b/src/radishmount/fleet/_roster.py
@@ -3,18 +3,17 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from functools import lru_cache
 from random import Random
 
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.counters import Counters
+from radishmount.digest import digest_of_items
 from radishmount.fleet._fleet import Fleet, InstanceList
 from radishmount.fleet._instance import Instance
 from radishmount.fleet._messages import MemberState, RosterDigest, RosterNews
 from radishmount.fleet._peers import Peers
 from radishmount.fleet._session import PeerSession
-from radishmount.rendezvous import weight
 
 
 __all__ = ["Roster"]
@@ -27,17 +26,9 @@
 BATCH_DELAY_MS = 50.0  # the instances of a starting fleet become known one by one, within a second
 MAX_INSTANCES_PER_FRAME = 200  # far below the size limit of a frame
 
-KEPT_DIGESTS = 2_048  # more than the instances of the largest fleet
-
 OnChange = Callable[[], Awaitable[None]]
 
 
-@lru_cache(KEPT_DIGESTS)
-def _digest_of(instance: Instance) -> int:
-    """Return a digest of one description, which fits a signed number of 64 bits."""
-    return weight("roster", repr(instance)) >> 1
-
-
 @dataclass(slots=True)
 class Roster:
     """Builds the instance list from what instances announce about themselves.
@@ -123,10 +114,7 @@
         """Return a digest of the known instances, which does not depend on their order."""
         version = self.fleet.list_version
         if self.digest_of_version[0] != version:
-            digest = 0
-            for instance in self.fleet.by_name.values():
-                digest ^= _digest_of(instance)
-            self.digest_of_version = (version, digest)
+            self.digest_of_version = (version, digest_of_items(self.fleet.by_name.values()))
         return self.digest_of_version[1]
 
     def _send_digest(self, session: PeerSession) -> None:
