--- a/tests/discovery/test_endpoint_list.py
+++ b/tests/discovery/test_endpoint_list.py
@@ -55,6 +55,21 @@
         assert merged.services_by_name["s"].connections == 26
         assert merged.services_by_name["s"].slots == 2
 
+    def test_an_older_state_does_not_take_back_that_an_endpoint_drains(self) -> None:
+        """Guards against a write that the store applies late, after a newer one."""
+        endpoints = EndpointList()
+        endpoints.put("a", make_endpoint("a", is_draining=True, started_at_ms=5), 0.0)
+
+        endpoints.put("a", make_endpoint("a", started_at_ms=5), 1.0)
+        late = endpoints.draining_names
+        endpoints.remove("a", 2.0)
+        endpoints.put("a", make_endpoint("a", started_at_ms=5), 3.0)
+        returned = endpoints.draining_names
+        endpoints.put("a", make_endpoint("a", started_at_ms=6), 4.0)
+
+        assert late == returned == {"a"}
+        assert endpoints.draining_names == set()
+
     def test_draining_endpoints_are_returned(self) -> None:
         endpoints = EndpointList()
         endpoints.put("a", make_endpoint("a", is_draining=True), 0.0)
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -7,6 +7,7 @@
 from random import Random
 
 import pytest
+from result import Ok, Result
 
 from fakes import virtual_clock
 from fleet_harness import read_small_bundle
@@ -17,7 +18,9 @@
     EndpointList,
     EndpointRemoval,
     ListedEndpoint,
+    StoreAnswer,
     StoreEntry,
+    StoreFailure,
     StoreFailureKind,
     StoreFollower,
     StoreNews,
@@ -31,27 +34,36 @@
 
 @dataclass
 class FollowerHarness:
-    """A follower and its store. `changes` has the listed endpoints at each `on_change`."""
+    """A follower and its store. `changes` has the listed endpoints at each `on_change`.
+
+    `reported_revisions` has the revision that peers are told of at the same time, and `news` what
+    is sent to them.
+    """
 
     store: FakeStore
     follower: StoreFollower
     audit: AuditTrail
     changes: list[frozenset[str]]
+    reported_revisions: list[int]
+    news: list[StoreNews]
 
 
 @asynccontextmanager
 async def follow_store(
-    *entries: StoreEntry, read_ms: float = 0.0
+    *entries: StoreEntry, read_ms: float = 0.0, make_store: type[FakeStore] = FakeStore
 ) -> AsyncIterator[FollowerHarness]:
     """Follow a store that holds `entries`; a full read of it takes `read_ms`."""
     clock, counters = virtual_clock(), Counters()
     audit = AuditTrail(clock)
-    store = FakeStore(list(entries), read_ms=read_ms)
+    store = make_store(list(entries), read_ms=read_ms)
     endpoints = EndpointList()
     changes: list[frozenset[str]] = []
+    reported_revisions: list[int] = []
+    news: list[StoreNews] = []
 
     async def record_change() -> None:
         changes.append(frozenset(endpoints.by_name))
+        reported_revisions.append(follower.last_change_revision)
 
     active_publication = ActivePublication(read_small_bundle, audit, counters, clock)
     follower = StoreFollower(
@@ -63,18 +75,30 @@
         audit,
         counters,
         on_change=record_change,
+        on_news=news.append,
     )
     tasks = [
         asyncio.create_task(follower.run()),
         asyncio.create_task(follower.run_change_notifications()),
     ]
     await asyncio.sleep(1.0)
-    yield FollowerHarness(store, follower, audit, changes)
+    yield FollowerHarness(store, follower, audit, changes, reported_revisions, news)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
+class PagedStore(FakeStore):
+    """A store in which, between the two pages of a full read, `a` is removed and `b` written."""
+
+    async def read_all(self) -> Result[StoreAnswer, StoreFailure]:
+        """Return the first page as it was, and the second one as it is after the changes."""
+        first_page = (await super().read_all()).unwrap()
+        self.write(EndpointRemoval("a"), endpoint_entry("b"))
+        entries = (*first_page.entries, endpoint_entry("b"))
+        return Ok(StoreAnswer(entries, first_page.revision, self.revision))
+
+
 class TestStoreFollower:
     """Configuration and endpoints follow the store, which may fail in many ways."""
 
@@ -151,6 +175,17 @@
 
             assert harness.changes[-1] == {"a"}
 
+    async def test_a_read_in_pages_is_not_reported_as_newer_than_its_first_page(self) -> None:
+        """Guards against an endpoint that left between two pages of a read, and stays in use.
+
+        A peer that takes the list under the revision of its newest entry skips the removal.
+        """
+        async with follow_store(endpoint_entry("a"), make_store=PagedStore) as harness:
+            reported = zip(harness.reported_revisions, harness.changes, strict=True)
+
+            assert not [r for r, names in reported if r > 1 and "a" in names]
+            assert [news.removed for news in harness.news] == [("a",)]
+
     async def test_a_watch_without_changes_is_restarted_when_a_peer_is_ahead(self) -> None:
         async with follow_store(endpoint_entry("a")) as harness:
             calls = len(harness.store.calls)
--- a/tests/discovery/test_gossip.py
+++ b/tests/discovery/test_gossip.py
@@ -236,3 +236,44 @@
         assert len(kinds) == 1
         assert harness.instances_listing("a", "b") == set(harness.by_name)
         await harness.stop()
+
+
+class TestMissedRemovals:
+    """An endpoint whose removal no watch has returned is not used any longer by any instance.
+
+    An entry that was removed leaves nothing in the store, so the newest entry of a full read does
+    not tell that there was a change. In a calm fleet, there may be no later one for hours.
+    """
+
+    async def test_a_removal_in_a_lost_history_is_known_everywhere(self) -> None:
+        """Guards against requests to an endpoint that left while the store lost its history."""
+        harness = await GossipHarness(entries=[endpoint_entry("a"), endpoint_entry("b")]).start(
+            COUNT
+        )
+        harness.write_in_lost_history(EndpointRemoval("a"))
+        await asyncio.sleep(2.5)
+
+        assert harness.instances_listing("b") == set(harness.by_name)
+        await harness.stop()
+
+    async def test_a_removal_while_the_watchers_restart_is_known_everywhere(self) -> None:
+        """Guards against requests to an endpoint that left while no instance watched the store.
+
+        The watchers find the endpoint gone in their first read. The others are told by their
+        heartbeats that the list which still has the endpoint is the newest.
+        """
+        harness = await GossipHarness(entries=[endpoint_entry("a"), endpoint_entry("b")]).start(
+            COUNT
+        )
+        watchers = [n for n, i in harness.by_name.items() if is_watcher(i.control_plane.fleet)]
+        for name in watchers:
+            await harness.kill(name)
+        harness.write(EndpointRemoval("a"))
+        await asyncio.sleep(0.5)
+        for name in watchers:
+            await harness.restart(name)
+        await asyncio.sleep(3.0)
+
+        assert len(watchers) == WATCHERS
+        assert harness.instances_listing("b") == set(harness.by_name)
+        await harness.stop()
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -39,8 +39,15 @@
         self.memberships_by_name: dict[str, Membership] = {}
         self.tasks: list[asyncio.Task[None]] = []
 
-    def start(self, name: str, data_centre: str = "milano", seeds: tuple[str, ...] = SEEDS) -> None:
-        """Start an instance."""
+    def start(
+        self,
+        name: str,
+        data_centre: str = "milano",
+        seeds: tuple[str, ...] = SEEDS,
+        *,
+        forgets: bool = True,
+    ) -> None:
+        """Start an instance. Unless it `forgets`, it never drops another one from its list."""
         own = Instance(name, data_centre, f"{name}:1", f"{name}:2")
         counters, audit = Counters(), AuditTrail(self.clock)
         started = int(self.clock.now_ms()) + 1
@@ -71,13 +78,22 @@
         self.memberships_by_name[name] = membership
         self.tasks += [
             asyncio.create_task(roster.run()),
-            asyncio.create_task(roster.run_expiry()),
+            asyncio.create_task(membership.probe_random_instances()),
         ]
+        if forgets:
+            self.tasks.append(asyncio.create_task(roster.run_expiry()))
 
     def known_names(self) -> dict[str, set[str]]:
         """Return the names of the instances that each one knows."""
         return {name: set(roster.fleet.by_name) for name, roster in self.rosters_by_name.items()}
 
+    def preferred_names(self) -> dict[str, set[str]]:
+        """Return the names of the instances that each one names to callers in its data centre."""
+        return {
+            name: {i.name for i in choose_preferred(roster.fleet, roster.own.data_centre, 64)}
+            for name, roster in self.rosters_by_name.items()
+        }
+
     async def kill(self, name: str) -> None:
         """Stop an instance without a leaving message."""
         self.network.down_names.add(name)
@@ -175,6 +191,56 @@
         await harness.stop()
 
 
+class TestInstancesThatAreOff:
+    """Callers are not sent to instances that have been off for long."""
+
+    async def test_an_instance_that_is_off_together_with_its_neighbours_is_suspected(self) -> None:
+        """Guards against addresses of an instance that has no neighbour left to notice its loss.
+
+        Only neighbours test whether an instance answers, and they are chosen among all listed ones.
+        """
+        harness = RosterHarness()
+        for number in range(40):
+            harness.start(f"e{number}")
+        await asyncio.sleep(5.0)
+        victim = "e20"
+        neighbours = list(harness.memberships_by_name[victim].tasks_by_neighbour)
+        for name in (victim, *neighbours):
+            await harness.kill(name)
+        await asyncio.sleep(30.0)
+        naming = [name for name, names in harness.preferred_names().items() if victim in names]
+        await harness.stop()
+
+        assert naming == []
+
+    async def test_an_instance_that_was_dropped_is_not_listed_again_by_hearsay(self) -> None:
+        """Guards against addresses of an instance that a peer with an older list brings back.
+
+        A peer that stood still, or was cut off, drops lost instances later than the others.
+        """
+        harness = RosterHarness()
+        for number in range(5):
+            harness.start(f"e{number}", forgets=number != 1)
+        await asyncio.sleep(3.0)
+        await harness.kill("e3")
+        await asyncio.sleep(80.0)
+        dropped = "e3" not in harness.known_names()["e0"]
+        for session in list(harness.memberships_by_name["e1"].peers.sessions_by_name.values()):
+            await session.close()
+        naming: set[str] = set()
+        for _ in range(1_000):
+            await asyncio.sleep(0.005)
+            naming |= {n for n, names in harness.preferred_names().items() if "e3" in names}
+        harness.start("e3")
+        await asyncio.sleep(3.0)
+        known_again = {name for name, known in harness.known_names().items() if "e3" in known}
+        await harness.stop()
+
+        assert dropped
+        assert naming == set()
+        assert known_again == {"e0", "e1", "e2", "e3", "e4"}
+
+
 class TestChoosePreferred:
     """The instances for callers that pick any of them."""
 
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -48,6 +48,7 @@
 
     `requests_to_shed`, `requests_to_lose` and `requests_to_fail` are how many of the next requests
     it sheds without running them, runs without sending a reply, and runs with an error response.
+    While it is `leaving`, each of its replies says so.
     """
 
     name: str
@@ -58,6 +59,7 @@
     requests_to_fail: int = 0
     queued: int = 0
     silent: bool = False
+    leaving: bool = False
     unreachable: bool = False
     received_ids: list[str] = field(default_factory=list)
     ran_ids: list[str] = field(default_factory=list)
@@ -85,7 +87,7 @@
             await asyncio.sleep(3_600.0)
         if endpoint.requests_to_shed:
             endpoint.requests_to_shed -= 1
-            return Err(Failure(Code.SHED))
+            return Err(Failure(Code.SHED, load=LoadReport(draining=endpoint.leaving)))
         endpoint.ran_ids.append(request_id)
         try:
             await asyncio.sleep(endpoint.service_ms / 1000.0)
@@ -100,7 +102,7 @@
             endpoint.requests_to_fail -= 1
             status = 500
         body = endpoint.service.encode().ljust(16, b".")
-        load = LoadReport(slots=2, in_flight=2, queued=endpoint.queued)
+        load = LoadReport(slots=2, in_flight=2, queued=endpoint.queued, draining=endpoint.leaving)
         signature = f"{endpoint.name}/{request_id}"
         return Ok(ForwardReply(request.service, status, (), body, signature, load))
 
@@ -158,6 +160,11 @@
 
     async def start(self) -> "ForwardHarness":
         """Publish the services and their endpoints."""
+        await self.publish(self.services)
+        return self
+
+    async def publish(self, service_names: list[str]) -> None:
+        """Publish services, with all of their endpoints."""
         listed = EndpointList()
         for name, endpoint in self.endpoints_by_name.items():
             cold_for_ms = self.cold_ms_by_name.get(name, 0.0)
@@ -165,10 +172,9 @@
                 name, endpoint.service, name, DATA_CENTRE, slots=2, cold_for_ms=cold_for_ms
             )
             listed.put(name, entry, 0.0)
-        services = {name: Service(name, 0, CONNECTIONS, ()) for name in self.services}
+        services = {name: Service(name, 0, CONNECTIONS, ()) for name in service_names}
         publication = listed.merge_into(Publication(1, "d", services_by_name=services))
         await self.pool.apply_publication(publication, ["entry"])
-        return self
 
     def endpoints_of(self, service: str) -> list[FakeForwardEndpoint]:
         """Return the endpoints of a service."""
--- a/tests/store_harness.py
+++ b/tests/store_harness.py
@@ -18,8 +18,10 @@
 )
 from radishmount.counters import Counters
 from radishmount.discovery import (
+    ConfigurationEntry,
     EndpointEntry,
     EndpointList,
+    EndpointRemoval,
     ListedEndpoint,
     StoreAnswer,
     StoreEntry,
@@ -44,13 +46,15 @@
 class FakeStore:
     """An in-memory store. While `failure_kind` is set, every call fails with it.
 
-    Its revision is ahead of the newest change by `unrelated_writes`.
+    `entries` were written at revision 1, `events` after it. The store's revision is ahead of the
+    newest change by `unrelated_writes`. The changes up to `lost_revision` are no longer kept.
     """
 
     entries: list[StoreEntry] = field(default_factory=list)
     events: list[tuple[int, StoreEntry]] = field(default_factory=list)
     revision: int = 1
     unrelated_writes: int = 0
+    lost_revision: int = 0
     failure_kind: StoreFailureKind | None = None
     read_ms: float = 0.0
     calls: list[str] = field(default_factory=list)
@@ -69,9 +73,10 @@
         await asyncio.sleep(self.read_ms / 1000.0)
         if self.failure_kind is not None:
             return self._failure()
-        return Ok(
-            StoreAnswer(tuple(self.entries), self.revision + self.unrelated_writes, self.revision)
-        )
+        listed = self._listed_entries()
+        newest = max((revision for revision, _ in listed), default=0)
+        entries = tuple(entry for _, entry in listed)
+        return Ok(StoreAnswer(entries, self.revision + self.unrelated_writes, newest))
 
     async def watch(self, after: int, wait_ms: int) -> Result[StoreAnswer, StoreFailure]:
         """Return the changes after a revision, waiting up to `wait_ms` for the first."""
@@ -83,6 +88,8 @@
                     await self.changed.wait()
             except TimeoutError:
                 pass
+        if after < self.lost_revision:
+            return Err(StoreFailure(StoreFailureKind.COMPACTED, Refusal(Code.PLATFORM_WENT_BACK)))
         if self.failure_kind is not None:
             return self._failure()
         changed = [(r, e) for r, e in self.events if r > after]
@@ -95,6 +102,19 @@
     async def close(self) -> None:
         """Close nothing."""
 
+    def _listed_entries(self) -> list[tuple[int, StoreEntry]]:
+        """Return the entries that exist, each with the revision of its last change.
+
+        As in the platform's store, a removal leaves nothing of which the revision could be seen.
+        """
+        listed: dict[str, tuple[int, StoreEntry]] = {}
+        for revision, entry in [*((1, entry) for entry in self.entries), *self.events]:
+            name = "" if isinstance(entry, ConfigurationEntry) else entry.name
+            listed.pop(name, None)
+            if not isinstance(entry, EndpointRemoval):
+                listed[name] = (revision, entry)
+        return list(listed.values())
+
     def _failure(self) -> Err[StoreFailure]:
         kind = self.failure_kind or StoreFailureKind.UNAVAILABLE
         if kind is StoreFailureKind.COMPACTED:
@@ -139,6 +159,12 @@
         for instance in self.by_name.values():
             instance.store.changed.set()
 
+    def write_in_lost_history(self, *entries: StoreEntry) -> None:
+        """Write entries to the store, whose history is lost before any watch has returned them."""
+        for instance in self.by_name.values():
+            instance.store.lost_revision = instance.store.revision + len(entries)
+        self.write(*entries)
+
     def calls_by_name(self) -> dict[str, int]:
         """Return how often each instance has called the store."""
         return {name: len(instance.store.calls) for name, instance in self.by_name.items()}
@@ -158,6 +184,11 @@
         instance = self.by_name.pop(name)
         await self._stop_instance(instance)
 
+    async def restart(self, name: str) -> None:
+        """Start a killed instance again, without any state of before."""
+        self.network.down_names.discard(name)
+        self._start_instance(name, DATA_CENTRES[int(name[1:]) % len(DATA_CENTRES)])
+
     async def stop(self) -> None:
         """Stop all instances."""
         for instance in self.by_name.values():
