Report a list of endpoints only under a revision at which it is complete

What callers saw: requests to an endpoint that had left. Cause: instances compare lists by one revision, and after a full read of the store that was the revision of the newest entry. Too low: a removal leaves no entry, so after the store lost its history the watchers that read it in full told nobody, and their heartbeats confirmed the others' stale lists for good. Class: a version that stands for a state that is not complete at that version. Change: what a full read finds changed counts as changed at the revision of its first page, and is sent to peers like the changes of a watch; a first read reports at most that revision. An instance behind a peer with an equal digest takes the revision over and fetches nothing. Two instances that list different endpoints at the same revision for 600 ms both read the store again, at most every 10 s, so a change missed in any other way does not last.

--- a/src/radishmount/discovery/_endpoint_list.py
+++ b/src/radishmount/discovery/_endpoint_list.py
@@ -65,10 +65,15 @@
         for name, endpoint in endpoints_by_name.items():
             self.put(name, endpoint, now_ms)
 
+    def present_by_name(self) -> dict[str, ListedEndpoint]:
+        """Return the endpoints whose entries exist, without those kept in grace."""
+        missing = self.missing_until_ms_by_name
+        return {name: entry for name, entry in self.by_name.items() if name not in missing}
+
     def present_endpoints(self) -> list[ListedEndpoint]:
         """Return the endpoints whose entries exist, sorted by name, without those kept in grace."""
-        names = sorted(set(self.by_name) - set(self.missing_until_ms_by_name))
-        return [self.by_name[name] for name in names]
+        present_by_name = self.present_by_name()
+        return [present_by_name[name] for name in sorted(present_by_name)]
 
     def apply_peer_state(
         self, endpoints: Iterable[ListedEndpoint], missing: Iterable[str], now_ms: float
@@ -96,7 +101,7 @@
     def digest(self) -> int:
         """Return a digest of the endpoints whose entries exist."""
         if self.known_digest is None:
-            self.known_digest = digest_of_items(self.present_endpoints())
+            self.known_digest = digest_of_items(self.present_by_name().values())
         return self.known_digest
 
     @property
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -36,6 +36,7 @@
 MIN_LAPSE_MS = 2_000.0  # entries lapse after three missed heartbeats, which takes longer
 SETTLE_MS = 250.0  # changes come in groups, for which one call is enough
 BATCH_DELAY_MS = 50.0  # one change arrives from several peers, and updating pools takes a few ms
+READ_AGAIN_INTERVAL_MS = 10_000.0  # bounds full reads if instances cannot agree
 RETRY_INITIAL_MS = 250.0  # about the time that a store takes to restart
 RETRY_MAX_MS = 1_500.0  # half of DEFAULT_MAX_PROPAGATION_MS
 
@@ -52,7 +53,10 @@
     while that their state is the newest. `on_change` is called after each group of changes.
 
     All changes up to the store's revision `known_revision` are applied here. `last_change_revision`
-    is the revision of the newest of them, which heartbeats report to peers.
+    is the revision that heartbeats and pages report to peers. The list has all changes up to it,
+    and is not known to have changed since. It is the revision of the newest change where a watch
+    or a peer told of it. A full read does not tell when an entry was removed, so what it finds
+    changed counts as changed at the revision of the read.
     """
 
     store: Store
@@ -73,6 +77,7 @@
     peers_were_ahead: bool = False
     confirmed_at_ms: float = 0.0
     unreachable_since_ms: float = 0.0
+    read_again_at_ms: float = float("-inf")
     call_task: asyncio.Task[Result[StoreAnswer, StoreFailure]] | None = None
     is_restarting_watch: bool = False
     wait_ratio: float = 1.0
@@ -169,6 +174,24 @@
             self.is_restarting_watch = True
             self.call_task.cancel()
 
+    def adopt_revision(self, revision: int) -> None:
+        """Record that a peer which lists the same endpoints has them at a newer `revision`."""
+        self.known_revision = revision
+        self.last_change_revision = revision
+
+    def read_again(self) -> None:
+        """Read the whole store again, as a peer lists other endpoints at the same revision."""
+        now_ms = self.clock.now_ms()
+        if self.needs_full_read or not self.is_store_reachable:
+            return
+        if now_ms - self.read_again_at_ms < READ_AGAIN_INTERVAL_MS:
+            return
+        self.read_again_at_ms = now_ms
+        self.needs_full_read = True
+        self.wake_up.set()
+        if self.call_task is not None:
+            self.call_task.cancel()
+
     async def refresh(self) -> None:
         """Restart the call in progress, as after a pause, and wait until a response is applied."""
         self.refreshed.clear()
@@ -265,47 +288,61 @@
         if answer.revision < self.known_revision:
             return  # a peer has sent newer ones meanwhile
         if is_full:
-            self._apply_full_read(answer, now_ms)
+            changed_names = self._apply_full_read(answer, now_ms)
         else:
-            self._apply_changes(answer, now_ms)
+            changed_names = self._apply_changes(answer, now_ms)
         after, self.known_revision = self.known_revision, answer.revision
+        changed_at = answer.last_change
+        if is_full:
+            # Later pages may have changes that are newer than the first page, but not all of them.
+            changed_at = min(changed_at, answer.revision)
+            if changed_names and after:
+                changed_at = answer.revision
         # Without a newer change, a peer has sent these entries already.
-        is_news = answer.last_change > self.last_change_revision
-        self.last_change_revision = max(self.last_change_revision, answer.last_change)
-        if not answer.entries:
+        is_news = changed_at > self.last_change_revision
+        self.last_change_revision = max(self.last_change_revision, changed_at)
+        if not answer.entries and not changed_names:
             return
-        if is_news and not is_full:
-            self.on_news(self._make_news(answer, after))
+        if is_news and after:
+            self.on_news(self._make_news(changed_names, after, changed_at))
         await self.on_change()
 
-    def _apply_full_read(self, answer: StoreAnswer, now_ms: float) -> None:
+    def _apply_full_read(self, answer: StoreAnswer, now_ms: float) -> set[str]:
+        """Replace the list by a full read; return the names of the endpoints that changed."""
         listed = {e.name: e.endpoint for e in answer.entries if isinstance(e, EndpointEntry)}
-        gone_count = len(set(self.endpoints.by_name) - set(listed))
+        before = self.endpoints.present_by_name()
         self.endpoints.replace_all(listed, now_ms)
+        present = self.endpoints.present_by_name()
+        changed = {n for n in {*before, *present} if before.get(n) != present.get(n)}
         self.audit.record(
             "endpoints",
             "read in full",
-            cause=f"{len(listed)} listed, {gone_count} gone, newest entry {answer.last_change}",
+            cause=f"{len(present)} listed, {len(changed)} changed, {len(changed - set(present))} "
+            f"of them gone, newest entry {answer.last_change}",
             version=answer.revision,
         )
+        return changed
 
-    def _apply_changes(self, answer: StoreAnswer, now_ms: float) -> None:
+    def _apply_changes(self, answer: StoreAnswer, now_ms: float) -> set[str]:
+        """Apply the changes that a watch returned; return the names of their endpoints."""
+        names: set[str] = set()
         for entry in answer.entries:
             if isinstance(entry, ConfigurationEntry):
                 continue
+            names.add(entry.name)
             if isinstance(entry, EndpointEntry):
                 self.endpoints.put(entry.name, entry.endpoint, now_ms)
             else:
                 self.endpoints.remove(entry.name, now_ms)
+        return names
 
-    def _make_news(self, answer: StoreAnswer, after: int) -> StoreNews:
-        """Return the message about the endpoints that an answer changed, as they are listed now."""
-        names = {e.name for e in answer.entries if not isinstance(e, ConfigurationEntry)}
+    def _make_news(self, names: set[str], after: int, revision: int) -> StoreNews:
+        """Return the message about endpoints that changed, as they are listed now."""
         missing = names & set(self.endpoints.missing_until_ms_by_name)
         listed = names & set(self.endpoints.by_name) - missing
         return StoreNews(
             after=after,
-            revision=answer.last_change,
+            revision=revision,
             endpoints=tuple(self.endpoints.by_name[name] for name in sorted(listed)),
             removed=tuple(sorted(names - listed - missing)),
             missing=tuple(sorted(missing)),
--- a/src/radishmount/discovery/_gossip.py
+++ b/src/radishmount/discovery/_gossip.py
@@ -60,7 +60,7 @@
     recent_news: deque[tuple[float, StoreNews]] = field(default_factory=deque)
     behind_since_ms_by_peer: dict[str, float] = field(default_factory=dict)
     fetch_task: asyncio.Task[None] | None = None
-    differing_revision_by_peer: dict[str, int] = field(default_factory=dict)
+    differing_since_ms_by_peer: dict[str, float] = field(default_factory=dict)
 
     def start(self) -> None:
         """Register the handlers of page requests and changes; broadcast changes of the store."""
@@ -143,6 +143,7 @@
         """Send a peer what it lacks, or fetch its endpoints if this instance stays behind it."""
         self.revision_by_peer[peer] = heartbeat.list_version
         self._send_missing(peer, heartbeat.list_version)
+        self._adopt_revision_of_equal_list(heartbeat)
         self._compare_lists(peer, heartbeat)
         self.follower.confirm(heartbeat.list_version, heartbeat.list_age_ms)
         if not self.follower.is_behind(heartbeat.list_version):
@@ -156,17 +157,35 @@
         if self.fetch_task is None or self.fetch_task.done():
             self.fetch_task = asyncio.create_task(self._fetch(peer), name="fetch endpoints")
 
+    def _adopt_revision_of_equal_list(self, heartbeat: Heartbeat) -> None:
+        """Spare the fetch of a list that is the same as the one here, only at a newer revision."""
+        follower = self.follower
+        if follower.needs_full_read or not follower.is_behind(heartbeat.list_version):
+            return
+        if heartbeat.list_digest != follower.endpoints.digest:
+            return
+        if heartbeat.bundle_version <= follower.active_publication.current.version:
+            follower.adopt_revision(heartbeat.list_version)
+
     def _compare_lists(self, peer: str, heartbeat: Heartbeat) -> None:
-        """Report a peer that lists other endpoints at the same revision, once for a revision."""
+        """Read the store again if a peer keeps listing other endpoints at the same revision.
+
+        One of the two has missed a change, and neither can tell which. Both read the store, and
+        the one whose list changes by that reports it to the others under a newer revision.
+        """
         revision = self.follower.last_change_revision
         is_same = heartbeat.list_digest == self.follower.endpoints.digest
         if heartbeat.list_version != revision or is_same:
-            self.differing_revision_by_peer.pop(peer, None)
+            self.differing_since_ms_by_peer.pop(peer, None)
+            return
+        now_ms = self.clock.now_ms()
+        differing_ms = now_ms - self.differing_since_ms_by_peer.setdefault(peer, now_ms)
+        if differing_ms < MAX_LAG_MS:
             return
         self.counters.add("endpoint_lists_differ")
-        if self.differing_revision_by_peer.get(peer) != revision:
-            self.differing_revision_by_peer[peer] = revision
-            self.audit.record("endpoints", "differ", cause=f"{peer} lists others", version=revision)
+        cause = f"{peer} has listed others for {differing_ms:.0f} ms"
+        self.audit.record("endpoints", "differ", cause=cause, version=revision)
+        self.follower.read_again()
 
     async def stop(self) -> None:
         """Cancel a fetch that is in progress, and drop what waits to be sent."""
--- a/tests/discovery/test_gossip.py
+++ b/tests/discovery/test_gossip.py
@@ -277,3 +277,35 @@
         assert len(watchers) == WATCHERS
         assert harness.instances_listing("b") == set(harness.by_name)
         await harness.stop()
+
+    async def test_two_lists_that_differ_at_one_revision_agree_again(self) -> None:
+        """Guards against an endpoint that stays in use where its removal was missed otherwise."""
+        harness = await GossipHarness(entries=[endpoint_entry("a"), endpoint_entry("b")]).start(
+            COUNT
+        )
+        for instance in list(harness.by_name.values())[: COUNT // 2]:
+            instance.endpoints.put("c", endpoint_entry("c").endpoint, 0.0)
+        differing = harness.instances_listing("a", "b", "c")
+        await asyncio.sleep(3.0)
+
+        assert len(differing) == COUNT // 2
+        assert harness.instances_listing("a", "b") == set(harness.by_name)
+        await harness.stop()
+
+    async def test_an_equal_list_at_a_newer_revision_is_not_fetched(self) -> None:
+        """Guards against fetches by the whole fleet whenever one instance has read the store."""
+        harness = await GossipHarness(entries=[endpoint_entry("a"), endpoint_entry("b")]).start(
+            COUNT
+        )
+        harness.network.sent_frames_by_kind.clear()
+        first = next(iter(harness.by_name.values())).control_plane.follower
+        first.adopt_revision(first.last_change_revision + 5)
+        await asyncio.sleep(5.0)
+        revisions = {
+            instance.control_plane.follower.last_change_revision
+            for instance in harness.by_name.values()
+        }
+
+        assert revisions == {first.last_change_revision}
+        assert "EndpointPageRequest" not in harness.network.sent_frames_by_kind
+        await harness.stop()
