Send nothing more to a start of an endpoint that has said that it is leaving

What callers saw: requests sent to an endpoint that had said it was leaving (and, where the store could not be reached, for as long as that lasted). Cause: the announcement was not read from responses, and what the store had said was only the newest entry. Class: a final fact that is kept in a place that older or weaker evidence overwrites. Change: platform/ reads Server-Leaving from every complete response, also of failures and 421. An endpoint that discovery tracks keeps that for good, and the list of endpoints remembers it by name and start time, for a minute after the entry is gone; an entry of the same start cannot take it back, another start of the endpoint is not held back. Pools are made anew for another start, and a pool that is used again asks the list. Attempts that wait for the endpoint end at once and may go elsewhere. If all endpoints of a service leave, requests are refused at once as not run, as for those that the store names.

--- a/src/radishmount/discovery/_endpoint_list.py
+++ b/src/radishmount/discovery/_endpoint_list.py
@@ -11,6 +11,7 @@
 __all__ = ["EndpointList"]
 
 GRACE_PERIOD_MS = 2_500.0  # entries that lapsed in an outage return within 2 s after it
+DEPARTURE_KEPT_MS = 60_000.0  # after the entry was removed; far longer than a write is delayed
 
 
 @dataclass(slots=True)
@@ -20,11 +21,17 @@
     During an outage of the store, the entries of live endpoints lapse too. Therefore an endpoint
     whose entry is missing right after an outage is kept for a grace period; `expire` drops it if
     its entry does not return.
+
+    A start of an endpoint that has announced that it is leaving does not come back, whatever an
+    entry says that is written or read later: `departed_at_ms_by_start` has the name and the start
+    time of each, and when that was last confirmed. Where entries lack the time of the start, they
+    cannot be told from those of a new start, so the newest entry counts.
     """
 
     by_name: dict[str, ListedEndpoint] = field(default_factory=dict)
     missing_until_ms_by_name: dict[str, float] = field(default_factory=dict)
     grace_until_ms: float = float("-inf")
+    departed_at_ms_by_start: dict[tuple[str, int], float] = field(default_factory=dict)
     known_digest: int | None = None
 
     def begin_grace(self, now_ms: float) -> None:
@@ -39,6 +46,14 @@
         if self.missing_until_ms_by_name.pop(name, None) or self.by_name.get(name) != endpoint:
             self.known_digest = None
         self.by_name[name] = endpoint
+        if endpoint.is_draining and endpoint.started_at_ms:
+            self.record_departure(name, now_ms)
+
+    def record_departure(self, name: str, now_ms: float) -> None:
+        """Record that an endpoint announced that it is leaving, in its entry or in a response."""
+        endpoint = self.by_name.get(name)
+        if endpoint is not None:
+            self.departed_at_ms_by_start[name, endpoint.started_at_ms] = now_ms
 
     def remove(self, name: str, now_ms: float) -> None:
         """Remove an endpoint: at once, or at the end of a grace period that has begun."""
@@ -95,8 +110,19 @@
         for name in expired:
             del self.missing_until_ms_by_name[name]
             self.by_name.pop(name, None)
+        self._expire_departures(now_ms)
         return bool(expired)
 
+    def _expire_departures(self, now_ms: float) -> None:
+        """Forget the starts that have not been listed for `DEPARTURE_KEPT_MS`."""
+        for start, at_ms in list(self.departed_at_ms_by_start.items()):
+            name, started_at_ms = start
+            endpoint = self.by_name.get(name)
+            if endpoint is not None and endpoint.started_at_ms == started_at_ms:
+                self.departed_at_ms_by_start[start] = now_ms
+            elif now_ms - at_ms > DEPARTURE_KEPT_MS:
+                del self.departed_at_ms_by_start[start]
+
     @property
     def digest(self) -> int:
         """Return a digest of the endpoints whose entries exist."""
@@ -107,7 +133,12 @@
     @property
     def draining_names(self) -> frozenset[str]:
         """Return the names of the endpoints that announced that they are leaving."""
-        return frozenset(name for name, endpoint in self.by_name.items() if endpoint.is_draining)
+        departed = self.departed_at_ms_by_start
+        return frozenset(
+            name
+            for name, endpoint in self.by_name.items()
+            if endpoint.is_draining or (name, endpoint.started_at_ms) in departed
+        )
 
     def merge_into(self, publication: Publication) -> Publication:
         """Return `publication` with the endpoints and slots of each service as listed here."""
@@ -115,7 +146,11 @@
         slots_by_service: dict[str, int] = {}
         for endpoint in self.by_name.values():
             spec = EndpointSpec(
-                endpoint.name, endpoint.data_centre, endpoint.address, endpoint.cold_for_ms
+                endpoint.name,
+                endpoint.data_centre,
+                endpoint.address,
+                endpoint.cold_for_ms,
+                endpoint.started_at_ms,
             )
             specs_by_service.setdefault(endpoint.service, []).append(spec)
             max_slots = max(slots_by_service.get(endpoint.service, 0), endpoint.slots)
--- a/src/radishmount/endpoints/_connection_pool.py
+++ b/src/radishmount/endpoints/_connection_pool.py
@@ -105,6 +105,10 @@
         self._fail_queue("the endpoint was removed")
         self._wake_all()
 
+    def refuse_queue(self) -> None:
+        """End the attempts that wait here, as the endpoint is leaving; they may go elsewhere."""
+        self._fail_queue("it began to leave", Code.ENDPOINT_LEAVING)
+
     def revive(self) -> None:
         """Accept attempts again after `retire`."""
         self.retired = False
@@ -384,9 +388,9 @@
         self.queue.remove(attempt)
         self._finish(attempt, Err(Failure(Code.CANCELLED)))
 
-    def _fail_queue(self, detail: str) -> None:
+    def _fail_queue(self, detail: str, code: Code = Code.NOT_CONNECTED) -> None:
         while self.queue:
-            self._finish(self.queue.popleft(), Err(Failure(Code.NOT_CONNECTED, detail=detail)))
+            self._finish(self.queue.popleft(), Err(Failure(code, detail=detail)))
 
     def _wake_all(self) -> None:
         if self.probe_waker is not None:
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -36,9 +36,10 @@
     `may_eject` tells whether the other replicas of the service allow an ejection. `on_change` is
     called with the endpoint, the change and its cause on each ejection, recovery and change of
     leaving. `is_tracked_by_discovery` is set where discovery follows the endpoint's heartbeats, and
-    its health then never expires here. `may_connect` tells whether this instance may open
-    connections to it. `in_flight` counts the requests handed over, those in the queue included;
-    `active_exchanges` counts those taken by a connection.
+    its health then never expires here; each start of it is an endpoint of its own, so once it has
+    said that it is leaving, `has_departed` holds for good. `may_connect` tells whether this
+    instance may open connections to it. `in_flight` counts the requests handed over, those in the
+    queue included; `active_exchanges` counts those taken by a connection.
     """
 
     spec: EndpointSpec
@@ -62,6 +63,7 @@
     listed_as_leaving: bool = False
     seen_leaving_at_ms: float = NEVER_MS
     announced_leaving: bool = False
+    has_departed: bool = False
     missing_until_ms_by_version: dict[int, float] = field(default_factory=dict)
     sent_at_ms_by_exchange: dict[int, float] = field(default_factory=dict)
 
@@ -91,7 +93,7 @@
 
     def is_leaving(self, now_ms: float) -> bool:
         """Return whether the instance list, its report, a refusal or a peer says it is leaving."""
-        if self.listed_as_leaving or self.report.draining:
+        if self.listed_as_leaving or self.report.draining or self.has_departed:
             return True
         return now_ms - self.seen_leaving_at_ms < LEAVING_KEPT_MS
 
@@ -167,6 +169,8 @@
         """Record a load report that answers a request or probe sent at `sent_at_ms`."""
         if not self.is_health_fresh(now_ms):
             self.available_since_ms = now_ms
+        if report.draining and self.is_tracked_by_discovery:
+            self.has_departed = True
         if self.reported_at_ms is None or sent_at_ms >= self.reported_at_ms:
             self.report = report
             self.reported_at_ms = sent_at_ms
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -99,7 +99,7 @@
         self.subsets.retain_endpoints(publication.endpoints_by_name)
         for name, connection_pool in list(self.connection_pools_by_name.items()):
             spec = publication.endpoints_by_name.get(name)
-            if spec is None or spec.address != connection_pool.endpoint.spec.address:
+            if spec is None or not _is_same_start(spec, connection_pool.endpoint.spec):
                 self._retire(self.connection_pools_by_name.pop(name))
         now_ms = self.clock.now_ms()
         seen_ms_by_name = self.first_seen_ms_by_name
@@ -205,6 +205,7 @@
         endpoint.may_connect = limit > 0
         endpoint.slots = service.slots
         endpoint.limit.minimum = max(1, -(-service.slots // max(1, len(subset))))
+        endpoint.set_listed_as_leaving(name in self.leaving_names, self.clock.now_ms())
         self.connection_pools_by_name[name] = connection_pool
         connection_pool.set_connection_limit(limit)
 
@@ -235,7 +236,6 @@
             first_seen_ms = self.first_seen_ms_by_name.get(spec.name, self.clock.now_ms())
             endpoint.available_since_ms = first_seen_ms + spec.cold_for_ms - SLOW_START_MS
             endpoint.latency.rise_weight = FEW_REQUESTS_RISE_WEIGHT
-        endpoint.set_listed_as_leaving(spec.name in self.leaving_names, self.clock.now_ms())
         return ConnectionPool(
             endpoint=endpoint,
             open_channel=self.open_channel,
@@ -256,8 +256,7 @@
     def _revive_retired(self, spec: EndpointSpec) -> ConnectionPool | None:
         """Take back the retired pool of the same endpoint: its open connections still count."""
         for connection_pool in self.retired_connection_pools:
-            retired_spec = connection_pool.endpoint.spec
-            if (retired_spec.name, retired_spec.address) != (spec.name, spec.address):
+            if not _is_same_start(spec, connection_pool.endpoint.spec):
                 continue
             self.retired_connection_pools.remove(connection_pool)
             connection_pool.revive()
@@ -282,9 +281,23 @@
         self.counters.add("endpoint_changes", change)
         version = self.publication.version
         self.audit.record(f"endpoint/{endpoint.name}", change, cause=cause, version=version)
-        if change == "leaving" and endpoint.report.draining:
+        if change != "leaving":
+            return
+        if endpoint.report.draining or endpoint.has_departed:
             self.on_leaving(endpoint.name)
+        connection_pool = self.connection_pools_by_name.get(endpoint.name)
+        if connection_pool is not None and connection_pool.endpoint is endpoint:
+            connection_pool.refuse_queue()
 
     def _wake_update_waiters(self) -> None:
         while self.update_waiters:
             wake(self.update_waiters.pop())
+
+
+def _is_same_start(spec: EndpointSpec, other: EndpointSpec) -> bool:
+    """Return whether both are the same start of an endpoint, at the same address."""
+    return (spec.name, spec.address, spec.started_at_ms) == (
+        other.name,
+        other.address,
+        other.started_at_ms,
+    )
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -363,6 +363,11 @@
         counters=counters,
         tasks=TaskSupervisor(clock, audit, counters),
     )
+
+    def record_departure(name: str) -> None:
+        endpoints.record_departure(name, clock.now_ms())
+
+    pool.on_leaving = record_departure
     request_log = RequestLog(clock, counters, dependencies.emit)
 
     def log_record(record: ForwardRecord) -> None:
--- a/src/radishmount/platform/_backend_channel.py
+++ b/src/radishmount/platform/_backend_channel.py
@@ -1,7 +1,7 @@
 """The HTTP client for back ends: encodes forwarded requests and interprets the responses."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 from result import Err, Ok, Result
@@ -28,6 +28,7 @@
 from radishmount.platform._protocol_names import (
     EXPECTED_ENDPOINT_HEADER,
     HOP_BY_HOP_HEADERS,
+    LEAVING_HEADER,
     LOAD_HEADER,
     NOT_EXECUTED_HEADER,
     REQUEST_ID_HEADER,
@@ -50,6 +51,7 @@
 ECHOED_ID_KEY = REQUEST_ID_HEADER.lower().encode()
 SIGNATURE_KEY = SIGNATURE_HEADER.lower().encode()
 LOAD_KEY = LOAD_HEADER.lower().encode()
+LEAVING_KEY = LEAVING_HEADER.lower().encode()
 NOT_EXECUTED_KEY = NOT_EXECUTED_HEADER.lower().encode()
 HOP_BY_HOP_KEYS = frozenset(name.encode() for name in HOP_BY_HOP_HEADERS)
 
@@ -168,15 +170,18 @@
 def _parse_response(response: CompleteResponse, request: ForwardRequest) -> ExchangeOutcome:
     headers = response.by_name
     load = _parse_load(headers.get(LOAD_KEY, b""))
+    if headers.get(LEAVING_KEY) == b"1":
+        load = replace(load, draining=True)
+    # Of a failure, only this part of the report is used: the endpoint is leaving.
+    load_of_failure = load if load.draining else None
     status = response.status
     echoed = headers.get(ECHOED_ID_KEY)
     if echoed is not None and echoed.decode(*HEADER_ENCODING) != request.call.request_id:
         detail = f"the response is for {echoed!r}"
-        return Err(Failure(Code.BAD_REPLY, RunStatus.UNKNOWN, detail=detail))
+        return Err(Failure(Code.BAD_REPLY, RunStatus.UNKNOWN, detail, load_of_failure))
     if status == HTTPStatus.MISDIRECTED_REQUEST:
-        return Err(
-            Failure(Code.OTHER_ENDPOINT, RunStatus.NOT_RUN, detail=request.expected_endpoint)
-        )
+        expected = request.expected_endpoint
+        return Err(Failure(Code.OTHER_ENDPOINT, RunStatus.NOT_RUN, expected, load_of_failure))
     if NOT_EXECUTED_KEY in headers:
         return Err(Failure(Code.SHED, RunStatus.NOT_RUN, detail=str(status), load=load))
     signature = headers.get(SIGNATURE_KEY, b"").decode(*HEADER_ENCODING)
@@ -190,7 +195,8 @@
     )
     if reply.is_success and not signature:
         # A caller cannot tell such a response from one of another origin.
-        return Err(Failure(Code.BAD_REPLY, RunStatus.UNKNOWN, detail="a success without signature"))
+        detail = "a success without signature"
+        return Err(Failure(Code.BAD_REPLY, RunStatus.UNKNOWN, detail, load_of_failure))
     return Ok(reply)
 
 
--- a/src/radishmount/platform/_protocol_names.py
+++ b/src/radishmount/platform/_protocol_names.py
@@ -6,6 +6,7 @@
     "ENDPOINT_PREFIX",
     "EXPECTED_ENDPOINT_HEADER",
     "HOP_BY_HOP_HEADERS",
+    "LEAVING_HEADER",
     "LOAD_HEADER",
     "MISSING_PARTS_HEADER",
     "NOT_EXECUTED_HEADER",
@@ -28,6 +29,7 @@
 MISSING_PARTS_HEADER = "Radishmount-Missing-Parts"
 NOT_EXECUTED_HEADER = "Radishmount-Not-Executed"
 LOAD_HEADER = "Radishmount-Server-Load"
+LEAVING_HEADER = "Server-Leaving"
 RETRY_AFTER_HEADER = "Retry-After"
 
 READINESS_PATH = "/-/readiness"
--- a/src/radishmount/publication/_objects.py
+++ b/src/radishmount/publication/_objects.py
@@ -38,13 +38,15 @@
 class EndpointSpec:
     """One back end of a service. `address` is an IP address and a port.
 
-    `cold_for_ms` is for how much longer it will be slow after its start, if that is known.
+    `cold_for_ms` is for how much longer it will be slow after its start, and `started_at_ms` is
+    the wall-clock time of its start, if these are known.
     """
 
     name: str
     data_centre: str
     address: str
     cold_for_ms: float = 0.0
+    started_at_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -156,6 +156,8 @@
             self.counters,
             ForwardRetryBudget(retry_settings, FleetShares()),
         )
+        self.listed = EndpointList()
+        self.pool.on_leaving = lambda name: self.listed.record_departure(name, 0.0)
         self.last_request_number = 0
 
     async def start(self) -> "ForwardHarness":
@@ -165,7 +167,7 @@
 
     async def publish(self, service_names: list[str]) -> None:
         """Publish services, with all of their endpoints."""
-        listed = EndpointList()
+        listed = self.listed
         for name, endpoint in self.endpoints_by_name.items():
             cold_for_ms = self.cold_ms_by_name.get(name, 0.0)
             entry = ListedEndpoint(
@@ -175,6 +177,7 @@
         services = {name: Service(name, 0, CONNECTIONS, ()) for name in service_names}
         publication = listed.merge_into(Publication(1, "d", services_by_name=services))
         await self.pool.apply_publication(publication, ["entry"])
+        self.pool.apply_leaving_list(listed.draining_names)
 
     def endpoints_of(self, service: str) -> list[FakeForwardEndpoint]:
         """Return the endpoints of a service."""
