Charge no retry for an attempt that never left this instance

What callers saw: a request that waited for an endpoint which began to leave could end as not run, although others were idle. Cause: its next attempt was charged to the retry budget, which is for arrivals beyond the first, and nothing had arrived. Change: while no attempt at a service was sent, the next one is its first arrival. Evidence: test_requests_that_wait_for_it_go_elsewhere_without_the_retry_budget fails without the change and passes with it; 53 tests of forwarding pass.

--- a/src/radishmount/forwarding/_execution.py
+++ b/src/radishmount/forwarding/_execution.py
@@ -152,6 +152,8 @@
             or progress.send_count >= MAX_SENDS
         ):
             return False
+        if progress.send_count == progress.unsent_count:
+            return True  # nothing has arrived at an endpoint yet
         if not self.context.retry_budget.try_withdraw(progress.service, now_ms):
             self.context.counters.add("repeats_withheld", progress.service)
             return False
@@ -218,6 +220,7 @@
                 self._handle_reply(progress, attempt, reply, now_ms)
             case Err(failure):
                 progress.possible_runs += failure.ran is not RunStatus.NOT_RUN
+                progress.unsent_count += attempt.sent_at_ms is None
                 self._handle_failure(progress, failure, now_ms)
 
     def _handle_reply(
--- a/tests/forwarding/test_leaving_endpoints.py
+++ b/tests/forwarding/test_leaving_endpoints.py
@@ -5,6 +5,7 @@
 import pytest
 
 from forward_harness import forward_harness
+from radishmount.forwarding import RetryBudgetSettings
 
 
 pytestmark = pytest.mark.looptime
@@ -87,3 +88,24 @@
 
             assert all(outcome.is_ok() for outcome in outcomes)
             assert len(leaving.received_ids) <= 1
+
+    async def test_requests_that_wait_for_it_go_elsewhere_without_the_retry_budget(self) -> None:
+        """Guards against requests that wait, or are given up, though they never left for it."""
+        settings = RetryBudgetSettings(ratio=0.0, slack=0.0)
+        async with forward_harness(services=1, retry_settings=settings) as harness:
+            harness.use_all_services()
+            leaving = harness.endpoints_by_name["s0-a"]
+            leaving.service_ms = 200.0
+            leaving.leaving = True
+            pool = harness.pool.connection_pools_by_name["s0-a"]
+            pool.set_connection_limit(1)
+            only_choice = harness.context.choose
+            harness.context.choose = lambda endpoints, excluded, now_ms: next(
+                (e for e in endpoints if e.name not in excluded and e.is_available(now_ms)), None
+            )
+            route = harness.single_route(idempotent=False)
+            outcomes = await asyncio.gather(*(harness.send(route) for _ in range(6)))
+            harness.context.choose = only_choice
+
+            assert all(outcome.is_ok() for outcome in outcomes)
+            assert len(leaving.received_ids) == 1
