Notice the loss of an instance whose neighbours are lost with it

What callers saw: answers of the directory that named machines which had long been off. Cause: only its neighbours test an instance, at most eight, and they are chosen among all listed instances, lost ones too. Where all of them go off with it, as when most machines of a site lose power, nobody suspects it, it never expires, and every instance names it to callers. Class: a failure detector that fails together with what it observes. Change: while instances are suspected, each instance also takes the neighbours that it would have without them, at most every 500 ms; a random probe without an answer leads to suspicion, as a neighbour's does, after other instances were asked.

--- a/src/radishmount/fleet/_membership.py
+++ b/src/radishmount/fleet/_membership.py
@@ -23,7 +23,7 @@
     ProbeReply,
     ProbeRequest,
 )
-from radishmount.fleet._neighbours import neighbours_of
+from radishmount.fleet._neighbours import NEIGHBOUR_LIMIT, neighbours_of
 from radishmount.fleet._peers import Peers
 from radishmount.fleet._session import PeerSession
 
@@ -41,6 +41,7 @@
 INDIRECT_PROBE_TIMEOUT_MS = 1_500.0
 PROBE_TIMEOUT_MS = 700.0
 RANDOM_PROBE_INTERVAL_MS = 10_000.0
+NEIGHBOUR_UPDATE_DELAY_MS = 500.0  # many instances may be lost within a second
 FORWARD_DELAY_MS = 50.0  # adds a fifth of a second on the longest path through a large fleet
 
 OnHeartbeat = Callable[[str, Heartbeat], None]
@@ -64,7 +65,8 @@
     One task for each neighbour does this. Member updates that are new here are sent on to all
     neighbours but those that sent them: at once where they are about this instance, otherwise
     after `FORWARD_DELAY_MS`, together with all that have come meanwhile. `sender` is the neighbour
-    whose heartbeat is being handled. `on_heartbeat` is called with each heartbeat and the name of
+    whose heartbeat is being handled. `has_added_neighbours` is set while suspected instances are
+    bridged by further neighbours. `on_heartbeat` is called with each heartbeat and the name of
     its sender. The start of the instance waits on the event `progress`, which is set when a
     neighbour has answered or could not be reached, and by the control plane when a new version or
     list was applied.
@@ -86,6 +88,8 @@
     senders_by_pending_name: dict[str, set[str]] = field(default_factory=dict)
     sender: str = ""
     flush_timer: asyncio.TimerHandle | None = None
+    neighbour_timer: asyncio.TimerHandle | None = None
+    has_added_neighbours: bool = False
 
     def start(self) -> None:
         """Register the handlers of heartbeats, pings and probes."""
@@ -98,13 +102,21 @@
     def update_neighbours(self) -> None:
         """Start and stop neighbour tasks to match the current instance list.
 
-        What is known of instances that are neither listed nor connected is dropped.
+        Neighbours among the instances that are not suspected are added to those among all listed
+        ones. Without them, nobody would notice the loss of an instance whose neighbours are lost
+        too. What is known of instances that are neither listed nor connected is dropped.
         """
         listed = self.fleet.by_name
-        wanted = neighbours_of(self.fleet.own_name, self.fleet.own_data_centre, listed.values())
-        for name in set(self.tasks_by_neighbour) - set(wanted):
+        state_of = self.fleet.members.state_of
+        alive = [i for n, i in listed.items() if state_of(n) is not MemberState.SUSPECTED]
+        own_name, own_data_centre = self.fleet.own_name, self.fleet.own_data_centre
+        wanted = set(neighbours_of(own_name, own_data_centre, listed.values()))
+        self.has_added_neighbours = len(alive) < len(listed) > NEIGHBOUR_LIMIT + 1
+        if self.has_added_neighbours:
+            wanted.update(neighbours_of(own_name, own_data_centre, alive))
+        for name in set(self.tasks_by_neighbour) - wanted:
             self.tasks_by_neighbour.pop(name).cancel()
-        for name in wanted:
+        for name in sorted(wanted):
             if name not in self.tasks_by_neighbour:
                 task = asyncio.create_task(self._maintain_stream(name), name=f"neighbour {name}")
                 self.tasks_by_neighbour[name] = task
@@ -125,8 +137,9 @@
 
     async def stop(self) -> None:
         """Cancel the task of each neighbour."""
-        if self.flush_timer is not None:
-            self.flush_timer.cancel()
+        for timer in (self.flush_timer, self.neighbour_timer):
+            if timer is not None:
+                timer.cancel()
         tasks = list(self.tasks_by_neighbour.values())
         for task in tasks:
             task.cancel()
@@ -135,7 +148,8 @@
     async def probe_random_instances(self) -> None:
         """Ping a random instance now and then that is no neighbour.
 
-        The stream to it restores contact if its own neighbours have lost it.
+        The stream to it restores contact if its own neighbours have lost it. One that does not
+        answer is suspected like a neighbour.
         """
         while True:
             await self.clock.sleep_ms(RANDOM_PROBE_INTERVAL_MS * self.random.uniform(0.5, 1.5))
@@ -145,6 +159,8 @@
             name = self.random.choice(sorted(others))
             outcome = await self.peers.request(name, Ping(), PROBE_TIMEOUT_MS)
             self.counters.add("random_probes", "failed" if outcome.is_err() else "answered")
+            if outcome.is_err():
+                await self._suspect_unless_reachable(name)
 
     async def close_idle_streams(self) -> None:
         """Close streams to instances that are no neighbours once they are idle."""
@@ -284,6 +300,8 @@
         `FORWARD_DELAY_MS` they are noted as senders, and need not be told.
         """
         self.counters.add("member_updates", update.state)
+        if update.state is MemberState.SUSPECTED or self.has_added_neighbours:
+            self._update_neighbours_later()
         subject = f"instance/{update.name}"
         self.audit.record(subject, update.state, cause=cause, version=self.fleet.list_version)
         self.pending_updates_by_name[update.name] = update
@@ -296,6 +314,19 @@
             delay_ms = 0.0 if update.name == self.fleet.own_name else FORWARD_DELAY_MS
             self.flush_timer = loop.call_later(delay_ms / 1000.0, self._send_pending_updates)
 
+    def _update_neighbours_later(self) -> None:
+        """Schedule an update of the neighbours after a change of the state of an instance."""
+        if self.neighbour_timer is not None or len(self.fleet.by_name) <= NEIGHBOUR_LIMIT + 1:
+            return
+
+        def update() -> None:
+            self.neighbour_timer = None
+            self.update_neighbours()
+
+        loop = asyncio.get_running_loop()
+        delay_s = NEIGHBOUR_UPDATE_DELAY_MS / 1000.0
+        self.neighbour_timer = loop.call_later(delay_s, update)
+
     def _send_pending_updates(self) -> None:
         self.flush_timer = None
         pending, self.pending_updates_by_name = self.pending_updates_by_name, {}
