--- a/src/radishmount/fleet/_membership.py
+++ b/src/radishmount/fleet/_membership.py
@@ -41,7 +41,7 @@
 INDIRECT_PROBE_TIMEOUT_MS = 1_500.0
 PROBE_TIMEOUT_MS = 700.0
 RANDOM_PROBE_INTERVAL_MS = 10_000.0
-NEIGHBOUR_UPDATE_DELAY_MS = 500.0  # many instances may be lost within a second
+NEIGHBOUR_UPDATE_DELAY_MS = 250.0  # many instances may be lost within a second
 FORWARD_DELAY_MS = 50.0  # adds a fifth of a second on the longest path through a large fleet
 
 OnHeartbeat = Callable[[str, Heartbeat], None]
@@ -229,7 +229,13 @@
         self.fleet.members.suspect(name, incarnation)
 
     async def _is_reached_by_others(self, name: str) -> bool:
-        helpers = [s.peer.name for s in self._neighbour_sessions() if s.peer.name != name]
+        now_ms = self.clock.now_ms()
+        # A helper that is silent itself would only delay the suspicion.
+        helpers = [
+            session.peer.name
+            for session in self._neighbour_sessions()
+            if session.peer.name != name and now_ms - session.last_received_at_ms < PING_AFTER_MS
+        ]
         self.random.shuffle(helpers)
         asked = [
             self.peers.request(helper, ProbeRequest(name), INDIRECT_PROBE_TIMEOUT_MS)
