Drop a message of a peer that cannot be read, and keep its stream

Change: a whole, authenticated frame whose message is refused has a code of its own (UNREADABLE_MESSAGE, 7011); it is counted and written with its peer, once for each fault in a row, and the stream goes on. Framing, size and authentication end it as before.

--- a/src/radishmount/border/_peer_codec.py
+++ b/src/radishmount/border/_peer_codec.py
@@ -51,17 +51,20 @@
 
 
 def unpack_frame(content: bytes) -> Result[Frame, Refusal]:
-    """Decode and validate the frame in `content`, or refuse with the first error."""
+    """Decode and validate the frame in `content`, or refuse with the first error.
+
+    The bytes of a frame are whole and authenticated, so a refusal concerns this message only.
+    """
     try:
         values = msgpack.unpackb(content)
         frame_type, number, kind, body = values
         if not isinstance(number, int) or number < 0:
-            return Err(Refusal(Code.BAD_FRAME, detail="the frame number is invalid"))
+            return Err(Refusal(Code.UNREADABLE_MESSAGE, detail="the frame number is invalid"))
         message = _unpack_message(kind, body)
     except ValidationError as error:
-        return Err(Refusal(Code.BAD_FRAME, detail=describe_first_error(error)))
+        return Err(Refusal(Code.UNREADABLE_MESSAGE, detail=describe_first_error(error)))
     except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
-        return Err(Refusal(Code.BAD_FRAME, detail=repr(error)))
+        return Err(Refusal(Code.UNREADABLE_MESSAGE, detail=repr(error)))
     return _make_frame(frame_type, number, message)
 
 
@@ -69,13 +72,16 @@
     if frame_type == "a":
         return Ok(Response(number, message))
     if isinstance(message, Refusal):
-        return Err(Refusal(Code.BAD_FRAME, detail="a refusal that is not a response"))
+        return Err(Refusal(Code.UNREADABLE_MESSAGE, detail="a refusal that is not a response"))
     if frame_type == "n":
         return Ok(Notice(message))
     if frame_type == "q":
         return Ok(Request(number, message))
     return Err(
-        Refusal(Code.BAD_FRAME, detail="the frame is neither a notice, a request nor a response")
+        Refusal(
+            Code.UNREADABLE_MESSAGE,
+            detail="the frame is neither a notice, a request nor a response",
+        )
     )
 
 
--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -99,6 +99,7 @@
     PEER_BUSY = 7008
     UNKNOWN_MESSAGE = 7009
     OLD_INCARNATION = 7010
+    UNREADABLE_MESSAGE = 7011
 
     BAD_SETTING = 8001
     UNREADABLE_FILE = 8002
@@ -174,6 +175,7 @@
     Code.STRANGER: "the peer is not known or not authenticated",
     Code.PEER_SILENT: "the peer sent no heartbeat in time",
     Code.PEER_UNREACHABLE: "no stream to the peer could be opened",
+    Code.UNREADABLE_MESSAGE: "a message of a peer has fields that are not accepted",
     Code.PEER_LOST: "the stream ended after the request was sent",
     Code.PEER_TIMED_OUT: "the peer did not answer in time",
     Code.PEER_BUSY: "the peer answers too many requests at once",
--- a/src/radishmount/control/_control_plane.py
+++ b/src/radishmount/control/_control_plane.py
@@ -229,6 +229,9 @@
     active_publication = ActivePublication(dependencies.read_bundle, audit, counters, clock)
     list_updater = InstanceListUpdater(fleet, audit, counters, clock)
     peers = Peers(fleet, dependencies.open_peer_for(members, counters), clock, counters)
+    peers.on_unreadable = lambda name, refusal: audit.record(
+        f"peer/{name}", "unreadable message", cause=str(refusal)
+    )
     membership = Membership(
         fleet,
         peers,
--- a/src/radishmount/control/_seeded_control_plane.py
+++ b/src/radishmount/control/_seeded_control_plane.py
@@ -137,6 +137,9 @@
     members = MemberTable(MemberUpdate(own.name, incarnation, 0, MemberState.LIVE), own.data_centre)
     fleet = Fleet(own.name, own.data_centre, members)
     peers = Peers(fleet, dependencies.open_peer_for(members, counters), clock, counters)
+    peers.on_unreadable = lambda name, refusal: audit.record(
+        f"peer/{name}", "unreadable message", cause=str(refusal)
+    )
     membership = Membership(
         fleet,
         peers,
--- a/src/radishmount/fleet/_peers.py
+++ b/src/radishmount/fleet/_peers.py
@@ -35,6 +35,9 @@
         peers.handle_requests(Ping, handle_ping)
         match await peers.request("entry-b", Ping()):
             case Ok(message): ...
+
+    A message whose fields are not accepted is dropped, and the stream goes on. `on_unreadable` is
+    called with the name of its sender, once for each kind of fault in a row.
     """
 
     fleet: Fleet
@@ -50,6 +53,8 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     cpu_meter: ControlCpuMeter = field(init=False)
     on_open: list[Callable[[PeerSession], None]] = field(default_factory=list)
+    on_unreadable: Callable[[str, Refusal], None] = lambda name, refusal: None
+    unreadable_detail_by_name: dict[str, str] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Create the meter for the CPU time of the streams."""
@@ -151,7 +156,12 @@
             while True:
                 received = await session.stream.receive()
                 if isinstance(received, Err):
-                    self.counters.add("peer_streams_ended", received.err_value.code.name)
+                    refusal = received.err_value
+                    if refusal.code is Code.UNREADABLE_MESSAGE:
+                        # Its sender is authenticated, and the frames after it can be told apart.
+                        self._report_unreadable(session.peer.name, refusal)
+                        continue
+                    self.counters.add("peer_streams_ended", refusal.code.name)
                     return
                 session.last_received_at_ms = self.clock.now_ms()
                 with self.cpu_meter.measure("peer"):
@@ -161,6 +171,13 @@
                 del self.sessions_by_name[session.peer.name]
             await session.close()
 
+    def _report_unreadable(self, name: str, refusal: Refusal) -> None:
+        """Count a message that cannot be read, and report it unless the last one was the same."""
+        self.counters.add("peer_messages_unreadable", name)
+        if self.unreadable_detail_by_name.get(name) != refusal.detail:
+            self.unreadable_detail_by_name[name] = refusal.detail
+            self.on_unreadable(name, refusal)
+
     def _handle_frame(self, session: PeerSession, frame: Frame) -> None:
         match frame:
             case Request() as request:
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -30,6 +30,7 @@
     PeerSession,
     Ping,
     ProbeReply,
+    ProbeRequest,
 )
 
 
@@ -100,6 +101,22 @@
 
         assert (refusal.code, refusal.ran) == (Code.PEER_TIMED_OUT, RunStatus.UNKNOWN)
 
+    async def test_a_message_that_cannot_be_read_does_not_end_the_stream(self) -> None:
+        """Guards against one odd entry that cuts an instance off from its peers."""
+        one, other = self.peers(FakeNetwork(), "entry-a", "entry-b")
+        other.handle_requests(Ping, answer_ping)
+        reported: list[tuple[str, Code]] = []
+        other.on_unreadable = lambda name, refusal: reported.append((name, refusal.code))
+        await one.request("entry-b", Ping())
+        session = one.sessions_by_name["entry-b"]
+        for _ in range(3):
+            session.notify(ProbeRequest(target=""))
+        answer = await one.request("entry-b", Ping())
+
+        assert answer == Ok(PROBE_REPLY)
+        assert one.sessions_by_name["entry-b"] is session
+        assert reported == [("entry-a", Code.UNREADABLE_MESSAGE)]
+
     async def test_a_message_without_a_handler_is_refused(self) -> None:
         one, _ = self.peers(FakeNetwork(), "entry-a", "entry-b")
 
