Give the fields of a listed endpoint one definition, and refuse odd entries whole

By reading: an id with a line break would have been sent as a header of the request. Class: a limit that is defined in two places, and an unexpected error that passes for a fast reply. Change: the store's client and the messages between instances share the types of these fields: an IPv4 address with a port from 1 to 65535, an id that fits a header, bounded names, slots and times. A refused entry names no endpoint and is written once with its fault. An unexpected error of an attempt is an outcome of its own (INTERNAL), counts against the endpoint, and sets no latency; an address that the system does not take counts as not connected. That a process ends by itself from such an entry was not seen. A property-based test holds that what the client accepts comes back equal from the codec of peers.

--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -12,6 +12,15 @@
     from radishmount.border._bundle import digest_of, read_bundle, write_bundle
     from radishmount.border._callers import CallerService, make_caller_app
     from radishmount.border._endpoint_client import EndpointChannel, open_endpoint_channel
+    from radishmount.border._endpoint_fields import (
+        ColdTime,
+        DataCentreName,
+        EndpointAddress,
+        ListedName,
+        ServiceName,
+        SlotCount,
+        StartTime,
+    )
     from radishmount.border._instance_client import InstanceClient, InstanceResponse
     from radishmount.border._jsonc import read_jsonc
     from radishmount.border._manifest import BUNDLE_KEY, MAX_VALUE_BYTES, split_bundle
@@ -55,11 +64,15 @@
     "BorderModel",
     "BUNDLE_KEY",
     "CallerService",
+    "ColdTime",
     "ConnectionLimits",
+    "DataCentreName",
     "ENDPOINT_PEER_MODELS",
+    "EndpointAddress",
     "EndpointChannel",
     "EntrySettings",
     "HttpPlatformClient",
+    "ListedName",
     "ORDER_PEER_MODELS",
     "SocketAddress",
     "MAX_VALUE_BYTES",
@@ -70,6 +83,9 @@
     "PeerServer",
     "RequestMetrics",
     "Server",
+    "ServiceName",
+    "SlotCount",
+    "StartTime",
     "register_peer_models",
     "check_folder",
     "describe_first_error",
@@ -106,6 +122,13 @@
         "InstanceResponse": "_instance_client",
         "InstanceClient": "_instance_client",
         "BorderModel": "_models",
+        "ColdTime": "_endpoint_fields",
+        "DataCentreName": "_endpoint_fields",
+        "EndpointAddress": "_endpoint_fields",
+        "ListedName": "_endpoint_fields",
+        "ServiceName": "_endpoint_fields",
+        "SlotCount": "_endpoint_fields",
+        "StartTime": "_endpoint_fields",
         "BUNDLE_KEY": "_manifest",
         "CallerService": "_callers",
         "ENDPOINT_PEER_MODELS": "_peer_endpoint_models",
--- a/src/radishmount/border/_peer_endpoint_models.py
+++ b/src/radishmount/border/_peer_endpoint_models.py
@@ -4,13 +4,16 @@
 
 from pydantic import Field
 
-from radishmount.border._peer_models import (
-    Address,
-    EndpointName,
-    NonNegativeInt,
-    PeerModel,
-    PeerName,
+from radishmount.border._endpoint_fields import (
+    ColdTime,
+    DataCentreName,
+    EndpointAddress,
+    ListedName,
+    ServiceName,
+    SlotCount,
+    StartTime,
 )
+from radishmount.border._peer_models import NonNegativeInt, PeerModel
 from radishmount.discovery import (
     EndpointPage,
     EndpointPageRequest,
@@ -35,14 +38,14 @@
     """One listed endpoint."""
 
     data_type = ListedEndpoint
-    name: EndpointName
-    service: Annotated[str, Field(min_length=1, max_length=200)]
-    address: Address
-    data_centre: PeerName
-    slots: NonNegativeInt
+    name: ListedName
+    service: ServiceName
+    address: EndpointAddress
+    data_centre: DataCentreName
+    slots: SlotCount
     is_draining: bool
-    cold_for_ms: Annotated[float, Field(ge=0.0)]
-    started_at_ms: int
+    cold_for_ms: ColdTime
+    started_at_ms: StartTime
 
 
 class EndpointPageModel(PeerModel):
@@ -52,7 +55,7 @@
     revision: NonNegativeInt
     endpoints: Annotated[list[Any], Field(max_length=MAX_PAGE_LENGTH)]
     has_more: bool
-    missing: Annotated[list[EndpointName], Field(max_length=MAX_PAGE_LENGTH)]
+    missing: Annotated[list[ListedName], Field(max_length=MAX_PAGE_LENGTH)]
 
     def to_data(self) -> EndpointPage:
         """Return the message as a data class."""
@@ -67,8 +70,8 @@
     after: NonNegativeInt
     revision: NonNegativeInt
     endpoints: Annotated[list[Any], Field(max_length=MAX_PAGE_LENGTH)]
-    removed: Annotated[list[EndpointName], Field(max_length=MAX_PAGE_LENGTH)]
-    missing: Annotated[list[EndpointName], Field(max_length=MAX_PAGE_LENGTH)]
+    removed: Annotated[list[ListedName], Field(max_length=MAX_PAGE_LENGTH)]
+    missing: Annotated[list[ListedName], Field(max_length=MAX_PAGE_LENGTH)]
 
     def to_data(self) -> StoreNews:
         """Return the message as a data class."""
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -14,6 +14,7 @@
 from radishmount.discovery._endpoint_list import EndpointList
 from radishmount.discovery._listed_endpoint import ListedEndpoint
 from radishmount.discovery._messages import StoreNews
+from radishmount.discovery._refused_entries import RefusedEntries
 from radishmount.discovery._store import (
     ConfigurationEntry,
     EndpointEntry,
@@ -86,11 +87,13 @@
     news_received: asyncio.Event = field(default_factory=asyncio.Event)
     news_sender: str = ""
     backoff: Backoff = field(init=False)
+    refused_entries: RefusedEntries = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the backoff of failed calls, in a state where no refresh is requested."""
+        """Create the parts that need others, in a state where no refresh is requested."""
         self.refreshed.set()
         self.backoff = Backoff(self.random, RETRY_INITIAL_MS, RETRY_MAX_MS)
+        self.refused_entries = RefusedEntries(self.audit, self.counters)
 
     async def run(self) -> None:
         """Follow the store until the task is cancelled."""
@@ -282,6 +285,7 @@
         # A change ends all watches at once. Random waits make the next ones end at different times,
         # so that at any time some watcher has confirmed its state recently.
         self.wait_ratio = self.random.uniform(MIN_WAIT_RATIO, 1.0) if answer.entries else 1.0
+        self.refused_entries.record(answer.entries)
         for entry in answer.entries:
             if isinstance(entry, ConfigurationEntry):
                 await self.active_publication.apply(entry.body, source="store")
--- a/src/radishmount/discovery/_store.py
+++ b/src/radishmount/discovery/_store.py
@@ -31,10 +31,11 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointEntry:
-    """The entry of an endpoint; `endpoint` is none if the entry is invalid."""
+    """The entry of an endpoint; `endpoint` is none if the entry is invalid, for the `fault`."""
 
     name: str
     endpoint: ListedEndpoint | None
+    fault: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/endpoints/_connection_pool.py
+++ b/src/radishmount/endpoints/_connection_pool.py
@@ -239,6 +239,11 @@
         outcome: Result[Any, Failure] = Err(Failure(Code.CANCELLED, RunStatus.UNKNOWN))
         try:
             outcome = await self._exchange(channel, attempt)
+        except Exception as error:
+            # The error is reported where the task of the connection ends.
+            ran = RunStatus.NOT_RUN if attempt.sent_at_ms is None else RunStatus.UNKNOWN
+            outcome = Err(Failure(Code.INTERNAL, ran, detail=repr(error)))
+            raise
         finally:
             self.endpoint.active_exchanges -= 1
             self._finish(attempt, outcome)
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -20,7 +20,14 @@
 NEVER_MS = float("-inf")
 CONNECTION_FAILURE_CODES = frozenset({Code.TIMED_OUT, Code.CONNECTION_LOST, Code.NOT_CONNECTED})
 UNSUCCESSFUL_CODES = frozenset(
-    {Code.SHED, Code.CONNECTION_LOST, Code.BAD_REPLY, Code.ENDPOINT_ERROR, Code.OTHER_ENDPOINT}
+    {
+        Code.SHED,
+        Code.CONNECTION_LOST,
+        Code.BAD_REPLY,
+        Code.ENDPOINT_ERROR,
+        Code.OTHER_ENDPOINT,
+        Code.INTERNAL,
+    }
 )
 
 OnChange = Callable[["Endpoint", str, str], None]
--- a/src/radishmount/platform/_backend_channel.py
+++ b/src/radishmount/platform/_backend_channel.py
@@ -55,6 +55,8 @@
 NOT_EXECUTED_KEY = NOT_EXECUTED_HEADER.lower().encode()
 HOP_BY_HOP_KEYS = frozenset(name.encode() for name in HOP_BY_HOP_HEADERS)
 
+# The last two are raised for addresses that the operating system does not take.
+CONNECT_ERRORS = (OSError, TimeoutError, ValueError, OverflowError)
 NO_LOAD_REPORT = LoadReport()
 
 ExchangeOutcome = Result[ForwardReply, Failure]
@@ -102,7 +104,7 @@
         max_idle_s = MAX_IDLE_IDEMPOTENT_S if request.idempotent else MAX_IDLE_NON_IDEMPOTENT_S
         try:
             connection = await self._get_connection(max_idle_s)
-        except (OSError, TimeoutError) as error:
+        except CONNECT_ERRORS as error:
             return Err(Failure(Code.NOT_CONNECTED, detail=repr(error)))
         content = self._encoder.encode(request, remaining_ms)
         try:
@@ -123,7 +125,7 @@
         """Check that a connection can be opened; no request is sent to the back end."""
         try:
             await self._get_connection(MAX_IDLE_IDEMPOTENT_S)
-        except (OSError, TimeoutError) as error:
+        except CONNECT_ERRORS as error:
             return Err(Failure(Code.NOT_CONNECTED, detail=repr(error)))
         return Ok(LoadReport())
 
--- a/src/radishmount/platform/_store_client.py
+++ b/src/radishmount/platform/_store_client.py
@@ -1,7 +1,6 @@
 """The client of the platform's key-value store: HTTP with JSON, read-only."""
 
 import base64
-import binascii
 from http import HTTPStatus
 from typing import Annotated, Any, Literal
 
@@ -10,6 +9,16 @@
 from pydantic import Field, ValidationError
 from result import Err, Ok, Result
 
+from radishmount.border import (
+    ColdTime,
+    DataCentreName,
+    EndpointAddress,
+    ListedName,
+    ServiceName,
+    SlotCount,
+    StartTime,
+    describe_first_error,
+)
 from radishmount.codes import Code, Refusal
 from radishmount.discovery import (
     ConfigurationEntry,
@@ -30,21 +39,22 @@
 
 CALL_TIMEOUT_S = 1.0  # 250 times the response time that the platform states
 ALL_KEYS_PREFIX = ""
+MAX_FAULT_LENGTH = 200
 MAX_ANSWER_BYTES = 16 * 1024 * 1024  # several times a page, or a watch that returns much history
 
 
 class BackendModel(PlatformModel):
-    """The entry that a back end writes about itself; field types are checked strictly."""
+    """The entry that a back end writes about itself, under its id."""
 
-    service: Annotated[str, Field(strict=True, min_length=1)]
-    address: Annotated[str, Field(strict=True, pattern=r"^[0-9.]+:[0-9]+$")]
-    zone: Annotated[str, Field(strict=True)]
+    id: ListedName
+    service: ServiceName
+    address: EndpointAddress
+    zone: DataCentreName
     version: Annotated[str, Field(strict=True)]  # of its software; not used
-    slots: Annotated[int, Field(strict=True, ge=1)]
+    slots: SlotCount
     state: Literal["ready", "draining"]
-    cold_left_ms: Annotated[float, Field(strict=True, ge=0.0)] = Field(alias="coldLeftMs")
-    # The time of its start, in Unix milliseconds.
-    born: Annotated[int, Field(strict=True)] = 0
+    cold_left_ms: ColdTime = Field(alias="coldLeftMs")
+    born: StartTime = 0
     seq: Annotated[int, Field(strict=True)]
 
 
@@ -168,14 +178,19 @@
     return b"".join(parts)
 
 
-def read_listed_endpoint(name: str, value: str) -> ListedEndpoint | None:
-    """Parse the entry `value` (JSON in base64) of a back end; return None if it is invalid."""
+def read_listed_endpoint(name: str, value: str) -> Result[ListedEndpoint, str]:
+    """Parse the entry `value` (JSON in base64) of a back end, or return what is wrong with it."""
     try:
-        model = BackendModel.model_validate(orjson.loads(base64.b64decode(value, validate=True)))
-    except (binascii.Error, ValueError):
-        return None
-    return ListedEndpoint(
-        name=name,
+        fields = orjson.loads(base64.b64decode(value, validate=True))
+        if not isinstance(fields, dict):
+            return Err("not an object")
+        model = BackendModel.model_validate({**fields, "id": name})
+    except ValidationError as error:
+        return Err(describe_first_error(error))
+    except ValueError as error:
+        return Err(str(error)[:MAX_FAULT_LENGTH])
+    endpoint = ListedEndpoint(
+        name=model.id,
         service=model.service,
         address=model.address,
         data_centre=model.zone,
@@ -184,6 +199,7 @@
         cold_for_ms=model.cold_left_ms,
         started_at_ms=model.born,
     )
+    return Ok(endpoint)
 
 
 def _parse_entries(items: list[ItemModel]) -> list[StoreEntry]:
@@ -197,10 +213,18 @@
         if item.removed:
             entries.append(EndpointRemoval(name))
         else:
-            entries.append(EndpointEntry(name, read_listed_endpoint(name, item.value)))
+            entries.append(_parse_endpoint_entry(name, item.value))
     return entries
 
 
+def _parse_endpoint_entry(name: str, value: str) -> EndpointEntry:
+    match read_listed_endpoint(name, value):
+        case Ok(endpoint):
+            return EndpointEntry(name, endpoint)
+        case Err(fault):
+            return EndpointEntry(name, None, fault)
+
+
 def _decode_configuration(value: str) -> bytes:
     """Return the configuration in `value`; text that is not base64 is returned for its error."""
     try:
--- a/tests/endpoints/test_connection_pool.py
+++ b/tests/endpoints/test_connection_pool.py
@@ -101,6 +101,25 @@
         assert harness.endpoint.in_flight == 0
         assert harness.fake.connections == 0
 
+    async def test_an_unexpected_error_counts_against_the_endpoint(self) -> None:
+        """Guards against an endpoint that fails at once by such errors and looks fast."""
+        harness = ConnectionPoolHarness()
+
+        async def fail(request: object, remaining_ms: float) -> SubRequestOutcome:
+            raise LookupError("unexpected")
+
+        channel = FakeChannel(harness.fake)
+        channel.exchange = fail  # type: ignore[method-assign]
+        harness.connection_pool.open_channel = lambda address: channel
+        await harness.start()
+        harness.submit(0)
+        await asyncio.sleep(0.2)
+
+        assert harness.codes() == [["INTERNAL"]]
+        assert harness.endpoint.success_rate.rate_at(harness.clock.now_ms()) < 1.0
+        assert harness.endpoint.latency.value_ms is None
+        await harness.connection_pool.stop()
+
     async def test_a_retired_pool_finishes_its_exchanges(self) -> None:
         harness = await ConnectionPoolHarness().start()
         for number in range(3):
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -1,14 +1,26 @@
 """Tests of the parsers for the settings, the entries of the store, and the configuration."""
 
 import base64
+import json
 from pathlib import Path
 
 import orjson
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Ok
 
+from fuzzing import FUZZ_MANY, mutated
 from platform_harness import fan_out_route, make_configuration, single_route
+from radishmount.border import (
+    ENDPOINT_PEER_MODELS,
+    pack_frame,
+    register_peer_models,
+    unpack_frame,
+)
 from radishmount.codes import Code
-from radishmount.discovery import ConfigurationEntry, EndpointEntry
+from radishmount.discovery import ConfigurationEntry, EndpointEntry, EndpointPage, StoreNews
+from radishmount.fleet import Notice, Response
 from radishmount.platform import read_configuration, read_deployment_settings, read_listed_endpoint
 from radishmount.platform._store_client import ItemModel, _parse_entries
 
@@ -24,6 +36,25 @@
     "born": 1_785_000_000_000,
     "seq": 4,
 }
+EXTREME_VALUES = [
+    ("seq", 4),
+    ("zone", ""),
+    ("zone", "z" * 100),
+    ("zone", "z" * 101),
+    ("zone", "\x00"),
+    ("service", "s" * 200),
+    ("service", "s" * 201),
+    ("address", "255.255.255.255:65535"),
+    ("address", "1.2.3.4:" + "9" * 100),
+    ("slots", 1_000_000),
+    ("slots", 2**63),
+    ("born", 0),
+    ("born", 2**63 - 1),
+    ("born", 2**64 - 1),
+    ("born", -(2**63)),
+    ("coldLeftMs", 1e9),
+    ("coldLeftMs", 1.7e308),
+]
 SETTINGS = """
 nodeName = "front-1"
 role = "entry"
@@ -49,9 +80,12 @@
 """
 
 
+register_peer_models(*ENDPOINT_PEER_MODELS)
+
+
 def encoded(value: object) -> str:
     """Return `value` as it is stored: JSON in base64."""
-    return base64.b64encode(orjson.dumps(value)).decode()
+    return base64.b64encode(json.dumps(value).encode()).decode()
 
 
 class TestListedEndpoint:
@@ -60,9 +94,8 @@
     def test_each_field_is_mapped(self) -> None:
         listed = read_listed_endpoint(
             "i-1", encoded({**BACK_END, "state": "draining", "coldLeftMs": 700})
-        )
+        ).unwrap()
 
-        assert listed is not None
         assert (listed.name, listed.service, listed.data_centre) == ("i-1", "s", "z1")
         assert listed.is_draining
         assert listed.cold_for_ms == 700
@@ -71,7 +104,7 @@
     def test_an_entry_with_a_missing_field_is_no_endpoint(self, name: str) -> None:
         fields = {key: value for key, value in BACK_END.items() if key != name}
 
-        assert read_listed_endpoint("i-1", encoded(fields)) is None
+        assert read_listed_endpoint("i-1", encoded(fields)).is_err()
 
     @pytest.mark.parametrize(
         ("name", "value"),
@@ -87,14 +120,59 @@
             ("coldLeftMs", "0"),
             ("coldLeftMs", None),
             ("born", 1.5),
+            ("born", -1),
+            ("born", 2**63),
+            ("address", "127.0..1:8226"),
+            ("address", "10.0.0.1:82260"),
+            ("address", "10.0.0.1:0"),
+            ("address", "10.0.0.256:80"),
+            ("zone", ""),
+            ("zone", "z" * 101),
+            ("service", "s" * 201),
+            ("slots", 2**63),
+            ("slots", 10**30),
+            ("coldLeftMs", 1e300),
         ],
     )
     def test_an_entry_with_an_invalid_field_is_no_endpoint(self, name: str, value: object) -> None:
-        assert read_listed_endpoint("i-1", encoded({**BACK_END, name: value})) is None
+        assert read_listed_endpoint("i-1", encoded({**BACK_END, name: value})).is_err()
 
     @pytest.mark.parametrize("value", ["%%%", "", encoded([1]), encoded("x"), "AAAA"])
     def test_an_entry_that_cannot_be_decoded_is_no_endpoint(self, value: str) -> None:
-        assert read_listed_endpoint("i-1", value) is None
+        assert read_listed_endpoint("i-1", value).is_err()
+
+    @pytest.mark.parametrize("name", ["", "a b", "a\r\nX-Own: 1", "\u00e9", "a" * 201])
+    def test_an_id_that_cannot_be_sent_in_a_header_names_no_endpoint(self, name: str) -> None:
+        """Guards against headers of another writer's making in requests to endpoints."""
+        assert read_listed_endpoint(name, encoded(BACK_END)).is_err()
+
+    @pytest.mark.parametrize("depth", [100, 1_000, 100_000])
+    def test_a_deeply_nested_entry_is_refused_or_its_unknown_field_ignored(
+        self, depth: int
+    ) -> None:
+        nested = "[" * depth + "]" * depth
+        value = orjson.dumps(BACK_END).decode().removesuffix("}") + f',"extra":{nested}}}'
+        for text in (value, nested, f'{{"service":{nested}}}'):
+            read = read_listed_endpoint("i-1", base64.b64encode(text.encode()).decode())
+
+            assert read.is_err() or text is value
+
+    @FUZZ_MANY
+    @given(st.text(min_size=1, max_size=6), mutated(BACK_END), st.sampled_from(EXTREME_VALUES))
+    def test_what_is_accepted_here_is_accepted_by_peers(
+        self, name: str, fields: object, extreme: tuple[str, object]
+    ) -> None:
+        """Guards against an entry of another writer that ends the streams between instances."""
+        if isinstance(fields, dict):
+            fields = {**fields, extreme[0]: extreme[1]}
+        read = read_listed_endpoint(name, encoded(fields))
+        if read.is_err():
+            return
+        news = Notice(StoreNews(1, 2, (read.ok_value,), (name,), (name,)))
+        page = Response(1, EndpointPage(2, (read.ok_value,), False, (name,)))
+
+        assert unpack_frame(pack_frame(news).unwrap()) == Ok(news)
+        assert unpack_frame(pack_frame(page).unwrap()) == Ok(page)
 
 
 class TestStoreClient:
--- a/tests/platform/test_operator_reports.py
+++ b/tests/platform/test_operator_reports.py
@@ -4,14 +4,17 @@
 """
 
 import asyncio
+import json
 from collections.abc import AsyncIterator, Callable
 from random import Random
+from typing import Any
 
 import pytest
 
 from platform_harness import (
     HOST,
     PlatformHarness,
+    backend_entry,
     fan_out_route,
     single_route,
     start_platform_harness,
@@ -153,6 +156,39 @@
         assert (await harness.send_request("/orders/7"))[0] == 200
 
 
+class TestOddEntries:
+    """Odd entries of another writer: processes ended again and again, or followed no longer."""
+
+    async def test_the_others_are_followed_and_served(self, harness: PlatformHarness) -> None:
+        await harness.add_back_end("orders", "b1")
+        await harness.publish(3, single_route(routeType="unsafe", maxAttempts=1))
+        sound = backend_entry(harness.back_ends[0], "orders")
+        nested = b'{"service":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        odd_entries: list[Any] = [nested, b"1e999", b"9" * 400, b'"\\ud800"']
+        for field, values in {
+            "slots": (2**63, 2**64, -1, 1e300),
+            "coldLeftMs": (1e308, -1.0, 2**70),
+            "born": (2**63, -(2**63), 1e30),
+            "address": ("127.0..1:80", "127.0.0.1:82260", "127.0.0.1:0", ":80", "host:80"),
+            "zone": ("", "z" * 1_000, {}),
+            "service": ("", "s" * 1_000, []),
+        }.items():
+            odd_entries += [json.dumps({**sound, field: value}).encode() for value in values]
+        for number, value in enumerate(odd_entries):
+            await harness.store.put(f"servers/odd-{number}", value)
+        await harness.store.put("servers/odd\r\nX-Own: 1", sound)
+        await harness.add_back_end("orders", "b2")
+        await harness.publish(4, single_route(routeType="unsafe", maxAttempts=1))
+        statuses = [
+            (await harness.send_request("/orders/7", "POST", f"q{number}", data=b"x"))[0]
+            for number in range(40)
+        ]
+
+        assert set(harness.instance.gateway.endpoints.by_name) == {"b1", "b2"}
+        assert statuses == [200] * 40
+        assert all(len(back_end.received) > 5 for back_end in harness.back_ends)
+
+
 class TestLostAnswers:
     """Work that had run was run again, or the caller was told that it had not run."""
 
