Answer every request that was read during a planned stop

What callers saw: in a planned stop, in calm, uploads that were under way two fifths into the grace were read to their end and never answered; requests taken late, or longer than 0.8 of the grace, ended with a closed connection (LOST). Cause: the stop began with the HTTP library's clean-up, which marks every connection as closing and then drops what it receives, and cancels handlers when its time-out is over. Class: a state that a library decides as a side effect of cleaning up. Change: a server drains first. It stops listening, closes idle connections, lets requests that are being read or handled go on, each response closing its connection unless another request has come on it, and cleans up only then. On the platform, requests that are complete after half of the grace are refused as not run, and by 0.85 of it all are answered: the time of those taken during the stop is bounded, and those taken before are ended as unknown.

--- a/src/radishmount/platform/_ingress.py
+++ b/src/radishmount/platform/_ingress.py
@@ -48,7 +48,11 @@
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         arrived_at_ms = gateway.dependencies.clock.now_ms()
-        body = await _read_body(request)
+        try:
+            async with gateway.until_stop():
+                body = await _read_body(request)
+        except TimeoutError:
+            body = Refusal(Code.INSTANCE_LEAVING)
         if isinstance(body, Refusal):
             response = _refusal_response(body)
             response.force_close()
@@ -59,14 +63,9 @@
             arrived_at_ms,
             _time_left_ms(request),
         )
-        response = (
-            _refusal_response(outcome.err_value)
-            if isinstance(outcome, Err)
-            else _reply_response(outcome.ok_value)
-        )
-        if gateway.leaving:
-            response.force_close()
-        return response
+        if isinstance(outcome, Err):
+            return _refusal_response(outcome.err_value)
+        return _reply_response(outcome.ok_value)
 
     def make_request(
         message: RawRequestMessage,
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -69,8 +69,13 @@
 CALLER_MIGRATION_SHARE = 0.4
 # Times the published idle limit: a caller that respects the limit never races with the close.
 IDLE_TIMEOUT_FACTOR = 1.25
-# The share of the grace period for the last requests; the rest is for closing connections.
-REQUEST_DRAIN_SHARE = 0.4
+# Requests that come later than this share of the grace period are refused: what is left would be
+# too short for some of them.
+ACCEPT_SHARE = 0.5
+# Until this share of the grace period all requests are answered; the rest is for closing
+# connections and streams.
+ANSWER_SHARE = 0.85
+CLOSE_TIMEOUT_S = 0.1  # for connections that are left after that
 
 
 @dataclass(slots=True)
@@ -94,10 +99,14 @@
     async def leave(self, grace_ms: float) -> None:
         """Shut down gracefully within `grace_ms`.
 
-        The instance is no longer handed out to callers, and requests in flight are finished.
+        The instance is no longer handed out to callers. Each response closes its connection, and
+        callers may still connect while they move elsewhere. Then idle connections are closed, and
+        the requests that have been taken, or are still being read, are answered.
         """
-        self.gateway.leave()
+        callers = self.servers[0]
+        self.gateway.leave(ACCEPT_SHARE * grace_ms, ANSWER_SHARE * grace_ms)
         await self.gateway.dependencies.clock.sleep_ms(CALLER_MIGRATION_SHARE * grace_ms)
+        await callers.drain((ANSWER_SHARE - CALLER_MIGRATION_SHARE) * grace_ms / 1000.0)
         await asyncio.gather(*(server.stop() for server in self.servers))
         await self.peers.stop()
         await self.gateway.stop()
@@ -152,11 +161,14 @@
         idle_s = IDLE_TIMEOUT_FACTOR * limits.idle_timeout_ms / 1000.0
         return ConnectionLimits(idle_s, limits.max_header_bytes, limits.header_timeout_ms / 1000.0)
 
-    drain_timeout_s = REQUEST_DRAIN_SHARE * settings.stop_grace_ms / 1000.0
     servers = []
     for manager, address in servers_to_start:
         match await serve_low_level(
-            manager, address, shutdown_timeout_s=drain_timeout_s, limits=caller_limits
+            manager,
+            address,
+            shutdown_timeout_s=CLOSE_TIMEOUT_S,
+            limits=caller_limits,
+            is_leaving=gateway.is_leaving,
         ):
             case Err(refusal):
                 return Err(refusal)
