--- a/src/radishmount/fleet/__init__.py
+++ b/src/radishmount/fleet/__init__.py
@@ -9,12 +9,13 @@
 from radishmount.fleet._cpu_meter import ControlCpuMeter
 from radishmount.fleet._fleet import Fleet, InstanceList
 from radishmount.fleet._freshness import REFRESH_TIMEOUT_MS, Freshness, make_freshness
+from radishmount.fleet._held_versions import HeldVersions
 from radishmount.fleet._incarnation import first_incarnation
 from radishmount.fleet._instance import Instance, InstanceState
 from radishmount.fleet._leaving_notifier import LeavingNotifier
 from radishmount.fleet._list_sync import InstanceListSync
 from radishmount.fleet._member_table import Member, MemberTable
-from radishmount.fleet._membership import HeldVersions, Membership
+from radishmount.fleet._membership import Membership
 from radishmount.fleet._messages import (
     BundlePiece,
     BundleRequest,
--- a/src/radishmount/fleet/_membership.py
+++ b/src/radishmount/fleet/_membership.py
@@ -14,6 +14,7 @@
 from radishmount.counters import Counters
 from radishmount.fleet._backoff import Backoff
 from radishmount.fleet._fleet import Fleet
+from radishmount.fleet._held_versions import HeldVersions
 from radishmount.fleet._messages import (
     Heartbeat,
     MemberState,
@@ -28,11 +29,12 @@
 from radishmount.fleet._session import PeerSession
 
 
-__all__ = ["HeldVersions", "Membership", "OnHeartbeat"]
+__all__ = ["Membership", "OnHeartbeat"]
 
 HEARTBEAT_INTERVAL_MS = 1_000.0
 PING_AFTER_MS = 1_500.0
 SILENCE_TIMEOUT_MS = 2_500.0
+MIN_WAIT_MS = 1.0  # a timer may fire slightly early
 IDLE_STREAM_TIMEOUT_MS = 15_000.0
 ACCEPT_WAIT_MS = 500.0
 REOPEN_INITIAL_MS = 200.0
@@ -47,17 +49,6 @@
 OnHeartbeat = Callable[[str, Heartbeat], None]
 
 
-@dataclass(frozen=True, slots=True)
-class HeldVersions:
-    """The versions that this instance holds, as it reports them in heartbeats."""
-
-    bundle_version: int
-    bundle_digest: str
-    list_version: int
-    list_age_ms: float = 0.0
-    list_digest: int = 0
-
-
 @dataclass(slots=True)
 class Membership:
     """Keeps a stream to each neighbour, sends heartbeats and suspects silent neighbours.
@@ -177,17 +168,45 @@
     async def _maintain_stream(self, name: str) -> None:
         """Keep a stream to the neighbour `name` open, send heartbeats, and close it if silent."""
         backoff = Backoff(self.random, REOPEN_INITIAL_MS, REOPEN_MAX_MS)
+        is_silent = False
         while True:
-            opened = await self._open(name)
+            if is_silent:
+                opened = await self._reopen_or_suspect(name)
+            else:
+                opened = await self._open_or_suspect(name)
             if isinstance(opened, Err):
-                await self._suspect_unless_reachable(name)
+                is_silent = False
                 self._mark_tried(name)
                 await self.clock.sleep_ms(backoff.next_ms())
                 continue
             backoff.reset()
-            await self._send_heartbeats_until_closed(opened.ok_value)
-            # Without a pause, a peer that closes each new stream would be redialled in a busy loop.
-            await self.clock.sleep_ms(self.random.uniform(0.0, REOPEN_INITIAL_MS))
+            session = opened.ok_value
+            await self._send_heartbeats_until_closed(session)
+            is_silent = self.clock.now_ms() - session.last_received_at_ms >= PING_AFTER_MS
+            if not is_silent:
+                # A peer that closes each new stream would otherwise be redialled in a busy loop.
+                await self.clock.sleep_ms(self.random.uniform(0.0, REOPEN_INITIAL_MS))
+
+    async def _open_or_suspect(self, name: str) -> Result[PeerSession, Refusal]:
+        """Return a stream to `name`; if there is none, suspect it unless others reach it."""
+        opened = await self._open(name)
+        if isinstance(opened, Err):
+            await self._suspect_unless_reachable(name)
+        return opened
+
+    async def _reopen_or_suspect(self, name: str) -> Result[PeerSession, Refusal]:
+        """Open a new stream to an instance that fell silent, and ask others about it meanwhile.
+
+        Callers are sent to it until it is suspected, so the two time-outs do not add up.
+        """
+        suspicion = asyncio.create_task(self._suspect_unless_reachable(name))
+        try:
+            opened = await self.peers.open(name)
+            if isinstance(opened, Err):
+                await suspicion
+            return opened
+        finally:
+            suspicion.cancel()
 
     async def _open(self, name: str) -> Result[PeerSession, Refusal]:
         """Return the stream to `name`.
@@ -200,22 +219,31 @@
         return await self.peers.open(name)
 
     async def _send_heartbeats_until_closed(self, session: PeerSession) -> None:
+        """Send a heartbeat in each interval, and ping the peer as soon as it is quiet for long."""
+        heartbeat_at_ms = self.clock.now_ms()
         while not session.closed:
-            with self.peers.cpu_meter.measure("heartbeat"):
-                session.notify(self._make_heartbeat(()))
-            try:
-                async with asyncio.timeout(HEARTBEAT_INTERVAL_MS / 1000.0):
-                    await session.ended.wait()
-            except TimeoutError:
-                pass
-            quiet_ms = self.clock.now_ms() - session.last_received_at_ms
-            if PING_AFTER_MS < quiet_ms <= SILENCE_TIMEOUT_MS:
+            now_ms = self.clock.now_ms()
+            if now_ms >= heartbeat_at_ms:
+                heartbeat_at_ms = now_ms + HEARTBEAT_INTERVAL_MS
+                with self.peers.cpu_meter.measure("heartbeat"):
+                    session.notify(self._make_heartbeat(()))
+            quiet_ms = now_ms - session.last_received_at_ms
+            if PING_AFTER_MS <= quiet_ms <= SILENCE_TIMEOUT_MS:
                 # A peer that does not list this instance yet sends it no heartbeats.
                 await self._ping(session.peer.name)
-                quiet_ms = self.clock.now_ms() - session.last_received_at_ms
-            if quiet_ms > SILENCE_TIMEOUT_MS:
+            elif quiet_ms > SILENCE_TIMEOUT_MS:
                 self.counters.add("peer_streams_silent")
                 await session.close()
+            if session.closed:
+                return
+            now_ms = self.clock.now_ms()
+            ping_at_ms = session.last_received_at_ms + PING_AFTER_MS
+            wait_ms = max(MIN_WAIT_MS, min(heartbeat_at_ms, ping_at_ms) - now_ms)
+            try:
+                async with asyncio.timeout(wait_ms / 1000.0):
+                    await session.ended.wait()
+            except TimeoutError:
+                pass
 
     async def _suspect_unless_reachable(self, name: str) -> None:
         """Suspect a neighbour that neither this instance nor any of its helpers can reach."""
