Keep a response's body in one piece, and reject one that is mostly framing

Cause: each chunk was kept as an object of its own, about 60 bytes for 7 on the wire, while the bounds count bytes on the wire. Class: a bound on something other than what it protects. Change: the body grows in one buffer. Framing may exceed the body by 96 KiB.

--- a/src/radishmount/platform/_backend_response.py
+++ b/src/radishmount/platform/_backend_response.py
@@ -16,6 +16,9 @@
 
 MAX_HEAD_BYTES = 32_768  # twice the limit for callers
 MAX_INTERIM_RESPONSES = 8
+# Beyond this, the framing of a body may take as many bytes as the body: small chunks cost far more
+# processor time for each byte than large ones.
+MAX_FRAMING_BYTES = 65_536
 DEFAULT_MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 DEFAULT_MAX_TOTAL_BYTES = 64 * 1024 * 1024
 
@@ -61,6 +64,8 @@
 class ResponseReader:
     """Takes the bytes of a connection until one response is complete.
 
+    The body is kept in one piece, so its memory does not depend on how it is chunked.
+
     Interim responses (100 to 199) before it are skipped. After each call of `feed` or `end`,
     `response` is the complete response or `rejection` tells why there will be none; as long as
     both are None, more bytes are needed. The connection may be used again only if `is_reusable`.
@@ -82,6 +87,7 @@
         "_keeps_alive",
         "_max_body_bytes",
         "_parser",
+        "_received_bytes",
         "_surplus",
         "rejection",
         "response",
@@ -92,7 +98,8 @@
         self._expects_body = has_body
         self._headers: RawHeaders = []
         self._by_name: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._received_bytes = 0
         self._head_bytes = 0
         self._interim_responses = 0
         self._is_framed = False
@@ -110,6 +117,7 @@
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes of the connection."""
+        self._received_bytes += len(data)
         if not self._is_head_complete:
             self._head_bytes += len(data)
         try:
@@ -121,6 +129,8 @@
             self._reject(repr(error))
         if not self._is_head_complete and self._head_bytes > MAX_HEAD_BYTES:
             self._reject("the head is too long")
+        if self._received_bytes > MAX_HEAD_BYTES + MAX_FRAMING_BYTES + 2 * len(self._body):
+            self._reject("the body is mostly framing")
 
     def end(self) -> None:
         """Take the orderly end of the connection, which completes a body without a length."""
@@ -163,7 +173,7 @@
         if self.response is not None:
             self._surplus = True
             return
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Take the end of a response."""
@@ -182,9 +192,8 @@
         if self.rejection is not None:
             return
         self._keeps_alive = self._parser.should_keep_alive()
-        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
         status = self._parser.get_status_code()
-        self.response = CompleteResponse(status, self._headers, self._by_name, body)
+        self.response = CompleteResponse(status, self._headers, self._by_name, bytes(self._body))
 
     def _reject(self, reason: str) -> None:
         if self.response is None and self.rejection is None:
--- a/tests/platform/test_backend_response.py
+++ b/tests/platform/test_backend_response.py
@@ -1,10 +1,16 @@
 """Tests of the reader of one response, on bytes that back ends in trouble send."""
 
+import tracemalloc
 from collections.abc import Iterable
 
 import pytest
 
-from radishmount.platform._backend_response import MAX_HEAD_BYTES, ResponseLimits, ResponseReader
+from radishmount.platform._backend_response import (
+    MAX_FRAMING_BYTES,
+    MAX_HEAD_BYTES,
+    ResponseLimits,
+    ResponseReader,
+)
 
 
 HEAD = b"HTTP/1.1 200 OK\r\nRadishmount-Server-Stamp: s.q1\r\n"
@@ -13,6 +19,8 @@
 UNTIL_CLOSE = HEAD + b"\r\nhello"
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 MAX_BODY_BYTES = 1_000
+MANY_BYTES = 1024 * 1024
+READ_BYTES = 65_536  # of one read from a connection
 
 
 def read(
@@ -155,3 +163,42 @@
         limits.pending_bytes = 150
         assert limits.accepts(100)
         assert not limits.accepts(101)
+
+    @pytest.mark.parametrize("chunk_bytes", [1, 2, 16, 1_024, 65_536])
+    def test_the_memory_of_a_body_is_bounded_by_its_bytes(self, chunk_bytes: int) -> None:
+        """Guards against a body in small chunks that takes many times its length in memory."""
+        chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"a" * chunk_bytes)
+        piece = chunk * max(1, READ_BYTES // len(chunk))
+        reader = ResponseReader(MANY_BYTES, has_body=True)
+        tracemalloc.start()
+        try:
+            reader.feed(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+            received = 0
+            while reader.rejection is None and received < MANY_BYTES:
+                reader.feed(piece)
+                received += len(piece)
+            held_bytes = tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+
+        assert held_bytes < 1.25 * received + READ_BYTES
+
+    def test_a_body_that_is_mostly_framing_is_rejected(self) -> None:
+        """Guards against processor time spent on chunks that carry next to nothing."""
+        reader = ResponseReader(MANY_BYTES, has_body=True)
+        reader.feed(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+        chunks = 0
+        while reader.rejection is None and chunks < 1_000_000:
+            reader.feed(b"2\r\naa\r\n" * 1_000)
+            chunks += 1_000
+
+        framing_bytes = 3  # of a chunk, beyond as many as it has body
+        assert chunks <= (MAX_HEAD_BYTES + MAX_FRAMING_BYTES) / framing_bytes + 1_000
+
+    def test_a_short_body_may_come_in_chunks_of_one_byte(self) -> None:
+        body = b"1\r\na\r\n" * 5_000 + b"0\r\n\r\n"
+        reader = ResponseReader(MANY_BYTES, has_body=True)
+        reader.feed(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + body)
+
+        assert reader.response is not None
+        assert reader.response.body == b"a" * 5_000
