Read the store from where this instance has read it, not from where peers have

Cause: a change that carries a configuration only was told to peers as a change of endpoints with none in it. Change: calls go on from read_revision, up to which this instance itself has read; what peers send raises known_revision, for endpoints only. A peer that holds a newer configuration does not confirm the view, so an instance that lacks it calls the store when its view is due. Cost: an instance that has not called for longer than the store's history reads in full. Evidence: test_news_of_peers_do_not_stand_for_a_configuration_that_they_lack and test_a_peer_with_a_newer_configuration_does_not_confirm_the_view fail without the change.

--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -53,7 +53,9 @@
     the others through `on_news`. The others call the store only if no peer has confirmed for a
     while that their state is the newest. `on_change` is called after each group of changes.
 
-    All changes up to the store's revision `known_revision` are applied here. `last_change_revision`
+    The store has been read here up to its revision `read_revision`. The endpoints may be newer, by
+    what peers have sent: all of their changes up to `known_revision` are applied. Peers send no
+    configuration this way, so calls of the store go on from `read_revision`. `last_change_revision`
     is the revision that heartbeats and pages report to peers. The list has all changes up to it,
     and is not known to have changed since. It is the revision of the newest change where a watch
     or a peer told of it. A full read does not tell when an entry was removed, so what it finds
@@ -72,6 +74,7 @@
     is_watcher: Callable[[], bool] = lambda: True
     max_propagation_ms: float = DEFAULT_MAX_PROPAGATION_MS
     needs_full_read: bool = True
+    read_revision: int = 0
     known_revision: int = 0
     last_change_revision: int = 0
     is_store_reachable: bool = True
@@ -242,7 +245,7 @@
         wait_ms = 0
         if self.is_store_reachable and self.refreshed.is_set() and self.is_watcher():
             wait_ms = int(WATCH_WAIT_MS * self.wait_ratio)
-        return await self.store.watch(self.known_revision, wait_ms)
+        return await self.store.watch(self.read_revision, wait_ms)
 
     async def _handle_failure(self, failure: StoreFailure) -> None:
         self.counters.add("store_failures", failure.refusal.code.name)
@@ -289,6 +292,7 @@
         for entry in answer.entries:
             if isinstance(entry, ConfigurationEntry):
                 await self.active_publication.apply(entry.body, source="store")
+        self.read_revision = answer.revision
         if answer.revision < self.known_revision:
             return  # a peer has sent newer ones meanwhile
         if is_full:
--- a/src/radishmount/discovery/_gossip.py
+++ b/src/radishmount/discovery/_gossip.py
@@ -145,7 +145,9 @@
         self._send_missing(peer, heartbeat.list_version)
         self._adopt_revision_of_equal_list(heartbeat)
         self._compare_lists(peer, heartbeat)
-        self.follower.confirm(heartbeat.list_version, heartbeat.list_age_ms)
+        # A peer with a newer configuration shows that there is something to read.
+        if heartbeat.bundle_version <= self.follower.active_publication.current.version:
+            self.follower.confirm(heartbeat.list_version, heartbeat.list_age_ms)
         if not self.follower.is_behind(heartbeat.list_version):
             self.behind_since_ms_by_peer.pop(peer, None)
             return
@@ -162,9 +164,7 @@
         follower = self.follower
         if follower.needs_full_read or not follower.is_behind(heartbeat.list_version):
             return
-        if heartbeat.list_digest != follower.endpoints.digest:
-            return
-        if heartbeat.bundle_version <= follower.active_publication.current.version:
+        if heartbeat.list_digest == follower.endpoints.digest:
             follower.adopt_revision(heartbeat.list_version)
 
     def _compare_lists(self, peer: str, heartbeat: Heartbeat) -> None:
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -276,6 +276,22 @@
             assert (gap, applied, repeated) == (False, True, False)
             assert harness.changes[-1] == {"b"}
 
+    async def test_news_of_peers_do_not_stand_for_a_configuration_that_they_lack(self) -> None:
+        """Guards against an old version in use although the store is called for the new one.
+
+        A change of the configuration raises the revision of the peers that tell of it. The
+        configuration itself comes another way, which may fail.
+        """
+        async with follow_store(ConfigurationEntry(b"7 seven"), endpoint_entry("a")) as harness:
+            harness.follower.is_watcher = lambda: False
+            await asyncio.sleep(5.0)
+            known = harness.follower.known_revision
+            harness.store.write(ConfigurationEntry(b"9 nine"))
+            harness.follower.apply_news("p", StoreNews(known, harness.store.revision))
+            await asyncio.sleep(3.0)
+
+            assert harness.follower.active_publication.current.version == 9
+
     async def test_news_that_arrive_together_cause_one_notification(self) -> None:
         async with follow_store(endpoint_entry("a")) as harness:
             before, known = len(harness.changes), harness.follower.known_revision
--- a/tests/discovery/test_gossip.py
+++ b/tests/discovery/test_gossip.py
@@ -238,6 +238,27 @@
         await harness.stop()
 
 
+class TestMissedConfigurations:
+    """A configuration that does not come from a peer is read from the store."""
+
+    async def test_a_peer_with_a_newer_configuration_does_not_confirm_the_view(self) -> None:
+        """Guards against an old version in use for as long as heartbeats arrive."""
+        harness = await GossipHarness(entries=[ConfigurationEntry(b"1 one")]).start(2)
+        control_plane = harness.by_name["e0"].control_plane
+        follower = control_plane.follower
+        follower.confirmed_at_ms = 0.0
+        held = follower.last_change_revision
+        newer = Heartbeat(1, MemberState.LIVE, 0.0, 2, "d", held)
+        control_plane.endpoint_gossip.on_heartbeat("e1", newer)
+        after_newer_ms = follower.confirmed_at_ms
+        same = Heartbeat(1, MemberState.LIVE, 0.0, 1, "d", held)
+        control_plane.endpoint_gossip.on_heartbeat("e1", same)
+        after_same_ms = follower.confirmed_at_ms
+        await harness.stop()
+
+        assert after_newer_ms == 0.0 < after_same_ms
+
+
 class TestMissedRemovals:
     """An endpoint whose removal no watch has returned is not used any longer by any instance.
 
