Send nothing to an endpoint for as long as it has asked for a pause

Change: platform/ translates the header; the pause is kept for the start of the endpoint, also over reconnects and a lapsed entry, and is never shortened by another answer. Waiting attempts go elsewhere at once; afterwards the load returns as after a start. A date, a negative number, text and NaN ask for nothing; of two headers the first counts; no pause exceeds 300 s, so that a wrong value takes an endpoint away for no longer. If all endpoints of a service pause, requests are refused at once as not run, with a Retry-After of the earliest return, spread by half.

--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -60,6 +60,7 @@
     QUEUE_FULL = 3013
     OTHER_ENDPOINT = 3014
     BUDGET_SPENT = 3015
+    ENDPOINT_PAUSED = 3016
 
     OUTCOME_UNKNOWN = 4001
     UNKNOWN_TICKET = 4002
@@ -133,6 +134,7 @@
     Code.NO_ENDPOINT: "no endpoint can take the request",
     Code.SHED: "the endpoint shed the request",
     Code.ENDPOINT_LEAVING: "the endpoint is leaving",
+    Code.ENDPOINT_PAUSED: "the endpoint has asked for a pause",
     Code.WRONG_VERSION: "the endpoint does not hold the index version",
     Code.TIMED_OUT: "the endpoint did not answer in time",
     Code.CONNECTION_LOST: "the connection was lost after the request was sent",
@@ -192,12 +194,15 @@
 class Refusal:
     """The error value of a request or another operation: why it failed, and whether it ran.
 
-    Refusal(Code.UNKNOWN_COLLECTION, detail="catalog", ran=RunStatus.NOT_RUN)
+    `retry_after_ms` is when to come back, where that is known.
+
+        Refusal(Code.UNKNOWN_COLLECTION, detail="catalog", ran=RunStatus.NOT_RUN)
     """
 
     code: Code
     detail: str = ""
     ran: RunStatus = RunStatus.NOT_RUN
+    retry_after_ms: float | None = None
 
     def __str__(self) -> str:
         """Return number, name, text and detail on one line."""
--- a/src/radishmount/endpoints/_connection_pool.py
+++ b/src/radishmount/endpoints/_connection_pool.py
@@ -105,9 +105,9 @@
         self._fail_queue("the endpoint was removed")
         self._wake_all()
 
-    def refuse_queue(self) -> None:
-        """End the attempts that wait here, as the endpoint is leaving; they may go elsewhere."""
-        self._fail_queue("it began to leave", Code.ENDPOINT_LEAVING)
+    def refuse_queue(self, code: Code) -> None:
+        """End the attempts that wait here, as the endpoint takes no more; they may go elsewhere."""
+        self._fail_queue("while it waited for a connection", code)
 
     def revive(self) -> None:
         """Accept attempts again after `retire`."""
@@ -288,6 +288,8 @@
             return Failure(Code.CANCELLED)
         if self.endpoint.is_leaving(now_ms):
             return Failure(Code.ENDPOINT_LEAVING)
+        if self.endpoint.is_paused(now_ms):
+            return Failure(Code.ENDPOINT_PAUSED)
         if not self.endpoint.is_health_fresh(now_ms):
             return Failure(Code.NOT_CONNECTED, detail="the endpoint did not answer a probe")
         return None
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -17,6 +17,7 @@
 HEALTH_MAX_AGE_MS = 2_000.0
 MISSING_VERSION_KEPT_MS = 2_000.0
 LEAVING_KEPT_MS = 2_000.0
+MAX_PAUSE_MS = 300_000.0  # a wrong value takes an endpoint away from this instance for no longer
 NEVER_MS = float("-inf")
 CONNECTION_FAILURE_CODES = frozenset({Code.TIMED_OUT, Code.CONNECTION_LOST, Code.NOT_CONNECTED})
 UNSUCCESSFUL_CODES = frozenset(
@@ -71,6 +72,8 @@
     seen_leaving_at_ms: float = NEVER_MS
     announced_leaving: bool = False
     has_departed: bool = False
+    paused_until_ms: float = NEVER_MS
+    is_pause_announced: bool = False
     missing_until_ms_by_version: dict[int, float] = field(default_factory=dict)
     sent_at_ms_by_exchange: dict[int, float] = field(default_factory=dict)
 
@@ -117,8 +120,17 @@
         return float("inf") if self.reported_at_ms is None else now_ms - self.reported_at_ms
 
     def is_available(self, now_ms: float) -> bool:
-        """Return whether this instance may connect, its health is fresh and it is not leaving."""
-        return self.may_connect and self.is_health_fresh(now_ms) and not self.is_leaving(now_ms)
+        """Return whether this instance may send to it now.
+
+        That is if it may connect, the health is fresh, and the endpoint neither leaves nor pauses.
+        """
+        if not self.may_connect or self.is_paused(now_ms):
+            return False
+        return self.is_health_fresh(now_ms) and not self.is_leaving(now_ms)
+
+    def is_paused(self, now_ms: float) -> bool:
+        """Return whether a pause that it has asked for is not over yet."""
+        return now_ms < self.paused_until_ms
 
     def is_eligible(self, now_ms: float) -> bool:
         """Return whether it is available and not ejected."""
@@ -178,6 +190,7 @@
             self.available_since_ms = now_ms
         if report.draining and self.is_tracked_by_discovery:
             self.has_departed = True
+        self._record_pause(report.pause_ms, now_ms)
         if self.reported_at_ms is None or sent_at_ms >= self.reported_at_ms:
             self.report = report
             self.reported_at_ms = sent_at_ms
@@ -187,6 +200,19 @@
             self.on_change(self, "recovered", "steady replies")
         self._announce_leaving(now_ms)
 
+    def _record_pause(self, pause_ms: float, now_ms: float) -> None:
+        """Begin or extend a pause, after which the load returns as after a start."""
+        until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
+        if pause_ms > 0.0 and until_ms > self.paused_until_ms:
+            self.paused_until_ms = until_ms
+            self.available_since_ms = until_ms
+            if not self.is_pause_announced:
+                self.is_pause_announced = True
+                self.on_change(self, "paused", f"the endpoint itself, for {pause_ms:.0f} ms")
+        if self.is_pause_announced and not self.is_paused(now_ms):
+            self.is_pause_announced = False
+            self.on_change(self, "resumed", "it replies after its pause")
+
     def record_failure(self, failure: Failure, sent_at_ms: float | None, now_ms: float) -> None:
         """Record a failed attempt, with the load report where the endpoint answered.
 
--- a/src/radishmount/endpoints/_exchange.py
+++ b/src/radishmount/endpoints/_exchange.py
@@ -56,7 +56,7 @@
     """The state of an endpoint by its own report, which may be outdated or false.
 
     `in_flight` are the requests in its slots, `queued` those that wait for a slot, and `versions`
-    the index versions that it holds.
+    the index versions that it holds. `pause_ms` is for how long it wants no requests from here.
     """
 
     slots: int = 0
@@ -64,6 +64,7 @@
     queued: int = 0
     draining: bool = False
     versions: frozenset[int] = frozenset()
+    pause_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -38,7 +38,8 @@
     Where the policy has no probes, the pools of a service are made on its first use: most instances
     of a large fleet forward to few services. `first_seen_ms_by_name` tells since when an endpoint
     is published, and `on_leaving` is called with the name of an endpoint whose own report says that
-    it is leaving.
+    it is leaving. `paused_until_ms_by_start` has the pauses that endpoints have asked for, by name
+    and start time, as an endpoint may be removed and return meanwhile.
     """
 
     own_name: str
@@ -56,6 +57,7 @@
     leaving_names: frozenset[str] = frozenset()
     first_seen_ms_by_name: dict[str, float] = field(default_factory=dict)
     on_leaving: Callable[[str], None] = lambda name: None
+    paused_until_ms_by_start: dict[tuple[str, int], float] = field(default_factory=dict)
     update_waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
     def endpoints_of(self, service: str) -> Iterable[Endpoint]:
@@ -102,6 +104,9 @@
             if spec is None or not _is_same_start(spec, connection_pool.endpoint.spec):
                 self._retire(self.connection_pools_by_name.pop(name))
         now_ms = self.clock.now_ms()
+        for start, until_ms in list(self.paused_until_ms_by_start.items()):
+            if until_ms <= now_ms:
+                del self.paused_until_ms_by_start[start]
         seen_ms_by_name = self.first_seen_ms_by_name
         self.first_seen_ms_by_name = {
             name: seen_ms_by_name.get(name, now_ms) for name in publication.endpoints_by_name
@@ -236,6 +241,10 @@
             first_seen_ms = self.first_seen_ms_by_name.get(spec.name, self.clock.now_ms())
             endpoint.available_since_ms = first_seen_ms + spec.cold_for_ms - SLOW_START_MS
             endpoint.latency.rise_weight = FEW_REQUESTS_RISE_WEIGHT
+        paused_until_ms = self.paused_until_ms_by_start.get((spec.name, spec.started_at_ms))
+        if paused_until_ms is not None:
+            endpoint.paused_until_ms = paused_until_ms
+            endpoint.available_since_ms = max(endpoint.available_since_ms, paused_until_ms)
         return ConnectionPool(
             endpoint=endpoint,
             open_channel=self.open_channel,
@@ -281,13 +290,19 @@
         self.counters.add("endpoint_changes", change)
         version = self.publication.version
         self.audit.record(f"endpoint/{endpoint.name}", change, cause=cause, version=version)
+        connection_pool = self.connection_pools_by_name.get(endpoint.name)
+        is_used = connection_pool is not None and connection_pool.endpoint is endpoint
+        if change == "paused":
+            start = (endpoint.name, endpoint.spec.started_at_ms)
+            self.paused_until_ms_by_start[start] = endpoint.paused_until_ms
+            if connection_pool is not None and is_used:
+                connection_pool.refuse_queue(Code.ENDPOINT_PAUSED)
         if change != "leaving":
             return
         if endpoint.report.draining or endpoint.has_departed:
             self.on_leaving(endpoint.name)
-        connection_pool = self.connection_pools_by_name.get(endpoint.name)
-        if connection_pool is not None and connection_pool.endpoint is endpoint:
-            connection_pool.refuse_queue()
+        if connection_pool is not None and is_used:
+            connection_pool.refuse_queue(Code.ENDPOINT_LEAVING)
 
     def _wake_update_waiters(self) -> None:
         while self.update_waiters:
--- a/src/radishmount/forwarding/_run.py
+++ b/src/radishmount/forwarding/_run.py
@@ -19,6 +19,7 @@
 
 __all__ = ["forward"]
 
+MAX_RETRY_SPREAD = 1.5  # times the earliest moment at which an endpoint takes requests again
 SAMPLED_ANSWER_RATIO = 0.05  # of the ordinary answers, which counters count in full
 
 
@@ -93,9 +94,29 @@
         if any(attempt.sent_at_ms is not None for attempt in progress.open_attempts):
             return Refusal(Code.TIMED_OUT, progress.service, RunStatus.UNKNOWN)
     ran = RunStatus.UNKNOWN if execution.may_have_run else RunStatus.NOT_RUN
+    retry_after_ms = _retry_after_ms(execution) if ran is RunStatus.NOT_RUN else None
     for progress in execution.progress_by_service.values():
         if progress.reply is not None:
             continue
         code = Code.NO_ENDPOINT if progress.last_failure is None else progress.last_failure.code
-        return Refusal(code, progress.service, ran)
+        return Refusal(code, progress.service, ran, retry_after_ms)
     return Refusal(Code.DEADLINE_PASSED, ran=ran)
+
+
+def _retry_after_ms(execution: ForwardExecution) -> float | None:
+    """Return when a service without a reply has an endpoint again, None if it has one now.
+
+    The time is spread, so that callers who were refused together do not come back together.
+    """
+    context = execution.context
+    now_ms = context.clock.now_ms()
+    waits_ms = [0.0]
+    for progress in execution.progress_by_service.values():
+        if progress.reply is not None:
+            continue
+        endpoints = list(context.pool.endpoints_of(progress.service))
+        pauses_ms = [e.paused_until_ms - now_ms for e in endpoints if e.is_paused(now_ms)]
+        if pauses_ms and not any(endpoint.is_available(now_ms) for endpoint in endpoints):
+            waits_ms.append(min(pauses_ms))
+    wait_ms = max(waits_ms)
+    return wait_ms * context.random.uniform(1.0, MAX_RETRY_SPREAD) if wait_ms else None
--- a/src/radishmount/platform/_backend_channel.py
+++ b/src/radishmount/platform/_backend_channel.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from http import HTTPStatus
+from math import isnan
 
 from result import Err, Ok, Result
 
@@ -32,6 +33,7 @@
     LOAD_HEADER,
     NOT_EXECUTED_HEADER,
     REQUEST_ID_HEADER,
+    RETRY_AFTER_HEADER,
     SIGNATURE_HEADER,
     TIME_LEFT_HEADER,
 )
@@ -52,6 +54,7 @@
 SIGNATURE_KEY = SIGNATURE_HEADER.lower().encode()
 LOAD_KEY = LOAD_HEADER.lower().encode()
 LEAVING_KEY = LEAVING_HEADER.lower().encode()
+RETRY_AFTER_KEY = RETRY_AFTER_HEADER.lower().encode()
 NOT_EXECUTED_KEY = NOT_EXECUTED_HEADER.lower().encode()
 HOP_BY_HOP_KEYS = frozenset(name.encode() for name in HOP_BY_HOP_HEADERS)
 
@@ -171,12 +174,14 @@
 
 def _parse_response(response: CompleteResponse, request: ForwardRequest) -> ExchangeOutcome:
     headers = response.by_name
+    status = response.status
     load = _parse_load(headers.get(LOAD_KEY, b""))
     if headers.get(LEAVING_KEY) == b"1":
         load = replace(load, draining=True)
-    # Of a failure, only this part of the report is used: the endpoint is leaving.
-    load_of_failure = load if load.draining else None
-    status = response.status
+    if status == HTTPStatus.SERVICE_UNAVAILABLE and RETRY_AFTER_KEY in headers:
+        load = replace(load, pause_ms=_parse_pause_ms(headers[RETRY_AFTER_KEY]))
+    # The rest of the report is used only where the endpoint took or shed the request.
+    load_of_failure = load if load.draining or load.pause_ms else None
     echoed = headers.get(ECHOED_ID_KEY)
     if echoed is not None and echoed.decode(*HEADER_ENCODING) != request.call.request_id:
         detail = f"the response is for {echoed!r}"
@@ -213,6 +218,18 @@
     )
 
 
+def _parse_pause_ms(value: bytes) -> float:
+    """Return the pause that a back end asks for in seconds, zero if that is not a length of time.
+
+    A date is none: the clocks of the two machines differ.
+    """
+    try:
+        seconds = float(value)
+    except ValueError:
+        return 0.0
+    return 1000.0 * seconds if seconds > 0.0 and not isnan(seconds) else 0.0
+
+
 def _parse_load(value: bytes) -> LoadReport:
     """Parse the load header: `running,queued,slots`, the numbers of requests and of slots."""
     try:
--- a/src/radishmount/platform/_ingress.py
+++ b/src/radishmount/platform/_ingress.py
@@ -38,7 +38,7 @@
 TIMED_OUT_CODES = frozenset({Code.TIMED_OUT, Code.DEADLINE_PASSED})
 REQUEST_ERROR_CODES = range(1000, 2000)  # codes for errors in the request itself
 # About the time until an endpoint stops shedding, or a new version is available.
-RETRY_AFTER_S = "0.2"
+MIN_RETRY_AFTER_S = 0.2
 
 Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -177,7 +177,8 @@
         status = http_status_of(refusal.code)
     elif refusal.ran is RunStatus.NOT_RUN:
         status = HTTPStatus.SERVICE_UNAVAILABLE
-        headers[RETRY_AFTER_HEADER] = RETRY_AFTER_S
+        retry_after_s = max(MIN_RETRY_AFTER_S, (refusal.retry_after_ms or 0.0) / 1000.0)
+        headers[RETRY_AFTER_HEADER] = f"{retry_after_s:.3f}".rstrip("0")
     else:
         status = HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY
     return web.Response(status=status, text=f"{refusal}\n", headers=headers)
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -48,7 +48,8 @@
 
     `requests_to_shed`, `requests_to_lose` and `requests_to_fail` are how many of the next requests
     it sheds without running them, runs without sending a reply, and runs with an error response.
-    While it is `leaving`, each of its replies says so.
+    While it is `leaving`, each of its replies says so. What it sheds asks for a pause of
+    `pause_ms`.
     """
 
     name: str
@@ -60,6 +61,7 @@
     queued: int = 0
     silent: bool = False
     leaving: bool = False
+    pause_ms: float = 0.0
     unreachable: bool = False
     received_ids: list[str] = field(default_factory=list)
     ran_ids: list[str] = field(default_factory=list)
@@ -87,7 +89,8 @@
             await asyncio.sleep(3_600.0)
         if endpoint.requests_to_shed:
             endpoint.requests_to_shed -= 1
-            return Err(Failure(Code.SHED, load=LoadReport(draining=endpoint.leaving)))
+            load = LoadReport(draining=endpoint.leaving, pause_ms=endpoint.pause_ms)
+            return Err(Failure(Code.SHED, load=load))
         endpoint.ran_ids.append(request_id)
         try:
             await asyncio.sleep(endpoint.service_ms / 1000.0)
--- a/tests/platform/test_backend_channel.py
+++ b/tests/platform/test_backend_channel.py
@@ -219,6 +219,33 @@
 
         assert (failure.code, failure.ran) == (Code.SHED, RunStatus.NOT_RUN)
 
+    @pytest.mark.parametrize(
+        ("value", "pause_ms"),
+        [
+            ("2", 2_000.0),
+            ("0.25", 250.0),
+            ("31536000", 31_536_000_000.0),
+            ("-3", 0.0),
+            ("0", 0.0),
+            ("nan", 0.0),
+            ("soon", 0.0),
+            ("Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
+            ("2\r\nRetry-After: 9", 2_000.0),
+        ],
+    )
+    async def test_a_pause_that_is_no_length_of_time_is_ignored(
+        self, value: str, pause_ms: float
+    ) -> None:
+        text = (
+            "HTTP/1.1 503 No\r\nRadishmount-Not-Executed: 1\r\n"
+            f"Retry-After: {value}\r\nContent-Length: 0\r\n\r\n"
+        )
+        async with channel_to(BackEndStandIn("b", respond_in_turn(text))) as channel:
+            failure = (await send(channel)).err_value
+
+        assert failure.load is not None
+        assert failure.load.pause_ms == pause_ms
+
     async def test_a_request_that_reached_another_back_end_did_not_run(self) -> None:
         text = "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"
         async with channel_to(BackEndStandIn("b", respond_in_turn(text))) as channel:
