Keep error replies from making an endpoint look fast

What callers saw: with one of six endpoints answering 500 within a millisecond, it got 1,095 of 1,200 requests, and of those that must not run twice 1 in 11 was served. Cause: the time to an error reply counted as its latency, and each one as a success beside the failure. Change: an error reply may raise the latency of its endpoint and never sets or lowers it, and is no success.

--- a/src/radishmount/endpoints/_connection_pool.py
+++ b/src/radishmount/endpoints/_connection_pool.py
@@ -300,7 +300,8 @@
         match outcome:
             case Ok(reply):
                 sent_at_ms = attempt.sent_at_ms or now_ms
-                self.endpoint.record_reply(reply.load, sent_at_ms, now_ms)
+                is_error = getattr(reply, "is_server_error", False)
+                self.endpoint.record_reply(reply.load, sent_at_ms, now_ms, is_error=is_error)
                 self.probe_at_ms = max(self.probe_at_ms, sent_at_ms + PROBE_INTERVAL_MS)
                 self.on_health_update()
             case Err(failure):
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -172,12 +172,21 @@
         """Count the end of a request that was handed to the connection pool."""
         self.in_flight -= 1
 
-    def record_reply(self, report: LoadReport, sent_at_ms: float, now_ms: float) -> None:
-        """Record the latency, the success and the load report of a reply."""
+    def record_reply(
+        self, report: LoadReport, sent_at_ms: float, now_ms: float, *, is_error: bool = False
+    ) -> None:
+        """Record the latency, the success and the load report of a reply.
+
+        An endpoint that fails at once must not look like a fast one, so an error reply may raise
+        the latency and never sets or lowers it. `record_error_reply` counts the failure.
+        """
         latency_ms = now_ms - sent_at_ms
-        self.latency.add(latency_ms, now_ms)
         self.ejection.record_reply()
-        self.success_rate.record_success(now_ms)
+        if is_error:
+            self.latency.add_if_slower(latency_ms, now_ms)
+        else:
+            self.latency.add(latency_ms, now_ms)
+            self.success_rate.record_success(now_ms)
         is_queueing = report.queued > self.usable_slots
         if is_queueing:
             self.queued_at_ms = now_ms
--- a/src/radishmount/endpoints/_latency.py
+++ b/src/radishmount/endpoints/_latency.py
@@ -42,6 +42,11 @@
         if self.value_ms is None or elapsed_ms > self.value_ms:
             self.add(elapsed_ms, now_ms)
 
+    def add_if_slower(self, latency_ms: float, now_ms: float) -> None:
+        """Add the latency of an exchange that failed, only if there is an estimate below it."""
+        if self.value_ms is not None and latency_ms > self.value_ms:
+            self.add(latency_ms, now_ms)
+
     def decayed_towards(self, fastest_ms: float, now_ms: float) -> float:
         """Return the estimate, which decays with its age towards `fastest_ms`.
 
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -123,13 +123,14 @@
 
 
 class ForwardHarness:
-    """One instance's forwarding, with services of three fake endpoints each."""
+    """One instance's forwarding, with a fake endpoint for each of `replicas` of each service."""
 
     def __init__(
         self,
         services: int = 4,
         retry_settings: RetryBudgetSettings | None = None,
         cold_ms_by_name: Mapping[str, float] | None = None,
+        replicas: str = "abc",
     ) -> None:
         self.cold_ms_by_name = cold_ms_by_name or {}
         self.clock: Clock = loop_clock(asyncio.get_running_loop())
@@ -139,7 +140,7 @@
         self.endpoints_by_name = {
             f"{service}-{replica}": FakeForwardEndpoint(f"{service}-{replica}", service)
             for service in self.services
-            for replica in "abc"
+            for replica in replicas
         }
         self.pool = EndpointPool(
             "entry",
