Give the time limits of a planned stop a place of their own

Change: PlannedStop has its two times and the limits of the open requests; a limit that is just expiring is left alone. No change of behaviour otherwise; 379 tests of endpoints, platform and forwarding pass.

--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -1,8 +1,5 @@
 """An instance that forwards requests, by route, to the endpoints that discovery lists."""
 
-import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from math import inf
 from random import Random
@@ -42,6 +39,7 @@
     make_plan,
 )
 from radishmount.logs import Emit, RequestLog
+from radishmount.planned_stop import PlannedStop
 from radishmount.policy import QueryPolicy
 from radishmount.publication import ActivePublication, Publication, ReadBundle
 from radishmount.queries import ExplainableRecord, ExplainLog
@@ -53,7 +51,6 @@
 FORWARD_POLICY = QueryPolicy(probes=False, adaptive_limits=False)
 ASSUMED_INSTANCES = 8  # usual size of a fleet, for connection shares until the roster is known
 MAX_ADDRESSES_VALID_FOR_MS = 2_000.0  # within this time, callers stop using a lost instance
-STOP_MARGIN_MS = 50.0  # for the answer to a request whose time is bounded by a planned stop
 MAX_ADDRESSES = 64  # callers read at most this many addresses
 PREFERRED_CHECK_INTERVAL_MS = 250.0  # a fraction of the time for which callers keep addresses
 ROSTER_CHECK_INTERVAL_MS = 100.0  # a fraction of the time that peers need to find each other
@@ -91,11 +88,7 @@
 
 @dataclass(slots=True)
 class Gateway:
-    """The state of one instance, through which every front end forwards requests.
-
-    During a planned stop, requests that come after `refuses_from_ms` are refused as not run, and
-    all others have an answer by `answers_until_ms`. `open_limits` are the timeouts that hold this.
-    """
+    """The state of one instance, through which every front end forwards requests."""
 
     dependencies: GatewayDependencies
     control: SeededControlPlane
@@ -108,10 +101,8 @@
     audit: AuditTrail
     counters: Counters
     tasks: TaskSupervisor
+    planned_stop: PlannedStop
     leaving: bool = False
-    refuses_from_ms: float = inf
-    answers_until_ms: float = inf
-    open_limits: set[asyncio.Timeout] = field(default_factory=set)
     explain_log: ExplainLog = field(default_factory=ExplainLog)
     in_flight: int = 0
     preferred_names: frozenset[str] = frozenset()
@@ -140,36 +131,15 @@
         return self.active_publication.current
 
     def leave(self, accept_for_ms: float = inf, answer_within_ms: float = inf) -> None:
-        """Begin a graceful stop: callers are sent elsewhere, and requests in flight are finished.
+        """Begin a graceful stop: callers are sent elsewhere; requests in flight are finished.
 
-        Requests that come later than `accept_for_ms` from now are refused at once, as too little
-        time would be left for them. Those taken before are answered within `answer_within_ms`.
+        Requests that come later than `accept_for_ms` from now are refused at once. Those taken
+        before are answered within `answer_within_ms`.
         """
-        now_ms = self.dependencies.clock.now_ms()
         self.leaving = True
-        self.refuses_from_ms = now_ms + accept_for_ms
-        self.answers_until_ms = now_ms + answer_within_ms
-        for limit in self.open_limits:
-            self._apply_stop_to(limit)
+        self.planned_stop.begin(accept_for_ms, answer_within_ms)
         self.control.leave()
 
-    @asynccontextmanager
-    async def until_stop(self) -> AsyncIterator[None]:
-        """Raise TimeoutError in the block once the time to answer during a planned stop is up."""
-        async with asyncio.timeout(None) as limit:
-            self.open_limits.add(limit)
-            self._apply_stop_to(limit)
-            try:
-                yield
-            finally:
-                self.open_limits.discard(limit)
-
-    def _apply_stop_to(self, limit: asyncio.Timeout) -> None:
-        if self.answers_until_ms == inf:
-            return
-        left_ms = self.dependencies.clock.remaining_ms(self.answers_until_ms)
-        limit.reschedule(asyncio.get_running_loop().time() + left_ms / 1000.0)
-
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this instance."""
         return not self.leaving and self.publication.version > 0 and bool(self.endpoints.by_name)
@@ -183,7 +153,7 @@
         how long the caller still waits for the reply, or none if the caller does not say so.
         """
         await self.control.freshness.wait_until_fresh()
-        if self.dependencies.clock.now_ms() >= self.refuses_from_ms:
+        if self.planned_stop.refuses_requests():
             return self._refuse(call, Refusal(Code.INSTANCE_LEAVING))
         if self.publication.version == 0:
             return self._refuse(call, Refusal(Code.NOT_READY))
@@ -193,14 +163,11 @@
             return self._refuse(call, Refusal(Code.UNKNOWN_ROUTE, detail=f"{host}{path}"))
         context = self.forward_context
         lag_ms = context.event_loop_lag.reply_margin_ms()
-        if self.leaving:
-            left_ms = self.answers_until_ms - arrived_at_ms - STOP_MARGIN_MS
-            time_left_ms = left_ms if time_left_ms is None else min(time_left_ms, left_ms)
-            time_left_ms = None if time_left_ms == inf else max(0.0, time_left_ms)
+        time_left_ms = self.planned_stop.bound_time_left(time_left_ms, arrived_at_ms)
         plan = make_plan(call, route, arrived_at_ms, time_left_ms, context.random, lag_ms)
         self.in_flight += 1
         try:
-            async with self.until_stop():
+            async with self.planned_stop.limit():
                 return await forward(plan, self.forward_context)
         except TimeoutError:
             return Err(Refusal(Code.INSTANCE_LEAVING, ran=RunStatus.UNKNOWN))
@@ -409,6 +376,7 @@
         audit=audit,
         counters=counters,
         tasks=TaskSupervisor(clock, audit, counters),
+        planned_stop=PlannedStop(clock),
     )
 
     def record_departure(name: str) -> None:
--- a/src/radishmount/platform/_ingress.py
+++ b/src/radishmount/platform/_ingress.py
@@ -49,7 +49,7 @@
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         arrived_at_ms = gateway.dependencies.clock.now_ms()
         try:
-            async with gateway.until_stop():
+            async with gateway.planned_stop.limit():
                 body = await _read_body(request)
         except TimeoutError:
             body = Refusal(Code.INSTANCE_LEAVING)
