Let a cancellation that meets the timeout of its attempt raise nothing

Cause: when a timeout and the end of its request are due together, Attempt.cancel moved a timeout that was expiring, which raises, and the loop over the open attempts ended there. Evidence: test_a_cancellation_at_the_moment_of_the_timeout_raises_nothing failed before (RuntimeError: Cannot change state of expiring Timeout).

--- a/src/radishmount/endpoints/_connection_pool.py
+++ b/src/radishmount/endpoints/_connection_pool.py
@@ -4,7 +4,6 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum, auto
 from typing import Any
 
 from result import Err, Ok, Result
@@ -15,7 +14,8 @@
 from radishmount.endpoints._any_attempt import AnyAttempt, exchange_timed_out
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._exchange import Channel, Failure, OpenChannel
-from radishmount.endpoints._waker import wake
+from radishmount.endpoints._next_step import NextStep
+from radishmount.endpoints._waker import expire_now, wake
 from radishmount.policy import DEFAULT_POLICY, QueryPolicy
 
 
@@ -36,13 +36,6 @@
 MISSING_VERSION_CODES = frozenset({Code.WRONG_VERSION, Code.BAD_REPLY})
 
 
-class NextStep(Enum):
-    """What a connection does next when it has no attempt to send."""
-
-    PROBE = auto()
-    CLOSE = auto()
-
-
 @dataclass(slots=True, eq=False)
 class ConnectionPool:
     """The connections to one endpoint, and the queue of attempts that wait for one.
@@ -266,7 +259,7 @@
             limit_ms = min(limit_ms, attempt.exchange_timeout_ms)
         try:
             async with asyncio.timeout(limit_ms / 1000.0) as timeout:
-                attempt.interrupt = lambda: timeout.reschedule(0.0)
+                attempt.interrupt = lambda: expire_now(timeout)
                 outcome = await attempt.send(channel, remaining_ms)
         except TimeoutError:
             code = Code.CANCELLED if attempt.cancelled else Code.TIMED_OUT
--- a/tests/endpoints/test_connection_pool.py
+++ b/tests/endpoints/test_connection_pool.py
@@ -101,6 +101,34 @@
         assert harness.endpoint.in_flight == 0
         assert harness.fake.connections == 0
 
+    async def test_a_cancellation_at_the_moment_of_the_timeout_raises_nothing(self) -> None:
+        """Guards against attempts that run on because the cancellation of one before them failed.
+
+        After a pause of the process, a timeout and the end of its request are due together.
+        """
+        harness = await ConnectionPoolHarness().start()
+        harness.fake.silent = True
+        attempt = harness.submit(0, exchange_timeout_ms=50.0)
+        await asyncio.sleep(0.01)
+        assert attempt.sent_at_ms is not None
+        errors: list[BaseException] = []
+
+        def cancel() -> None:
+            try:
+                attempt.cancel()
+            except RuntimeError as error:
+                errors.append(error)
+
+        loop = asyncio.get_running_loop()
+        # Timers that are due together run one after the other, before the task that they wake.
+        for _ in range(3):
+            loop.call_at((attempt.sent_at_ms + 50.0) / 1000.0, cancel)
+        await asyncio.sleep(0.1)
+
+        assert errors == []
+        assert len(harness.outcomes_by_attempt[0]) == 1
+        await harness.connection_pool.stop()
+
     async def test_an_unexpected_error_counts_against_the_endpoint(self) -> None:
         """Guards against an endpoint that fails at once by such errors and looks fast."""
         harness = ConnectionPoolHarness()
