Count the requests of the test of odd entries, not how two endpoints share them

Traced: the choice weighs measured latencies, on the real clock here, so one endpoint that was slow at first may get fewer; the verdict depended on the load of the machine. It now asks that each of the 40 requests reached a sound endpoint exactly once, which also fails where one is sent twice. That odd entries are not listed is asserted as before.

--- a/tests/platform/test_operator_reports.py
+++ b/tests/platform/test_operator_reports.py
@@ -186,7 +186,7 @@
 
         assert set(harness.instance.gateway.endpoints.by_name) == {"b1", "b2"}
         assert statuses == [200] * 40
-        assert all(len(back_end.received) > 5 for back_end in harness.back_ends)
+        assert sum(len(back_end.received) for back_end in harness.back_ends) == 40
 
 
 class TestLostAnswers:
