Keep the pause of a removed endpoint as long as it was extended

Cause: the pause that outlives a lapsed entry was noted when it began, so one that a later 503 had extended ended too early if the entry lapsed meanwhile. Change: it is noted when the endpoint is removed. The new test failed before.

--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -38,8 +38,8 @@
     Where the policy has no probes, the pools of a service are made on its first use: most instances
     of a large fleet forward to few services. `first_seen_ms_by_name` tells since when an endpoint
     is published, and `on_leaving` is called with the name of an endpoint whose own report says that
-    it is leaving. `paused_until_ms_by_start` has the pauses that endpoints have asked for, by name
-    and start time, as an endpoint may be removed and return meanwhile.
+    it is leaving. `paused_until_ms_by_start` has the pauses of endpoints that were removed, by name
+    and start time, as they may return meanwhile.
     """
 
     own_name: str
@@ -257,6 +257,10 @@
 
     def _retire(self, connection_pool: ConnectionPool) -> None:
         connection_pool.retire()
+        endpoint = connection_pool.endpoint
+        if endpoint.is_paused(self.clock.now_ms()):
+            start = (endpoint.name, endpoint.spec.started_at_ms)
+            self.paused_until_ms_by_start[start] = endpoint.paused_until_ms
         self.retired_connection_pools = [
             retired for retired in self.retired_connection_pools if retired.tasks
         ]
@@ -292,11 +296,8 @@
         self.audit.record(f"endpoint/{endpoint.name}", change, cause=cause, version=version)
         connection_pool = self.connection_pools_by_name.get(endpoint.name)
         is_used = connection_pool is not None and connection_pool.endpoint is endpoint
-        if change == "paused":
-            start = (endpoint.name, endpoint.spec.started_at_ms)
-            self.paused_until_ms_by_start[start] = endpoint.paused_until_ms
-            if connection_pool is not None and is_used:
-                connection_pool.refuse_queue(Code.ENDPOINT_PAUSED)
+        if change == "paused" and connection_pool is not None and is_used:
+            connection_pool.refuse_queue(Code.ENDPOINT_PAUSED)
         if change != "leaving":
             return
         if endpoint.report.draining or endpoint.has_departed:
--- a/tests/forwarding/test_paused_endpoints.py
+++ b/tests/forwarding/test_paused_endpoints.py
@@ -7,6 +7,7 @@
 
 from forward_harness import ForwardHarness, forward_harness
 from radishmount.codes import Code, RunStatus
+from radishmount.endpoints import LoadReport
 
 
 pytestmark = pytest.mark.looptime
@@ -65,6 +66,22 @@
 
             assert harness.endpoints_by_name["s0-a"].received_ids == []
 
+    async def test_a_longer_pause_holds_over_a_lapsed_entry_too(self) -> None:
+        """Guards against a pause that is kept as it was when it began, not as it was extended."""
+        async with forward_harness(services=2) as harness:
+            await ask_for_pause(harness, "s0-a")
+            endpoint = harness.pool.connection_pools_by_name["s0-a"].endpoint
+            now_ms = harness.clock.now_ms()
+            endpoint.record_report(LoadReport(pause_ms=3.0 * PAUSE_MS), now_ms, now_ms)
+            await harness.publish(["s1"])
+            harness.pool.retired_connection_pools.clear()
+            await harness.publish(["s0", "s1"])
+            await asyncio.sleep(1.5 * PAUSE_MS / 1000.0)
+            for _ in range(REQUESTS):
+                await harness.send(harness.single_route())
+
+            assert harness.endpoints_by_name["s0-a"].received_ids == []
+
     async def test_requests_are_refused_at_once_while_all_endpoints_pause(self) -> None:
         """Guards against requests that wait for their deadline though none can be served."""
         async with forward_harness(services=1) as harness:
