--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -44,6 +44,8 @@
     CANNOT_MEET_DEADLINE = 2003
     NOT_READY = 2004
     INSTANCE_LEAVING = 2005
+    NO_ROOM = 2006
+    TOO_MUCH_HELD = 2007
 
     NO_ENDPOINT = 3001
     SHED = 3002
@@ -61,6 +63,8 @@
     OTHER_ENDPOINT = 3014
     BUDGET_SPENT = 3015
     ENDPOINT_PAUSED = 3016
+    DATA_CENTRE_EVACUATED = 3017
+    ENDPOINT_COLD = 3018
 
     OUTCOME_UNKNOWN = 4001
     UNKNOWN_TICKET = 4002
@@ -131,10 +135,14 @@
     Code.CANNOT_MEET_DEADLINE: "the deadline cannot be met",
     Code.NOT_READY: "the instance is not ready",
     Code.INSTANCE_LEAVING: "the instance is leaving",
+    Code.NO_ROOM: "the endpoints have no room for a request of this priority",
+    Code.TOO_MUCH_HELD: "the instance holds as many bytes for callers as its memory allows",
     Code.NO_ENDPOINT: "no endpoint can take the request",
     Code.SHED: "the endpoint shed the request",
     Code.ENDPOINT_LEAVING: "the endpoint is leaving",
     Code.ENDPOINT_PAUSED: "the endpoint has asked for a pause",
+    Code.DATA_CENTRE_EVACUATED: "the data centre of the endpoint is evacuated",
+    Code.ENDPOINT_COLD: "the endpoint is cold and takes few requests",
     Code.WRONG_VERSION: "the endpoint does not hold the index version",
     Code.TIMED_OUT: "the endpoint did not answer in time",
     Code.CONNECTION_LOST: "the connection was lost after the request was sent",
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -18,6 +18,7 @@
 from radishmount.discovery._store import (
     ConfigurationEntry,
     EndpointEntry,
+    EvacuationEntry,
     Store,
     StoreAnswer,
     StoreFailure,
@@ -335,7 +336,7 @@
         """Apply the changes that a watch returned; return the names of their endpoints."""
         names: set[str] = set()
         for entry in answer.entries:
-            if isinstance(entry, ConfigurationEntry):
+            if isinstance(entry, ConfigurationEntry | EvacuationEntry):
                 continue
             names.add(entry.name)
             if isinstance(entry, EndpointEntry):
--- a/src/radishmount/discovery/_refused_entries.py
+++ b/src/radishmount/discovery/_refused_entries.py
@@ -5,7 +5,12 @@
 
 from radishmount.audit import AuditTrail
 from radishmount.counters import Counters
-from radishmount.discovery._store import ConfigurationEntry, EndpointEntry, StoreEntry
+from radishmount.discovery._store import (
+    ConfigurationEntry,
+    EndpointEntry,
+    EvacuationEntry,
+    StoreEntry,
+)
 
 
 __all__ = ["RefusedEntries"]
@@ -27,7 +32,7 @@
     def record(self, entries: Iterable[StoreEntry]) -> None:
         """Report the entries that were accepted before, or refused for another reason."""
         for entry in entries:
-            if isinstance(entry, ConfigurationEntry):
+            if isinstance(entry, ConfigurationEntry | EvacuationEntry):
                 continue
             fault = entry.fault if isinstance(entry, EndpointEntry) else ""
             if not fault:
--- a/src/radishmount/discovery/_store.py
+++ b/src/radishmount/discovery/_store.py
@@ -14,6 +14,7 @@
     "ConfigurationEntry",
     "EndpointEntry",
     "EndpointRemoval",
+    "EvacuationEntry",
     "Store",
     "StoreAnswer",
     "StoreEntry",
@@ -45,7 +46,15 @@
     name: str
 
 
-StoreEntry = ConfigurationEntry | EndpointEntry | EndpointRemoval
+@dataclass(frozen=True, slots=True)
+class EvacuationEntry:
+    """The operator's request to send nothing to a data centre, or the end of that request."""
+
+    data_centre: str
+    is_requested: bool
+
+
+StoreEntry = ConfigurationEntry | EndpointEntry | EndpointRemoval | EvacuationEntry
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/endpoints/_exchange.py
+++ b/src/radishmount/endpoints/_exchange.py
@@ -57,6 +57,8 @@
 
     `in_flight` are the requests in its slots, `queued` those that wait for a slot, and `versions`
     the index versions that it holds. `pause_ms` is for how long it wants no requests from here.
+    `slowdown` is how long work takes on its machine now, 1.0 as usual, and None if it does not
+    say. `cold_ms` is for how much longer it is cold.
     """
 
     slots: int = 0
@@ -65,6 +67,8 @@
     draining: bool = False
     versions: frozenset[int] = frozenset()
     pause_ms: float = 0.0
+    slowdown: float | None = None
+    cold_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/platform/_backend_channel.py
+++ b/src/radishmount/platform/_backend_channel.py
@@ -27,6 +27,7 @@
     ResponseRejectedError,
 )
 from radishmount.platform._protocol_names import (
+    COLD_HEADER,
     EXPECTED_ENDPOINT_HEADER,
     HOP_BY_HOP_HEADERS,
     LEAVING_HEADER,
@@ -49,11 +50,14 @@
 MAX_IDLE_NON_IDEMPOTENT_S = 0.5
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 HEADER_ENCODING = ("utf-8", "surrogateescape")
+PERCENT = 100.0
+MAX_COLD_MS = 600_000.0  # a wrong value holds back requests to an endpoint for no longer
 # The names of headers that a response is searched for, as the parser returns them.
 ECHOED_ID_KEY = REQUEST_ID_HEADER.lower().encode()
 SIGNATURE_KEY = SIGNATURE_HEADER.lower().encode()
 LOAD_KEY = LOAD_HEADER.lower().encode()
 LEAVING_KEY = LEAVING_HEADER.lower().encode()
+COLD_KEY = COLD_HEADER.lower().encode()
 RETRY_AFTER_KEY = RETRY_AFTER_HEADER.lower().encode()
 NOT_EXECUTED_KEY = NOT_EXECUTED_HEADER.lower().encode()
 HOP_BY_HOP_KEYS = frozenset(name.encode() for name in HOP_BY_HOP_HEADERS)
@@ -178,6 +182,8 @@
     load = _parse_load(headers.get(LOAD_KEY, b""))
     if headers.get(LEAVING_KEY) == b"1":
         load = replace(load, draining=True)
+    if COLD_KEY in headers:
+        load = replace(load, cold_ms=_parse_cold_ms(headers[COLD_KEY]))
     if status == HTTPStatus.SERVICE_UNAVAILABLE and RETRY_AFTER_KEY in headers:
         load = replace(load, pause_ms=_parse_pause_ms(headers[RETRY_AFTER_KEY]))
     # The rest of the report is used only where the endpoint took or shed the request.
@@ -231,9 +237,22 @@
 
 
 def _parse_load(value: bytes) -> LoadReport:
-    """Parse the load header: `running,queued,slots`, the numbers of requests and of slots."""
+    """Parse the load header: `running,queued,slots`, the numbers of requests and of slots.
+
+    A fourth figure is how long work takes on the machine now, in percent of the usual time.
+    """
     try:
-        running, waiting, slots = (int(figure) for figure in value.split(b","))
+        running, waiting, slots, *others = (int(figure) for figure in value.split(b","))
     except ValueError:
         return NO_LOAD_REPORT  # back ends of some services do not report their load
-    return LoadReport(slots=slots, in_flight=running, queued=waiting)
+    slowdown = others[0] / PERCENT if others and others[0] > 0 else None
+    return LoadReport(slots=slots, in_flight=running, queued=waiting, slowdown=slowdown)
+
+
+def _parse_cold_ms(value: bytes) -> float:
+    """Return for how much longer a back end is cold, zero where the text is no length of time."""
+    try:
+        cold_ms = float(value)
+    except ValueError:
+        return 0.0
+    return min(cold_ms, MAX_COLD_MS) if cold_ms > 0.0 else 0.0
--- a/src/radishmount/platform/_configuration.py
+++ b/src/radishmount/platform/_configuration.py
@@ -9,7 +9,7 @@
 
 from radishmount.border import describe_first_error
 from radishmount.codes import Code
-from radishmount.platform._settings import PlatformModel
+from radishmount.platform._settings import MS_PER_S, PlatformModel
 from radishmount.publication import Diagnostic, Publication, Service
 from radishmount.routes import CallerLimits, Route, RouteTable, WeightedService
 
@@ -72,6 +72,20 @@
     name: str
     # Connections that an endpoint accepts from all instances in total.
     max_conns: Annotated[int, Field(ge=1)] = Field(1, alias="maxConns")
+    cold_start_s: Annotated[float, Field(ge=0.0)] = Field(0.0, alias="coldStartS")
+    # Requests that an endpoint takes while it is cold, from all instances in total; zero: any.
+    cold_per_s: Annotated[float, Field(ge=0.0)] = Field(0.0, alias="coldPerS")
+
+    def to_data(self) -> Service:
+        """Return the service as a data class, without endpoints."""
+        return Service(
+            self.name,
+            0,
+            self.max_conns,
+            (),
+            cold_start_ms=self.cold_start_s * MS_PER_S,
+            cold_per_s=self.cold_per_s,
+        )
 
 
 class LimitsModel(PlatformModel):
@@ -93,7 +107,7 @@
 
     def to_data(self, digest: str) -> Publication:
         """Return the configuration as a publication without endpoints."""
-        services = [Service(s.name, 0, s.max_conns, ()) for s in self.services]
+        services = [service.to_data() for service in self.services]
         limits = self.limits
         return Publication(
             version=self.version,
--- a/src/radishmount/platform/_protocol_names.py
+++ b/src/radishmount/platform/_protocol_names.py
@@ -2,8 +2,10 @@
 
 __all__ = [
     "BOOT_VARIABLE",
+    "COLD_HEADER",
     "CONFIGURATION_KEY",
     "ENDPOINT_PREFIX",
+    "EVACUATION_PREFIX",
     "EXPECTED_ENDPOINT_HEADER",
     "HOP_BY_HOP_HEADERS",
     "LEAVING_HEADER",
@@ -30,12 +32,14 @@
 NOT_EXECUTED_HEADER = "Radishmount-Not-Executed"
 LOAD_HEADER = "Radishmount-Server-Load"
 LEAVING_HEADER = "Server-Leaving"
+COLD_HEADER = "Radishmount-Cold-Ms"
 RETRY_AFTER_HEADER = "Retry-After"
 
 READINESS_PATH = "/-/readiness"
 RESOLVE_PATH = "/-/resolve"
 CONFIGURATION_KEY = "op/config"
 ENDPOINT_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that are set anew for the connection on
 # the other side.
--- a/src/radishmount/platform/_settings.py
+++ b/src/radishmount/platform/_settings.py
@@ -3,6 +3,7 @@
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
@@ -24,8 +25,10 @@
 
     `seeds` are peer addresses of at most three instances, any of which may be stale or down.
     `capacity` is the CPU capacity, where 1.0 is one whole core. `memory_bytes` is the memory that
-    the process may use. Changes that the operator or an endpoint publishes must reach all instances
-    within `max_propagation_ms`.
+    the process may use, and `max_descriptors` how many files and sockets it may have open. Changes
+    that the operator or an endpoint publishes must reach all instances within `max_propagation_ms`.
+    Of the requests that a cold endpoint takes in a second, all instances together may send
+    `cold_ratio` times as many, plus `cold_slack`.
     """
 
     name: str
@@ -42,6 +45,9 @@
     max_propagation_ms: float
     retry_budget_settings: RetryBudgetSettings
     memory_bytes: int
+    max_descriptors: int = 4_096
+    cold_ratio: float = 1.0
+    cold_slack: float = 0.0
 
 
 class PlatformModel(BaseModel):
@@ -69,6 +75,15 @@
     budget_window_s: float = Field(10.0, alias="budgetWindowS")
     retry_budget_slack: float = Field(0.0, alias="retryBudgetSlack")
     ttl_max_s: float = Field(5.0, alias="ttl_max_s")
+    evacuate_ms: float | None = Field(None, alias="evacuateMs")
+    cold_over: Annotated[float, Field(ge=1.0)] = Field(1.0, alias="coldOver")
+    cold_slack: Annotated[float, Field(ge=0.0)] = Field(0.0, alias="coldSlack")
+
+    @property
+    def max_propagation_ms(self) -> float:
+        """Return within which time the shortest-lived change must be known everywhere."""
+        bounds_ms = (self.drain_ms, self.config_apply_ms, self.evacuate_ms)
+        return min(bound_ms for bound_ms in bounds_ms if bound_ms is not None)
 
 
 class LimitsModel(PlatformModel):
@@ -79,6 +94,7 @@
     cpu_share: float = Field(1.0, alias="cpuShare")
     cores: float = 1.0
     memory_mb: int = Field(256, alias="memoryMb", ge=1)
+    max_fds: int = Field(4_096, alias="maxFds", ge=1)
 
 
 class StoreModel(PlatformModel):
@@ -113,13 +129,16 @@
             seeds=tuple(self.seeds),
             stop_grace_ms=bounds.grace_s * MS_PER_S,
             addresses_valid_for_ms=bounds.ttl_max_s * MS_PER_S,
-            max_propagation_ms=min(bounds.drain_ms, bounds.config_apply_ms),
+            max_propagation_ms=bounds.max_propagation_ms,
             retry_budget_settings=RetryBudgetSettings(
                 ratio=bounds.retry_budget_ratio,
                 slack=bounds.retry_budget_slack,
                 window_ms=bounds.budget_window_s * MS_PER_S,
             ),
             memory_bytes=self.limits.memory_mb * BYTES_PER_MB,
+            max_descriptors=self.limits.max_fds,
+            cold_ratio=bounds.cold_over,
+            cold_slack=bounds.cold_slack,
         )
 
 
--- a/src/radishmount/publication/_objects.py
+++ b/src/radishmount/publication/_objects.py
@@ -54,7 +54,9 @@
     """A set of like endpoints. Each works on `slots` requests at once.
 
     `connections` is the highest number of connections to each endpoint, of the whole fleet
-    together. `connect_ms` is how long it takes to open one.
+    together. `connect_ms` is how long it takes to open one. An endpoint is cold for `cold_start_ms`
+    after its start; meanwhile all instances together send it `cold_per_s` requests a second, any
+    number where that is zero.
     """
 
     name: str
@@ -63,6 +65,8 @@
     endpoints: tuple[EndpointSpec, ...]
     connect_ms: float = 0.0
     reports_load: bool = True
+    cold_start_ms: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
