Reject responses with a status that HTTP does not define

Before: TestStatusOutsideTheProtocol, 4 of 5 fail (504 for 000 and 099, 600 and 999 passed on). After: 5 of 5 pass. Ruled out: the merged answer, where such a response was missing before too.

--- a/src/radishmount/platform/_backend_response.py
+++ b/src/radishmount/platform/_backend_response.py
@@ -16,6 +16,7 @@
 
 MAX_HEAD_BYTES = 32_768  # twice the limit for callers
 MAX_INTERIM_RESPONSES = 8
+STATUS_CODES = range(100, 600)  # RFC 9110, section 15; others are no answer that may be passed on
 # Beyond this, the framing of a body may take as many bytes as the body: small chunks cost far more
 # processor time for each byte than large ones.
 MAX_FRAMING_BYTES = 65_536
@@ -66,7 +67,8 @@
 
     The body is kept in one piece, so its memory does not depend on how it is chunked.
 
-    Interim responses (100 to 199) before it are skipped. After each call of `feed` or `end`,
+    Interim responses (100 to 199) before it are skipped; a status that HTTP does not define is
+    rejected. After each call of `feed` or `end`,
     `response` is the complete response or `rejection` tells why there will be none; as long as
     both are None, more bytes are needed. The connection may be used again only if `is_reusable`.
 
@@ -154,6 +156,9 @@
         if self._is_head_complete:
             return
         status = self._parser.get_status_code()
+        if status not in STATUS_CODES:
+            self._reject(f"the status is {status:03}")
+            return
         if status < HTTPStatus.OK:
             self._skip_interim_response()
             return
--- a/tests/platform/test_operator_reports.py
+++ b/tests/platform/test_operator_reports.py
@@ -238,6 +238,44 @@
             assert body == RECORD
 
 
+def response_with_status(status: str) -> Respond:
+    """Return a responder that sends a whole response with a status line of its own."""
+    return lambda request, name: complete_response(request, name).replace(
+        b"200 OK", status.encode()
+    )
+
+
+class TestStatusOutsideTheProtocol:
+    """A back end in trouble answered with status 000, and callers got that as an answer."""
+
+    @pytest.mark.parametrize("status", ["000 X", "099 X", "600 X", "999 X"])
+    async def test_a_single_request_fails_at_once(
+        self, harness: PlatformHarness, status: str
+    ) -> None:
+        """Taken as an interim response, 000 kept the caller waiting until the deadline (504)."""
+        answer = response_with_status(status)
+        await harness.add_back_end("orders", "b1", answer=answer)
+        await harness.publish(3, single_route(maxAttempts=1))
+
+        answered, headers, body = await harness.send_request("/orders/7")
+
+        assert answered == 502
+        assert "Radishmount-Server-Stamp" not in headers
+        assert RECORD not in body
+
+    async def test_the_part_is_missing_in_a_merged_answer(self, harness: PlatformHarness) -> None:
+        await harness.add_back_end("s1", "b1", answer=complete_response)
+        await harness.add_back_end("s2", "b2", answer=response_with_status("000 X"))
+        await harness.publish(3, fan_out_route(["s1", "s2"]))
+
+        status, headers, body = await harness.send_request("/stock/7")
+
+        assert status == 200
+        assert headers["Radishmount-Part-Stamps"] == "b1.q1"
+        assert headers["Radishmount-Missing-Parts"] == "1"
+        assert body == RECORD
+
+
 class TestEndlessAnswer:
     """Bytes that are no answer come without end, until the caller closes."""
 
