Send nothing more to an evacuated data centre

Change: the entries become part of the list of endpoints: a full read replaces the set, a removal counts at once, StoreNews and EndpointPage carry it in a last field that is left out without an evacuation, and the digest covers it. The publication passes it to the endpoint pools, as it does the product's own objects of the kind `evacuation`, whose data centre radishmount-check compares. An endpoint there is not available, its queue ends as not run, its connections close once they are idle, and no probe opens another one. The load returns by slow start. Where only evacuated endpoints could take a request, the refusal says so, as not run. News state the set whenever a watch returned an entry of it: begin and end in one answer change nothing here, but a peer may know the beginning only.

The fakes of the tests: the store harness keys its entries by kind, as an evacuation has no endpoint's name; the forward harness may place replicas in another data centre. The broken set of dangling references has one evacuation more.

--- a/src/radishmount/border/_object_models.py
+++ b/src/radishmount/border/_object_models.py
@@ -11,6 +11,7 @@
     Collection,
     DataCentre,
     EndpointSpec,
+    Evacuation,
     KeyRange,
     Part,
     Preference,
@@ -155,8 +156,26 @@
         return Caller(self.name, self.data_centre, tuple(self.rules))
 
 
+class EvacuationModel(BorderModel):
+    """An `evacuation` object; it is in force while it is published."""
+
+    kind: Literal["evacuation"]
+    name: Name
+    data_centre: Name
+
+    def to_data(self) -> Evacuation:
+        """Return the object as a data class."""
+        return Evacuation(self.name, self.data_centre)
+
+
 ObjectModel = Annotated[
-    DataCentreModel | ServiceModel | CollectionModel | ShardModel | RuleModel | CallerModel,
+    DataCentreModel
+    | ServiceModel
+    | CollectionModel
+    | ShardModel
+    | RuleModel
+    | CallerModel
+    | EvacuationModel,
     Field(discriminator="kind"),
 ]
 OBJECT_ADAPTER: TypeAdapter[Any] = TypeAdapter(ObjectModel)
--- a/src/radishmount/border/_objects.py
+++ b/src/radishmount/border/_objects.py
@@ -15,6 +15,7 @@
     Collection,
     DataCentre,
     Diagnostic,
+    Evacuation,
     Publication,
     PublishedObject,
     Rule,
@@ -60,6 +61,7 @@
         shards_by_name={o.name: o for o in object_list if isinstance(o, Shard)},
         rules_by_name={o.name: o for o in object_list if isinstance(o, Rule)},
         callers_by_name={o.name: o for o in object_list if isinstance(o, Caller)},
+        evacuations_by_name={o.name: o for o in object_list if isinstance(o, Evacuation)},
     )
     diagnostics = [*check_objects(object_list), *check_publication(publication, broken)]
     return Err(diagnostics) if diagnostics else Ok(publication)
--- a/src/radishmount/border/_peer_codec.py
+++ b/src/radishmount/border/_peer_codec.py
@@ -7,7 +7,12 @@
 from result import Err, Ok, Result
 
 from radishmount.border._models import describe_first_error
-from radishmount.border._peer_models import PEER_MODELS, PeerModel, values_of
+from radishmount.border._peer_models import (
+    PEER_MODELS,
+    PeerModel,
+    default_of_last_field,
+    values_of,
+)
 from radishmount.codes import Code, Refusal, RunStatus
 from radishmount.fleet import Frame, Message, Notice, Request, Response
 
@@ -88,7 +93,11 @@
 def _pack_message(message: Message) -> tuple[str, Any]:
     if isinstance(message, Refusal):
         return REFUSAL_KIND, [message.code.value, message.detail[:500], message.ran.value]
-    return KINDS_BY_TYPE[type(message)], values_of(message)
+    kind = KINDS_BY_TYPE[type(message)]
+    values = values_of(message)
+    if MODELS_BY_KIND[kind].omits_last_default and values[-1] == default_of_last_field(message):
+        del values[-1]
+    return kind, values
 
 
 def _unpack_message(kind: Any, body: Any) -> Message:
--- a/src/radishmount/border/_peer_endpoint_models.py
+++ b/src/radishmount/border/_peer_endpoint_models.py
@@ -25,6 +25,9 @@
 __all__ = ["ENDPOINT_PEER_MODELS"]
 
 MAX_PAGE_LENGTH = 1_000
+MAX_EVACUATED = 1_000
+
+EvacuatedNames = Annotated[list[DataCentreName], Field(max_length=MAX_EVACUATED)]
 
 
 class EndpointPageRequestModel(PeerModel):
@@ -52,32 +55,38 @@
     """One page of endpoints."""
 
     data_type = EndpointPage
+    omits_last_default = True
     revision: NonNegativeInt
     endpoints: Annotated[list[Any], Field(max_length=MAX_PAGE_LENGTH)]
     has_more: bool
     missing: Annotated[list[ListedName], Field(max_length=MAX_PAGE_LENGTH)]
+    evacuated: EvacuatedNames = []
 
     def to_data(self) -> EndpointPage:
         """Return the message as a data class."""
         endpoints = tuple(ListedEndpointModel.from_values(e).to_data() for e in self.endpoints)
-        return EndpointPage(self.revision, endpoints, self.has_more, tuple(self.missing))
+        missing, evacuated = tuple(self.missing), tuple(self.evacuated)
+        return EndpointPage(self.revision, endpoints, self.has_more, missing, evacuated)
 
 
 class StoreNewsModel(PeerModel):
     """Changes in the store between two revisions."""
 
     data_type = StoreNews
+    omits_last_default = True
     after: NonNegativeInt
     revision: NonNegativeInt
     endpoints: Annotated[list[Any], Field(max_length=MAX_PAGE_LENGTH)]
     removed: Annotated[list[ListedName], Field(max_length=MAX_PAGE_LENGTH)]
     missing: Annotated[list[ListedName], Field(max_length=MAX_PAGE_LENGTH)]
+    evacuated: EvacuatedNames | None = None
 
     def to_data(self) -> StoreNews:
         """Return the message as a data class."""
         endpoints = tuple(ListedEndpointModel.from_values(e).to_data() for e in self.endpoints)
         removed, missing = tuple(self.removed), tuple(self.missing)
-        return StoreNews(self.after, self.revision, endpoints, removed, missing)
+        evacuated = None if self.evacuated is None else tuple(self.evacuated)
+        return StoreNews(self.after, self.revision, endpoints, removed, missing, evacuated)
 
 
 ENDPOINT_PEER_MODELS: tuple[type[PeerModel], ...] = (
--- a/src/radishmount/border/_peer_models.py
+++ b/src/radishmount/border/_peer_models.py
@@ -30,7 +30,14 @@
 )
 
 
-__all__ = ["EndpointName", "MAX_PIECE_BYTES", "PEER_MODELS", "PeerModel", "values_of"]
+__all__ = [
+    "EndpointName",
+    "MAX_PIECE_BYTES",
+    "PEER_MODELS",
+    "PeerModel",
+    "default_of_last_field",
+    "values_of",
+]
 
 MAX_PIECE_BYTES = 64 * 1024
 SCALAR_TYPES = frozenset({str, int, float, bool, bytes})
@@ -57,15 +64,22 @@
 
 
 class PeerModel(BorderModel):
-    """A message that is encoded as the list of its field values, in the order of the fields."""
+    """A message that is encoded as the list of its field values, in the order of the fields.
+
+    Where `omits_last_default` is set, the last field is left out while it has its default, and may
+    be missing in what comes in. So a field can be added that earlier versions do not know.
+    """
 
     model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
     data_type: ClassVar[type]
+    omits_last_default: ClassVar[bool] = False
 
     @classmethod
     def from_values(cls, values: Any) -> "PeerModel":
         """Return the model with the field values `values`; raise ValidationError if invalid."""
         names = _names_of_model(cls)
+        if cls.omits_last_default and isinstance(values, list) and len(values) == len(names) - 1:
+            names = names[:-1]
         if not isinstance(values, list) or len(values) != len(names):
             return cls.model_validate(values)
         return cls.model_validate(dict(zip(names, values, strict=True)))
@@ -261,6 +275,11 @@
     return [_plain_value(getattr(message, name)) for name in _names_of_data(data_type)]
 
 
+def default_of_last_field(message: Any) -> Any:
+    """Return the default of the last field of a data class, as `values_of` returns values."""
+    return _plain_value(fields(message)[-1].default)
+
+
 def _plain_value(value: Any) -> Any:
     if type(value) in SCALAR_TYPES:
         return value
--- a/src/radishmount/discovery/_endpoint_list.py
+++ b/src/radishmount/discovery/_endpoint_list.py
@@ -5,13 +5,14 @@
 
 from radishmount.digest import digest_of_items
 from radishmount.discovery._listed_endpoint import ListedEndpoint
-from radishmount.publication import EndpointSpec, Publication, Service
+from radishmount.publication import EndpointSpec, Evacuation, Publication, Service
 
 
 __all__ = ["EndpointList"]
 
 GRACE_PERIOD_MS = 2_500.0  # entries that lapsed in an outage return within 2 s after it
 DEPARTURE_KEPT_MS = 60_000.0  # after the entry was removed; far longer than a write is delayed
+MAX_EVACUATED = 1_000  # bounds what an odd writer adds to each page for peers
 
 
 @dataclass(slots=True)
@@ -26,12 +27,16 @@
     entry says that is written or read later: `departed_at_ms_by_start` has the name and the start
     time of each, and when that was last confirmed. Where entries lack the time of the start, they
     cannot be told from those of a new start, so the newest entry counts.
+
+    `evacuated_data_centres` are those to which the operator wants nothing sent. These entries do
+    not lapse in an outage, so their removal takes effect at once.
     """
 
     by_name: dict[str, ListedEndpoint] = field(default_factory=dict)
     missing_until_ms_by_name: dict[str, float] = field(default_factory=dict)
     grace_until_ms: float = float("-inf")
     departed_at_ms_by_start: dict[tuple[str, int], float] = field(default_factory=dict)
+    evacuated_data_centres: frozenset[str] = frozenset()
     known_digest: int | None = None
 
     def begin_grace(self, now_ms: float) -> None:
@@ -71,6 +76,15 @@
             self.known_digest = None
             self.missing_until_ms_by_name.setdefault(name, now_ms + GRACE_PERIOD_MS)
 
+    def set_evacuated(self, data_centres: Iterable[str]) -> bool:
+        """Replace the evacuated data centres; return whether this changed anything."""
+        evacuated = frozenset(sorted(data_centres)[:MAX_EVACUATED])
+        if evacuated == self.evacuated_data_centres:
+            return False
+        self.evacuated_data_centres = evacuated
+        self.known_digest = None
+        return True
+
     def replace_all(
         self, endpoints_by_name: dict[str, ListedEndpoint | None], now_ms: float
     ) -> None:
@@ -125,9 +139,13 @@
 
     @property
     def digest(self) -> int:
-        """Return a digest of the endpoints whose entries exist."""
+        """Return a digest of the endpoints whose entries exist, and of the evacuations.
+
+        Without an evacuation it is the same as in versions that do not know of any.
+        """
         if self.known_digest is None:
-            self.known_digest = digest_of_items(self.present_by_name().values())
+            evacuations = [("evacuated", name) for name in self.evacuated_data_centres]
+            self.known_digest = digest_of_items([*self.present_by_name().values(), *evacuations])
         return self.known_digest
 
     @property
@@ -141,7 +159,7 @@
         )
 
     def merge_into(self, publication: Publication) -> Publication:
-        """Return `publication` with the endpoints and slots of each service as listed here."""
+        """Return `publication` with the endpoints, slots and evacuations as listed here."""
         specs_by_service: dict[str, list[EndpointSpec]] = {}
         slots_by_service: dict[str, int] = {}
         for endpoint in self.by_name.values():
@@ -162,4 +180,10 @@
                 slots=slots_by_service.get(name, 0),
                 endpoints=tuple(specs_by_service.get(name, ())),
             )
-        return replace(publication, services_by_name=services_by_name)
+        return replace(
+            publication,
+            services_by_name=services_by_name,
+            evacuations_by_name={
+                name: Evacuation(name, name) for name in sorted(self.evacuated_data_centres)
+            },
+        )
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -152,6 +152,8 @@
             self.endpoints.remove(name, now_ms)
         for name in news.missing:
             self.endpoints.keep_missing(name, now_ms)
+        if news.evacuated is not None:
+            self.endpoints.set_evacuated(news.evacuated)
         self.counters.add("store_news", "taken")
         self.news_sender = peer
         self.news_received.set()
@@ -163,12 +165,14 @@
         revision: int,
         endpoints: Iterable[ListedEndpoint],
         missing: Iterable[str] = (),
+        evacuated: Iterable[str] = (),
     ) -> None:
-        """Apply all endpoints of a peer if its revision is newer than the one here."""
+        """Apply all that a peer lists if its revision is newer than the one here."""
         if not self.is_behind(revision):
             return
         self._advance(revision)
         self.endpoints.apply_peer_state(endpoints, missing, self.clock.now_ms())
+        self.endpoints.set_evacuated(evacuated)
         self.audit.record("endpoints", "taken", cause=f"peer {peer}", version=revision)
         await self.on_change()
 
@@ -296,6 +300,8 @@
         self.read_revision = answer.revision
         if answer.revision < self.known_revision:
             return  # a peer has sent newer ones meanwhile
+        # Evacuations go first, as a full read logs the state that it leaves.
+        has_evacuations = self._apply_evacuations(answer, is_full=is_full)
         if is_full:
             changed_names = self._apply_full_read(answer, now_ms)
         else:
@@ -305,17 +311,33 @@
         if is_full:
             # Later pages may have changes that are newer than the first page, but not all of them.
             changed_at = min(changed_at, answer.revision)
-            if changed_names and after:
+            if (changed_names or has_evacuations) and after:
                 changed_at = answer.revision
         # Without a newer change, a peer has sent these entries already.
         is_news = changed_at > self.last_change_revision
         self.last_change_revision = max(self.last_change_revision, changed_at)
-        if not answer.entries and not changed_names:
+        if not answer.entries and not changed_names and not has_evacuations:
             return
         if is_news and after:
-            self.on_news(self._make_news(changed_names, after, changed_at))
+            self.on_news(self._make_news(changed_names, after, changed_at, has_evacuations))
         await self.on_change()
 
+    def _apply_evacuations(self, answer: StoreAnswer, *, is_full: bool) -> bool:
+        """Apply the evacuations of an answer; return whether news of it must tell of them.
+
+        A watch may return the beginning and the end of an evacuation together. A peer that has the
+        beginning only must learn of the end, although nothing changes here.
+        """
+        entries = [entry for entry in answer.entries if isinstance(entry, EvacuationEntry)]
+        evacuated = set() if is_full else set(self.endpoints.evacuated_data_centres)
+        for entry in entries:
+            if entry.is_requested:
+                evacuated.add(entry.data_centre)
+            else:
+                evacuated.discard(entry.data_centre)
+        has_changed = self.endpoints.set_evacuated(evacuated)
+        return has_changed or (bool(entries) and not is_full)
+
     def _apply_full_read(self, answer: StoreAnswer, now_ms: float) -> set[str]:
         """Replace the list by a full read; return the names of the endpoints that changed."""
         listed = {e.name: e.endpoint for e in answer.entries if isinstance(e, EndpointEntry)}
@@ -345,7 +367,9 @@
                 self.endpoints.remove(entry.name, now_ms)
         return names
 
-    def _make_news(self, names: set[str], after: int, revision: int) -> StoreNews:
+    def _make_news(
+        self, names: set[str], after: int, revision: int, has_evacuations: bool
+    ) -> StoreNews:
         """Return the message about endpoints that changed, as they are listed now."""
         missing = names & set(self.endpoints.missing_until_ms_by_name)
         listed = names & set(self.endpoints.by_name) - missing
@@ -355,6 +379,9 @@
             endpoints=tuple(self.endpoints.by_name[name] for name in sorted(listed)),
             removed=tuple(sorted(names - listed - missing)),
             missing=tuple(sorted(missing)),
+            evacuated=(
+                tuple(sorted(self.endpoints.evacuated_data_centres)) if has_evacuations else None
+            ),
         )
 
 
--- a/src/radishmount/discovery/_gossip.py
+++ b/src/radishmount/discovery/_gossip.py
@@ -204,6 +204,7 @@
     async def _fetch(self, peer: str) -> None:
         listed: list[ListedEndpoint] = []
         missing: set[str] = set()
+        evacuated: tuple[str, ...] = ()
         revision: int | None = None
         while True:
             after = listed[-1].name if listed else ""
@@ -215,10 +216,11 @@
             revision = page.revision if revision is None else min(revision, page.revision)
             listed.extend(page.endpoints)
             missing.update(page.missing)
+            evacuated = page.evacuated
             if not page.has_more or not page.endpoints:
                 break
         self.behind_since_ms_by_peer.clear()
-        await self.follower.apply_peer_state(peer, revision, listed, missing)
+        await self.follower.apply_peer_state(peer, revision, listed, missing, evacuated)
 
     async def _handle_request(
         self, peer: str, request: EndpointPageRequest
@@ -231,6 +233,10 @@
             listed = listed[:PAGE_LENGTH]
             names = [name for name in names if name <= listed[-1].name]
         page = EndpointPage(
-            self.follower.last_change_revision, tuple(listed), has_more, tuple(names)
+            self.follower.last_change_revision,
+            tuple(listed),
+            has_more,
+            tuple(names),
+            tuple(sorted(endpoints.evacuated_data_centres)),
         )
         return Ok(page)
--- a/src/radishmount/discovery/_messages.py
+++ b/src/radishmount/discovery/_messages.py
@@ -13,6 +13,8 @@
     """The changes in the store after the revision `after`, up to `revision`.
 
     `missing` names endpoints whose entries are gone but may only have lapsed in an outage.
+    `evacuated` names all data centres that are evacuated at `revision`, none if the changes do not
+    concern that.
     """
 
     after: int
@@ -20,6 +22,7 @@
     endpoints: tuple[ListedEndpoint, ...] = ()
     removed: tuple[str, ...] = ()
     missing: tuple[str, ...] = ()
+    evacuated: tuple[str, ...] | None = None
 
     @property
     def length(self) -> int:
@@ -35,6 +38,7 @@
             endpoints=(*(e for e in self.endpoints if e.name not in changed), *news.endpoints),
             removed=(*(n for n in self.removed if n not in changed), *news.removed),
             missing=(*(n for n in self.missing if n not in changed), *news.missing),
+            evacuated=self.evacuated if news.evacuated is None else news.evacuated,
         )
 
 
@@ -50,9 +54,11 @@
     """A page of the endpoints that the sender lists, by name, at a revision of the store.
 
     `missing` names endpoints whose entries are gone but may only have lapsed in an outage.
+    `evacuated` names all data centres that are evacuated.
     """
 
     revision: int
     endpoints: tuple[ListedEndpoint, ...]
     has_more: bool
     missing: tuple[str, ...] = ()
+    evacuated: tuple[str, ...] = ()
--- a/src/radishmount/endpoints/_connection_pool.py
+++ b/src/radishmount/endpoints/_connection_pool.py
@@ -69,6 +69,8 @@
             return
         if self.retired or self.connection_limit < 1 or self.probe_task is not None:
             return
+        if self.endpoint.is_evacuated:
+            return
         self.probe_task = self._add_connection(probing=True)
 
     def submit(self, attempt: AnyAttempt) -> None:
@@ -80,6 +82,9 @@
         if len(self.queue) >= QUEUED_PER_CONNECTION * self.connection_limit:
             self._finish(attempt, Err(Failure(Code.QUEUE_FULL)))
             return
+        if self.endpoint.is_evacuated:
+            self._finish(attempt, Err(Failure(Code.DATA_CENTRE_EVACUATED)))
+            return
         attempt.interrupt = lambda: self._cancel_queued(attempt)
         self.queue.append(attempt)
         self._dispatch()
@@ -102,6 +107,14 @@
         """End the attempts that wait here, as the endpoint takes no more; they may go elsewhere."""
         self._fail_queue("while it waited for a connection", code)
 
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Begin or end an evacuation: no connection stays open but for an exchange in flight."""
+        self.endpoint.is_evacuated = is_evacuated
+        if is_evacuated:
+            self.refuse_queue(Code.DATA_CENTRE_EVACUATED)
+        self.start()
+        self._wake_all()
+
     def revive(self) -> None:
         """Accept attempts again after `retire`."""
         self.retired = False
@@ -167,7 +180,7 @@
         idle_since_ms = self.clock.now_ms()
         while True:
             now_ms = self.clock.now_ms()
-            if self.retired or self._is_over_limit(probing):
+            if self.retired or self.endpoint.is_evacuated or self._is_over_limit(probing):
                 return NextStep.CLOSE
             attempt = self._take_from_queue(probing)
             if attempt is not None:
@@ -274,11 +287,15 @@
     async def _reason_not_to_send(self, channel: Channel, attempt: AnyAttempt) -> Failure | None:
         """Probe first if health is out of date; return why the attempt may not be sent, or None."""
         attempt.interrupt = None
+        if self.endpoint.is_evacuated:
+            return Failure(Code.DATA_CENTRE_EVACUATED)
         if not self.endpoint.is_health_fresh(self.clock.now_ms()):
             await self._probe(channel)
         now_ms = self.clock.now_ms()
         if attempt.cancelled:
             return Failure(Code.CANCELLED)
+        if self.endpoint.is_evacuated:
+            return Failure(Code.DATA_CENTRE_EVACUATED)
         if self.endpoint.is_leaving(now_ms):
             return Failure(Code.ENDPOINT_LEAVING)
         if self.endpoint.is_paused(now_ms):
@@ -331,6 +348,8 @@
         await self._probe(channel)
 
     async def _probe(self, channel: Channel) -> None:
+        if self.endpoint.is_evacuated:
+            return
         sent_at_ms = self.clock.now_ms()
         self.probe_at_ms = sent_at_ms + PROBE_INTERVAL_MS
         self.counters.add("probes")
@@ -374,6 +393,8 @@
             self._add_connection(probing=False)
 
     def _may_send(self) -> bool:
+        if self.endpoint.is_evacuated:
+            return False
         return not self.policy.adaptive_limits or self.endpoint.active_exchanges < int(
             self.endpoint.limit.value
         )
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -46,7 +46,8 @@
     leaving. `is_tracked_by_discovery` is set where discovery follows the endpoint's heartbeats, and
     its health then never expires here; each start of it is an endpoint of its own, so once it has
     said that it is leaving, `has_departed` holds for good. `may_connect` tells whether this
-    instance may open connections to it. `in_flight` counts the requests handed over, those in the
+    instance may open connections to it, and `is_evacuated` whether the operator wants nothing sent
+    to its data centre. `in_flight` counts the requests handed over, those in the
     queue included; `active_exchanges` counts those taken by a connection.
     """
 
@@ -56,6 +57,7 @@
     on_change: OnChange = lambda endpoint, change, cause: None
     is_tracked_by_discovery: bool = False
     may_connect: bool = True
+    is_evacuated: bool = False
     in_flight: int = 0
     active_exchanges: int = 0
     latency: LatencyEstimate = field(default_factory=LatencyEstimate)
@@ -122,9 +124,10 @@
     def is_available(self, now_ms: float) -> bool:
         """Return whether this instance may send to it now.
 
-        That is if it may connect, the health is fresh, and the endpoint neither leaves nor pauses.
+        That is if it may connect, the data centre is not evacuated, the health is fresh, and the
+        endpoint neither leaves nor pauses.
         """
-        if not self.may_connect or self.is_paused(now_ms):
+        if not self.may_connect or self.is_evacuated or self.is_paused(now_ms):
             return False
         return self.is_health_fresh(now_ms) and not self.is_leaving(now_ms)
 
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -1,6 +1,7 @@
 """All endpoints of the active publication, and the connection pools to them."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -39,7 +40,8 @@
     of a large fleet forward to few services. `first_seen_ms_by_name` tells since when an endpoint
     is published, and `on_leaving` is called with the name of an endpoint whose own report says that
     it is leaving. `paused_until_ms_by_start` has the pauses of endpoints that were removed, by name
-    and start time, as they may return meanwhile.
+    and start time, as they may return meanwhile. `evacuation_ended_at_ms_by_data_centre` tells
+    when the last evacuation of a data centre ended, as its endpoints may be cold after it.
     """
 
     own_name: str
@@ -58,6 +60,8 @@
     first_seen_ms_by_name: dict[str, float] = field(default_factory=dict)
     on_leaving: Callable[[str], None] = lambda name: None
     paused_until_ms_by_start: dict[tuple[str, int], float] = field(default_factory=dict)
+    evacuated_data_centres: frozenset[str] = frozenset()
+    evacuation_ended_at_ms_by_data_centre: dict[str, float] = field(default_factory=dict)
     update_waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
     def endpoints_of(self, service: str) -> Iterable[Endpoint]:
@@ -96,6 +100,7 @@
         is reserved. It is None where no part is reserved for this instance.
         """
         self.publication = publication
+        self._apply_evacuations(publication.evacuated_data_centres)
         self.preferred_count = preferred_count
         self.subsets.set_instances(instances)
         self.subsets.retain_endpoints(publication.endpoints_by_name)
@@ -118,6 +123,50 @@
                 self._update_service(service)
         self._wake_update_waiters()
 
+    def _apply_evacuations(self, data_centres: frozenset[str]) -> None:
+        """Send nothing more to the endpoints of `data_centres`, and use those of others again.
+
+        Exchanges in flight run to their end; attempts that wait for a connection end at once.
+        """
+        before, self.evacuated_data_centres = self.evacuated_data_centres, data_centres
+        if before == data_centres:
+            return
+        now_ms = self.clock.now_ms()
+        endpoints = self.publication.endpoints_by_name.values()
+        count_by_data_centre = Counter(spec.data_centre for spec in endpoints)
+        for name in sorted(before - data_centres):
+            count = count_by_data_centre[name]
+            if count:
+                self.evacuation_ended_at_ms_by_data_centre[name] = now_ms
+            self._record_evacuation(name, "evacuation ended", count)
+        for name in sorted(data_centres - before):
+            self._record_evacuation(name, "evacuated", count_by_data_centre[name])
+        for connection_pool in self.connection_pools_by_name.values():
+            self._update_evacuation(connection_pool)
+
+    def _record_evacuation(self, data_centre: str, change: str, count: int) -> None:
+        self.counters.add("data_centre_changes", change)
+        self.audit.record(
+            f"data-centre/{data_centre}",
+            change,
+            cause=f"the operator, {count} endpoints there",
+            version=self.publication.version,
+        )
+
+    def _update_evacuation(self, connection_pool: ConnectionPool) -> None:
+        """Begin or end the evacuation of one endpoint, as its data centre is evacuated or not.
+
+        After it the endpoint may be cold, so the load returns as after a start.
+        """
+        endpoint = connection_pool.endpoint
+        data_centre = endpoint.spec.data_centre
+        ended_at_ms = self.evacuation_ended_at_ms_by_data_centre.get(data_centre)
+        if ended_at_ms is not None:
+            endpoint.available_since_ms = max(endpoint.available_since_ms, ended_at_ms)
+        is_evacuated = data_centre in self.evacuated_data_centres
+        if is_evacuated != endpoint.is_evacuated:
+            connection_pool.set_evacuated(is_evacuated)
+
     def apply_leaving_list(self, names: frozenset[str]) -> None:
         """Mark the endpoints that the instance list names as leaving, and no others."""
         self.leaving_names = names
@@ -212,6 +261,7 @@
         endpoint.limit.minimum = max(1, -(-service.slots // max(1, len(subset))))
         endpoint.set_listed_as_leaving(name in self.leaving_names, self.clock.now_ms())
         self.connection_pools_by_name[name] = connection_pool
+        self._update_evacuation(connection_pool)
         connection_pool.set_connection_limit(limit)
 
     def _connection_limit(self, subset: Sequence[str], cap: int) -> int:
--- a/src/radishmount/forwarding/_run.py
+++ b/src/radishmount/forwarding/_run.py
@@ -15,6 +15,7 @@
     determine_verdict,
     make_forward_record,
 )
+from radishmount.forwarding._service_progress import ServiceProgress
 
 
 __all__ = ["forward"]
@@ -98,11 +99,20 @@
     for progress in execution.progress_by_service.values():
         if progress.reply is not None:
             continue
-        code = Code.NO_ENDPOINT if progress.last_failure is None else progress.last_failure.code
+        code = _code_of(progress, execution.context)
         return Refusal(code, progress.service, ran, retry_after_ms)
     return Refusal(Code.DEADLINE_PASSED, ran=ran)
 
 
+def _code_of(progress: ServiceProgress, context: ForwardContext) -> Code:
+    """Return why a service has no reply."""
+    if progress.last_failure is not None:
+        return progress.last_failure.code
+    if any(endpoint.is_evacuated for endpoint in context.pool.endpoints_of(progress.service)):
+        return Code.DATA_CENTRE_EVACUATED
+    return Code.NO_ENDPOINT
+
+
 def _retry_after_ms(execution: ForwardExecution) -> float | None:
     """Return when a service without a reply has an endpoint again, None if it has one now.
 
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -200,6 +200,7 @@
             "publication_age_ms": self.active_publication.age_ms(),
             "endpoints_age_ms": view.endpoints_age_ms,
             "endpoints_known": float(len(self.pool.first_seen_ms_by_name)),
+            "evacuated_data_centres": float(len(self.pool.evacuated_data_centres)),
             "store_reached": float(self.follower.is_store_reachable),
             "instances_listed": float(len(self.control.fleet.listed_names)),
             "peer_streams": float(len(self.control.peers.sessions_by_name)),
--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -216,6 +216,7 @@
             "instance_list_version": float(self.fleet.list_version),
             "instances_listed": float(len(self.fleet.listed_names)),
             "endpoints_known": float(len(self.pool.connection_pools_by_name)),
+            "evacuated_data_centres": float(len(self.pool.evacuated_data_centres)),
         }
 
     def status(self) -> dict[str, Any]:
@@ -259,7 +260,11 @@
     An instance that cannot reach most endpoints is treated as overloaded, so that callers are
     sent to instances that reach them.
     """
-    connection_pools = pool.connection_pools_by_name.values()
+    connection_pools = [
+        connection_pool
+        for connection_pool in pool.connection_pools_by_name.values()
+        if not connection_pool.endpoint.is_evacuated
+    ]
     if not connection_pools:
         return 0.0
     eligible = [
--- a/src/radishmount/platform/_store_client.py
+++ b/src/radishmount/platform/_store_client.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 import orjson
-from pydantic import Field, ValidationError
+from pydantic import Field, TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
 from radishmount.border import (
@@ -24,13 +24,18 @@
     ConfigurationEntry,
     EndpointEntry,
     EndpointRemoval,
+    EvacuationEntry,
     ListedEndpoint,
     StoreAnswer,
     StoreEntry,
     StoreFailure,
     StoreFailureKind,
 )
-from radishmount.platform._protocol_names import CONFIGURATION_KEY, ENDPOINT_PREFIX
+from radishmount.platform._protocol_names import (
+    CONFIGURATION_KEY,
+    ENDPOINT_PREFIX,
+    EVACUATION_PREFIX,
+)
 from radishmount.platform._settings import PlatformModel
 from radishmount.platform._sockets import make_keepalive_socket
 
@@ -41,6 +46,7 @@
 ALL_KEYS_PREFIX = ""
 MAX_FAULT_LENGTH = 200
 MAX_ANSWER_BYTES = 16 * 1024 * 1024  # several times a page, or a watch that returns much history
+DATA_CENTRE_NAME: TypeAdapter[str] = TypeAdapter(DataCentreName)
 
 
 class BackendModel(PlatformModel):
@@ -207,6 +213,8 @@
     for item in items:
         if item.key == CONFIGURATION_KEY and not item.removed:
             entries.append(ConfigurationEntry(_decode_configuration(item.value)))
+        if item.key.startswith(EVACUATION_PREFIX):
+            entries.extend(_parse_evacuation(item))
         if not item.key.startswith(ENDPOINT_PREFIX):
             continue
         name = item.key.removeprefix(ENDPOINT_PREFIX)
@@ -225,6 +233,18 @@
             return EndpointEntry(name, None, fault)
 
 
+def _parse_evacuation(item: ItemModel) -> list[StoreEntry]:
+    """Return the evacuation of a key, whatever its value; none if it names no data centre.
+
+    Names are checked here as peers check them, who would refuse a whole message for one of them.
+    """
+    try:
+        name = DATA_CENTRE_NAME.validate_python(item.key.removeprefix(EVACUATION_PREFIX))
+    except ValueError:
+        return []
+    return [EvacuationEntry(name, not item.removed)]
+
+
 def _decode_configuration(value: str) -> bytes:
     """Return the configuration in `value`; text that is not base64 is returned for its error."""
     try:
--- a/src/radishmount/publication/_check.py
+++ b/src/radishmount/publication/_check.py
@@ -6,7 +6,15 @@
 from radishmount.codes import Code
 from radishmount.publication._diagnostic import Diagnostic, PublishedObject, subject_of
 from radishmount.publication._key_range import KeyRange
-from radishmount.publication._objects import Caller, Collection, EndpointSpec, Rule, Service, Shard
+from radishmount.publication._objects import (
+    Caller,
+    Collection,
+    EndpointSpec,
+    Evacuation,
+    Rule,
+    Service,
+    Shard,
+)
 from radishmount.publication._partitioning import check_partitioning
 from radishmount.publication._publication import Publication
 
@@ -45,6 +53,8 @@
         diagnostics.extend(_check_rule(rule, publication, unreadable_subjects))
     for caller in publication.callers_by_name.values():
         diagnostics.extend(_check_caller(caller, publication, unreadable_subjects))
+    for evacuation in publication.evacuations_by_name.values():
+        diagnostics.extend(_check_evacuation(evacuation, publication, unreadable_subjects))
     shards_by_collection = _shards_by_collection(publication)
     has_unreadable_shard = any(subject.startswith("shard/") for subject in unreadable_subjects)
     for collection in publication.collections_by_name.values():
@@ -152,6 +162,15 @@
     return diagnostics
 
 
+def _check_evacuation(
+    evacuation: Evacuation, publication: Publication, unreadable_subjects: frozenset[str]
+) -> list[Diagnostic]:
+    data_centre = f"data-centre/{evacuation.data_centre}"
+    if _is_dangling(data_centre, publication.data_centres_by_name, unreadable_subjects):
+        return [Diagnostic(Code.DANGLING_REFERENCE, subject_of(evacuation), data_centre)]
+    return []
+
+
 def _check_collection(collection: Collection) -> list[Diagnostic]:
     subject = subject_of(collection)
     diagnostics = []
--- a/src/radishmount/publication/_diagnostic.py
+++ b/src/radishmount/publication/_diagnostic.py
@@ -7,6 +7,7 @@
     Caller,
     Collection,
     DataCentre,
+    Evacuation,
     Rule,
     Service,
     Shard,
@@ -15,7 +16,7 @@
 
 __all__ = ["Diagnostic", "PublishedObject", "subject_of"]
 
-PublishedObject = DataCentre | Service | Collection | Shard | Rule | Caller
+PublishedObject = DataCentre | Service | Collection | Shard | Rule | Caller | Evacuation
 
 KIND_BY_TYPE: dict[type, str] = {
     DataCentre: "data-centre",
@@ -24,6 +25,7 @@
     Shard: "shard",
     Rule: "rule",
     Caller: "caller",
+    Evacuation: "evacuation",
 }
 
 
--- a/src/radishmount/publication/_diff.py
+++ b/src/radishmount/publication/_diff.py
@@ -66,6 +66,7 @@
         publication.shards_by_name,
         publication.rules_by_name,
         publication.callers_by_name,
+        publication.evacuations_by_name,
     ):
         for item in by_name.values():
             by_subject[subject_of(item)] = item
--- a/src/radishmount/publication/_objects.py
+++ b/src/radishmount/publication/_objects.py
@@ -11,6 +11,7 @@
     "Collection",
     "DataCentre",
     "EndpointSpec",
+    "Evacuation",
     "Part",
     "Preference",
     "Rule",
@@ -34,6 +35,14 @@
     region: str
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """The operator's wish that nothing more is sent to the endpoints of a data centre."""
+
+    name: str
+    data_centre: str
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointSpec:
     """One back end of a service. `address` is an IP address and a port.
--- a/src/radishmount/publication/_publication.py
+++ b/src/radishmount/publication/_publication.py
@@ -12,6 +12,7 @@
     Collection,
     DataCentre,
     EndpointSpec,
+    Evacuation,
     Rule,
     Service,
     Shard,
@@ -34,6 +35,7 @@
     shards_by_name: Mapping[str, Shard] = field(default_factory=dict)
     rules_by_name: Mapping[str, Rule] = field(default_factory=dict)
     callers_by_name: Mapping[str, Caller] = field(default_factory=dict)
+    evacuations_by_name: Mapping[str, Evacuation] = field(default_factory=dict)
     routes: RouteTable = EMPTY_ROUTES
     caller_limits: CallerLimits = DEFAULT_CALLER_LIMITS
 
@@ -55,6 +57,11 @@
                 by_endpoint[endpoint.name] = service
         return by_endpoint
 
+    @cached_property
+    def evacuated_data_centres(self) -> frozenset[str]:
+        """Return the data centres to whose endpoints nothing more may be sent."""
+        return frozenset(item.data_centre for item in self.evacuations_by_name.values())
+
     @cached_property
     def shards_by_collection(self) -> Mapping[str, tuple[Shard, ...]]:
         """Return the shards of each collection, of all index versions, sorted by low key."""
--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -17,6 +17,7 @@
     ConfigurationEntry,
     EndpointList,
     EndpointRemoval,
+    EvacuationEntry,
     ListedEndpoint,
     StoreAnswer,
     StoreEntry,
@@ -345,3 +346,28 @@
 
             assert [listed.name for listed in endpoints.present_endpoints()] == ["b"]
             assert set(endpoints.by_name) == {"a", "b"}
+
+
+class TestEvacuations:
+    """What the operator says of data centres does not lapse as endpoints' entries do."""
+
+    async def test_an_end_after_an_outage_takes_effect_at_once(self) -> None:
+        """Guards against the grace of endpoints' entries, which lapse in an outage, for it."""
+        async with follow_store(endpoint_entry("a"), EvacuationEntry("milano", True)) as harness:
+            await asyncio.sleep(1.0)
+            harness.store.failure_kind = StoreFailureKind.UNAVAILABLE
+            await asyncio.sleep(10.0)
+            harness.store.write(EvacuationEntry("milano", False))
+            harness.store.failure_kind = None
+            await asyncio.sleep(2.0)
+
+            assert harness.follower.endpoints.evacuated_data_centres == frozenset()
+
+    async def test_a_peer_that_knows_only_the_beginning_is_told_of_the_end(self) -> None:
+        """Guards against a watch that returns both, which change nothing together."""
+        async with follow_store(endpoint_entry("a")) as harness:
+            await asyncio.sleep(1.0)
+            harness.store.write(EvacuationEntry("milano", True), EvacuationEntry("milano", False))
+            await asyncio.sleep(1.0)
+
+            assert [news.evacuated for news in harness.news] == [()]
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -131,7 +131,9 @@
         retry_settings: RetryBudgetSettings | None = None,
         cold_ms_by_name: Mapping[str, float] | None = None,
         replicas: str = "abc",
+        data_centre_by_replica: Mapping[str, str] | None = None,
     ) -> None:
+        self.data_centre_by_replica = data_centre_by_replica or {}
         self.cold_ms_by_name = cold_ms_by_name or {}
         self.clock: Clock = loop_clock(asyncio.get_running_loop())
         self.counters = Counters()
@@ -174,8 +176,9 @@
         listed = self.listed
         for name, endpoint in self.endpoints_by_name.items():
             cold_for_ms = self.cold_ms_by_name.get(name, 0.0)
+            data_centre = self.data_centre_by_replica.get(name[-1], DATA_CENTRE)
             entry = ListedEndpoint(
-                name, endpoint.service, name, DATA_CENTRE, slots=2, cold_for_ms=cold_for_ms
+                name, endpoint.service, name, data_centre, slots=2, cold_for_ms=cold_for_ms
             )
             listed.put(name, entry, 0.0)
         services = {name: Service(name, 0, CONNECTIONS, ()) for name in service_names}
--- a/tests/publication/test_broken_sets.py
+++ b/tests/publication/test_broken_sets.py
@@ -25,6 +25,7 @@
         "17 caller/shop DANGLING_REFERENCE",
         "17 caller/shop DANGLING_REFERENCE",
         "18 shard/lost DANGLING_REFERENCE",
+        "19 evacuation/drill DANGLING_REFERENCE",
         "4 service/one DANGLING_REFERENCE",
     ],
     "duplicate-address": ["7 service/two DUPLICATE_ADDRESS"],
--- a/tests/store_harness.py
+++ b/tests/store_harness.py
@@ -22,6 +22,7 @@
     EndpointEntry,
     EndpointList,
     EndpointRemoval,
+    EvacuationEntry,
     ListedEndpoint,
     StoreAnswer,
     StoreEntry,
@@ -42,6 +43,20 @@
     return EndpointEntry(name, ListedEndpoint(name, "s", "10.0.0.1:1", "milano", 2))
 
 
+def _key_of(entry: StoreEntry) -> str:
+    if isinstance(entry, ConfigurationEntry):
+        return "configuration"
+    if isinstance(entry, EvacuationEntry):
+        return f"evacuation/{entry.data_centre}"
+    return f"endpoint/{entry.name}"
+
+
+def _is_removal(entry: StoreEntry) -> bool:
+    if isinstance(entry, EvacuationEntry):
+        return not entry.is_requested
+    return isinstance(entry, EndpointRemoval)
+
+
 @dataclass
 class FakeStore:
     """An in-memory store. While `failure_kind` is set, every call fails with it.
@@ -109,10 +124,10 @@
         """
         listed: dict[str, tuple[int, StoreEntry]] = {}
         for revision, entry in [*((1, entry) for entry in self.entries), *self.events]:
-            name = "" if isinstance(entry, ConfigurationEntry) else entry.name
-            listed.pop(name, None)
-            if not isinstance(entry, EndpointRemoval):
-                listed[name] = (revision, entry)
+            key = _key_of(entry)
+            listed.pop(key, None)
+            if not _is_removal(entry):
+                listed[key] = (revision, entry)
         return list(listed.values())
 
     def _failure(self) -> Err[StoreFailure]:
@@ -178,6 +193,11 @@
         wanted = set(names)
         return {n for n, i in self.by_name.items() if set(i.endpoints.by_name) == wanted}
 
+    def instances_evacuating(self, *data_centres: str) -> set[str]:
+        """Return the instances for which exactly `data_centres` are evacuated."""
+        wanted = set(data_centres)
+        return {n for n, i in self.by_name.items() if i.endpoints.evacuated_data_centres == wanted}
+
     async def kill(self, name: str) -> None:
         """Stop an instance without a leaving message."""
         self.network.down_names.add(name)
