Send callers without replicas in their data centre to instances beside them

Cause: where a data centre has callers and no replica of the shards that they search, its instances send every sub-request to another data centre: some 50 KB cross for a search whose merged answer has 2 KB.

Change: the directory knows the host that a caller asks for. ReplicaPlacement keeps, for each host whose routes fan out, which data centres hold replicas of its shards, from the published endpoints. Hosts of single services, and hosts without any better data centre, are answered as before.

Tests: the one over loopback fails when the directory ignores the host (the caller gets the instances of its own data centre).

--- a/src/radishmount/fleet/__init__.py
+++ b/src/radishmount/fleet/__init__.py
@@ -48,6 +48,7 @@
 )
 from radishmount.fleet._preferred import (
     FleetShares,
+    choose_beside_replicas,
     choose_preferred,
     fleet_shares,
     preferred_names,
@@ -112,6 +113,7 @@
     "choose_addresses",
     "FleetShares",
     "preferred_names",
+    "choose_beside_replicas",
     "choose_preferred",
     "fleet_shares",
     "fallback_interval_ms",
--- a/src/radishmount/fleet/_preferred.py
+++ b/src/radishmount/fleet/_preferred.py
@@ -1,14 +1,21 @@
 """The instances that callers are sent to, and how budgets are divided over the fleet."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from itertools import zip_longest
 
 from radishmount.fleet._fleet import Fleet
 from radishmount.fleet._instance import Instance
 from radishmount.rendezvous import rank
 
 
-__all__ = ["FleetShares", "preferred_names", "choose_preferred", "fleet_shares"]
+__all__ = [
+    "FleetShares",
+    "choose_beside_replicas",
+    "choose_preferred",
+    "fleet_shares",
+    "preferred_names",
+]
 
 MIN_PREFERRED = 2  # if one is lost, its callers still have another
 FAST_CAPACITY_RATIO = 0.5  # of the highest capacity; slower ones answer the same requests too late
@@ -43,6 +50,31 @@
     return tuple(_choose(_usable_instances(fleet), data_centre)[:limit])
 
 
+def choose_beside_replicas(
+    fleet: Fleet, replica_data_centres: Collection[str], data_centre: str, limit: int
+) -> tuple[Instance, ...]:
+    """Return at most `limit` instances of `replica_data_centres` for a caller in `data_centre`.
+
+    They are the fast instances of each, in turn, so that a caller that picks any of them uses all
+    data centres, also where there are more than `limit`. All of them are preferred for the callers
+    of their own data centre as well. Where fewer than `MIN_PREFERRED` are usable, those that are
+    preferred for `data_centre` follow.
+    """
+    usable = _usable_instances(fleet)
+    groups = [
+        _fast_instances([instance for instance in usable if instance.data_centre == name])
+        for name in sorted(replica_data_centres)
+    ]
+    if sum(len(group) for group in groups) > limit:
+        groups = [_sort_by_capacity(group, data_centre) for group in groups]
+    chosen = [
+        instance for turn in zip_longest(*groups) for instance in turn if instance is not None
+    ]
+    if len(chosen) < MIN_PREFERRED:
+        chosen += [i for i in _choose(usable, data_centre) if i not in chosen]
+    return tuple(chosen[:limit])
+
+
 def preferred_names(fleet: Fleet) -> frozenset[str]:
     """Return the names of all instances that callers in any data centre are sent to."""
     usable = _usable_instances(fleet)
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -23,6 +23,7 @@
     Instance,
     MemberState,
     SlowEndpointGossip,
+    choose_beside_replicas,
     choose_preferred,
     fleet_shares,
     preferred_names,
@@ -41,7 +42,12 @@
 from radishmount.logs import Emit, RequestLog
 from radishmount.planned_stop import PlannedStop
 from radishmount.policy import QueryPolicy
-from radishmount.publication import ActivePublication, Publication, ReadBundle
+from radishmount.publication import (
+    ActivePublication,
+    Publication,
+    ReadBundle,
+    ReplicaPlacement,
+)
 from radishmount.queries import ExplainableRecord, ExplainLog
 from radishmount.tasks import TaskSupervisor
 
@@ -98,6 +104,7 @@
     pool: EndpointPool
     forward_context: ForwardContext
     slow_endpoint_gossip: SlowEndpointGossip
+    replica_placement: ReplicaPlacement
     audit: AuditTrail
     counters: Counters
     tasks: TaskSupervisor
@@ -204,6 +211,9 @@
             "instances_listed": float(len(self.control.fleet.listed_names)),
             "peer_streams": float(len(self.control.peers.sessions_by_name)),
             "forwarding": float(self.in_flight),
+            "hosts_served_elsewhere": float(
+                self.replica_placement.count_sent_away(self.dependencies.own.data_centre)
+            ),
         }
 
     def status(self) -> dict[str, Any]:
@@ -235,10 +245,20 @@
         self.forward_context.on_record(record)
         return Err(refusal)
 
-    def addresses(self, data_centre: str) -> CallerAddresses:
-        """Return the addresses of the preferred instances for a caller in `data_centre`."""
-        preferred = choose_preferred(self.control.fleet, data_centre, MAX_ADDRESSES)
-        addresses = tuple(instance.caller_address for instance in preferred)
+    def addresses(self, data_centre: str, host: str = "") -> CallerAddresses:
+        """Return the addresses of the preferred instances for a caller of `host`.
+
+        They are in its `data_centre`, or beside the replicas that its searches need.
+        """
+        fleet = self.control.fleet
+        replica_data_centres = self.replica_placement.data_centres_for(host, data_centre)
+        if replica_data_centres:
+            chosen = choose_beside_replicas(fleet, replica_data_centres, data_centre, MAX_ADDRESSES)
+        else:
+            chosen = choose_preferred(fleet, data_centre, MAX_ADDRESSES)
+        place = "beside the replicas" if replica_data_centres else "own data centre"
+        self.counters.add("addresses_given", place)
+        addresses = tuple(instance.caller_address for instance in chosen)
         return CallerAddresses(addresses, self._addresses_valid_for_ms())
 
     def _addresses_valid_for_ms(self) -> float:
@@ -247,6 +267,7 @@
     async def update_endpoints(self) -> None:
         """Update the connection pools to the publication, the endpoints and the instances."""
         publication = self.endpoints.merge_into(self.publication)
+        self.replica_placement.apply(publication)
         is_preferred = self.dependencies.own.name in self.preferred_names
         preferred_count = (
             len(self.preferred_names) if is_preferred and self.control.roster.is_settled() else None
@@ -373,6 +394,7 @@
         pool=pool,
         forward_context=forward_context,
         slow_endpoint_gossip=slow_endpoint_gossip,
+        replica_placement=ReplicaPlacement(audit),
         audit=audit,
         counters=counters,
         tasks=TaskSupervisor(clock, audit, counters),
--- a/src/radishmount/platform/_ingress.py
+++ b/src/radishmount/platform/_ingress.py
@@ -103,7 +103,8 @@
             return web.Response(status=HTTPStatus.NOT_FOUND)
         query = parse_qs(request.query_string)
         zone = query.get("zone", [""])[0]
-        answer = gateway.addresses(zone)
+        host = query.get("name", [""])[0].partition(":")[0].lower()
+        answer = gateway.addresses(zone, host)
         if not answer.addresses:
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         body = {"addrs": list(answer.addresses), "ttl_s": answer.valid_for_ms / 1000.0}
--- a/src/radishmount/publication/__init__.py
+++ b/src/radishmount/publication/__init__.py
@@ -18,6 +18,7 @@
     Shard,
 )
 from radishmount.publication._publication import EMPTY_PUBLICATION, Publication
+from radishmount.publication._replica_placement import ReplicaPlacement
 
 
 __all__ = [
@@ -39,6 +40,7 @@
     "Publication",
     "PublishedObject",
     "ReadBundle",
+    "ReplicaPlacement",
     "Rule",
     "Service",
     "Shard",
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 import aiohttp
 import orjson
@@ -17,6 +18,7 @@
     single_route,
     start_platform_harness,
 )
+from radishmount.fleet import InstanceList
 from radishmount.standins import ReceivedRequest
 
 
@@ -182,6 +184,28 @@
         assert len(answer["addrs"]) == 1
         assert 0 < answer["ttl_s"] <= 5
 
+    async def test_callers_without_replicas_are_sent_beside_them(
+        self, harness: PlatformHarness
+    ) -> None:
+        """Pattern: a data centre has callers and instances, and no replica of any shard."""
+        for shard in ("s1", "s2"):
+            await harness.add_back_end(shard, f"{shard}-b")
+        await harness.publish(3, fan_out_route(["s1", "s2"]))
+        fleet = harness.instance.gateway.control.fleet
+        own = fleet.by_name["front-1"]
+        others = [replace(own, name="front-2"), replace(own, name="front-3", data_centre="z2")]
+        addressed = [replace(i, caller_address=f"{i.name}:80") for i in (own, *others)]
+        fleet.apply_list(InstanceList(fleet.list_version + 1, tuple(addressed)))
+
+        addresses_by_zone = {}
+        for zone in ("z1", "z2"):
+            _, body = await harness.get(2, f"/-/resolve?name={HOST}&region=r1&zone={zone}")
+            addresses_by_zone[zone] = set(orjson.loads(body)["addrs"])
+        _, body = await harness.get(2, "/-/resolve?name=other.example&region=r1&zone=z2")
+
+        assert addresses_by_zone == dict.fromkeys(("z1", "z2"), {"front-1:80", "front-2:80"})
+        assert "front-3:80" in orjson.loads(body)["addrs"]
+
     async def test_a_leaving_instance_is_not_ready_but_still_serves_requests(
         self, harness: PlatformHarness
     ) -> None:
