Keep first attempts in the own data centre, and spill over by expected times

Cause: a replica elsewhere weighed an eighth of one at home, drawn at random, and one pause of an endpoint raised its estimated latency for seconds. So a part of the requests crossed in calm.

Change: first the data centre is chosen, then the replica. All requests stay as long as the expected time at home is below 1.5 times the best one elsewhere; from there to 2.5 times the share falls to none. The latency that counts at home leaves out a single pause (SteadyLatency). A replica that gets hardly any requests is probed with one every 2 s.

--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -5,6 +5,7 @@
 
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._latency import decay_weight
+from radishmount.endpoints._locality import home_share, needs_probe, steady_ratio
 from radishmount.policy import DEFAULT_POLICY, QueryPolicy
 
 
@@ -27,8 +28,6 @@
 SHED_WEIGHT = 8.0
 FAILURE_WEIGHT = 2.0
 MIN_EXPECTED_MS = 0.1  # below the resolution of the clock
-# Traffic between data centres is limited and costs more. Replies from elsewhere are later, too.
-OTHER_DATA_CENTRE_FACTOR = 2.0
 WEIGHT_EXPONENT = 3.0  # a replica that is four times slower gets one request in sixty-five
 
 ChooseEndpoint = Callable[[Iterable[Endpoint], Collection[str], float], Endpoint | None]
@@ -71,11 +70,40 @@
 ) -> ChooseEndpoint:
     """Return a function that chooses at random, fast replicas far more often than slow ones.
 
-    So instances with the same knowledge do not all choose the same replica. A slow one still gets
-    a request from time to time, which shows when it has recovered. A replica in another data centre
-    counts as slower than it is.
+    So instances with the same knowledge do not all choose the same replica. Replicas of the own
+    data centre are used for as long as they answer nearly as fast as those elsewhere, and the share
+    that leaves grows with their load, latency and failures.
     """
 
+    def cost_ms(endpoint: Endpoint, fastest_ms: float, now_ms: float) -> float:
+        expected_ms = expected_completion_ms(endpoint, own_data_centre, fastest_ms, now_ms, policy)
+        return max(expected_ms, MIN_EXPECTED_MS) / endpoint.success_rate.rate_at(now_ms)
+
+    def draw(candidates: list[Endpoint], fastest_ms: float, now_ms: float) -> Endpoint:
+        if len(candidates) == 1:
+            return candidates[0]
+        weights = []
+        for endpoint in candidates:
+            weight = slow_start_weight(endpoint, now_ms) if policy.ramp else 1.0
+            weights.append(weight * cost_ms(endpoint, fastest_ms, now_ms) ** -WEIGHT_EXPONENT)
+        return random.choices(candidates, weights)[0]
+
+    def stays_home(
+        home: list[Endpoint], away: list[Endpoint], fastest_ms: float, now_ms: float
+    ) -> bool:
+        away_ms = min([cost_ms(endpoint, fastest_ms, now_ms) for endpoint in away])
+        costs_ms = [cost_ms(endpoint, fastest_ms, now_ms) for endpoint in home]
+        share = home_share(min(costs_ms), away_ms)
+        if share < 1.0:
+            for n, endpoint in enumerate(home):
+                costs_ms[n] *= steady_ratio(endpoint, fastest_ms, now_ms)
+            share = home_share(min(costs_ms), away_ms)
+        if policy.ramp:
+            share *= _relative_weight(home, away, now_ms)
+        if share >= 1.0 or random.random() < share:
+            return True
+        return any(needs_probe(endpoint, now_ms) for endpoint in home)
+
     def choose(
         replicas: Iterable[Endpoint], excluded: Collection[str], now_ms: float
     ) -> Endpoint | None:
@@ -83,15 +111,14 @@
         if len(candidates) <= 1:
             return candidates[0] if candidates else None
         fastest_ms = _fastest_ms(candidates)
-        weights = []
-        for endpoint in candidates:
-            cost_ms = expected_completion_ms(endpoint, own_data_centre, fastest_ms, now_ms, policy)
-            cost_ms = max(cost_ms, MIN_EXPECTED_MS) / endpoint.success_rate.rate_at(now_ms)
-            if policy.own_data_centre_first and endpoint.spec.data_centre != own_data_centre:
-                cost_ms *= OTHER_DATA_CENTRE_FACTOR
-            weight = slow_start_weight(endpoint, now_ms) if policy.ramp else 1.0
-            weights.append(weight * cost_ms**-WEIGHT_EXPONENT)
-        return random.choices(candidates, weights)[0]
+        home = [e for e in candidates if e.spec.data_centre == own_data_centre]
+        if not policy.own_data_centre_first or not 0 < len(home) < len(candidates):
+            return draw(candidates, fastest_ms, now_ms)
+        for endpoint in home:
+            fastest_ms = min(fastest_ms, endpoint.steady_latency.usual_ms)
+        away = [e for e in candidates if e.spec.data_centre != own_data_centre]
+        stays = stays_home(home, away, fastest_ms, now_ms)
+        return draw(home if stays else away, fastest_ms, now_ms)
 
     return choose
 
@@ -154,6 +181,15 @@
     return [e for e, w in zip(sampled, weights, strict=True) if random.random() * max_weight < w]
 
 
+def _relative_weight(home: list[Endpoint], away: list[Endpoint], now_ms: float) -> float:
+    """Return the slow start weight of the best of `home`, relative to the best of all."""
+    home_weight = max([slow_start_weight(endpoint, now_ms) for endpoint in home])
+    if home_weight >= 1.0:
+        return 1.0
+    away_weight = max([slow_start_weight(endpoint, now_ms) for endpoint in away])
+    return home_weight / max(home_weight, away_weight)
+
+
 def _fastest_ms(sampled: list[Endpoint]) -> float:
     known = [e.latency.value_ms for e in sampled if e.latency.value_ms is not None]
     return min(known) if known else UNKNOWN_LATENCY_MS
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -8,6 +8,7 @@
 from radishmount.endpoints._exchange import Failure, LoadReport
 from radishmount.endpoints._latency import LatencyEstimate
 from radishmount.endpoints._limit import InFlightLimit
+from radishmount.endpoints._steady_latency import SteadyLatency
 from radishmount.endpoints._success_rate import SuccessRate
 from radishmount.publication import EndpointSpec
 
@@ -59,6 +60,7 @@
     in_flight: int = 0
     active_exchanges: int = 0
     latency: LatencyEstimate = field(default_factory=LatencyEstimate)
+    steady_latency: SteadyLatency = field(default_factory=SteadyLatency)
     success_rate: SuccessRate = field(default_factory=SuccessRate)
     limit: InFlightLimit = field(default_factory=InFlightLimit)
     ejection: Ejection = field(default_factory=Ejection)
@@ -184,8 +186,10 @@
         self.ejection.record_reply()
         if is_error:
             self.latency.add_if_slower(latency_ms, now_ms)
+            self.steady_latency.observed_at_ms = now_ms
         else:
             self.latency.add(latency_ms, now_ms)
+            self.steady_latency.add(latency_ms, now_ms)
             self.success_rate.record_success(now_ms)
         is_queueing = report.queued > self.usable_slots
         if is_queueing:
@@ -230,8 +234,11 @@
         """
         if failure.code in UNSUCCESSFUL_CODES and sent_at_ms is not None:
             self.success_rate.record_failure(now_ms)
+        if sent_at_ms is not None:
+            self.steady_latency.observed_at_ms = now_ms
         if sent_at_ms is not None and failure.code in (Code.TIMED_OUT, Code.CANCELLED):
             self.latency.add_lower_bound(now_ms - sent_at_ms, now_ms)
+            self.steady_latency.add_lower_bound(now_ms - sent_at_ms, now_ms)
         if failure.code is Code.SHED:
             self.shed_at_ms = now_ms
             self.limit.decrease_from(self.active_exchanges, now_ms)
--- /dev/null
+++ b/src/radishmount/endpoints/_locality.py
@@ -0,0 +1,49 @@
+"""How much of the load of a service stays at its replicas in the own data centre."""
+
+from math import inf
+
+from radishmount.endpoints._endpoint import Endpoint
+from radishmount.endpoints._steady_latency import USUAL_PAUSE_MS
+
+
+__all__ = ["home_share", "needs_probe", "steady_ratio"]
+
+# The ratio of the expected times, in the own data centre over elsewhere, from which on requests
+# leave, and at which nearly all of them do.
+SPILL_FROM_RATIO = 1.5
+SPILL_ALL_RATIO = 2.5
+PROBE_INTERVAL_MS = 2_000.0
+
+
+def home_share(home_ms: float, away_ms: float) -> float:
+    """Return the share of requests that stay, by the expected times in and out of the data centre.
+
+    All stay while the replicas of the own data centre are nearly as fast as the others: crossing
+    data centres costs money, and time too. The share falls without a step, and each instance draws
+    for itself, so that instances with the same knowledge do not all move at once. What leaves makes
+    the others slower, which brings the share back.
+    """
+    spilled = (home_ms / away_ms - SPILL_FROM_RATIO) / (SPILL_ALL_RATIO - SPILL_FROM_RATIO)
+    return 1.0 - min(1.0, max(0.0, spilled))
+
+
+def steady_ratio(endpoint: Endpoint, fastest_ms: float, now_ms: float) -> float:
+    """Return by how much the estimated latency falls if ordinary pauses are left out, at most 1."""
+    if endpoint.steady_latency.value_ms is None:
+        return 1.0  # known from peers only
+    estimated_ms = endpoint.estimated_latency_ms(fastest_ms, now_ms)
+    steady_ms = endpoint.steady_latency.decayed_towards(fastest_ms, now_ms)
+    open_for_ms = endpoint.oldest_exchange_age_ms(now_ms)
+    if open_for_ms >= USUAL_PAUSE_MS:
+        steady_ms = max(steady_ms, open_for_ms)
+    return min(1.0, steady_ms / estimated_ms) if estimated_ms > 0.0 else 1.0
+
+
+def needs_probe(endpoint: Endpoint, now_ms: float) -> bool:
+    """Return whether one request should show how an endpoint is that gets hardly any.
+
+    What only peers have seen of an endpoint is not probed here, as it is forgotten within seconds.
+    """
+    if endpoint.in_flight:
+        return False
+    return PROBE_INTERVAL_MS <= now_ms - endpoint.steady_latency.observed_at_ms < inf
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -152,6 +152,7 @@
             connection_pool = self.connection_pools_by_name.get(name)
             if connection_pool is not None:
                 connection_pool.endpoint.latency.add_lower_bound(latency_ms, now_ms)
+                connection_pool.endpoint.steady_latency.add_hint(latency_ms, now_ms)
 
     def peers_sharing(self, name: str) -> list[str]:
         """Return the other instances that may connect to the endpoint `name`."""
