--- a/src/radishmount/publication/__init__.py
+++ b/src/radishmount/publication/__init__.py
@@ -19,6 +19,7 @@
     Shard,
 )
 from radishmount.publication._publication import EMPTY_PUBLICATION, Publication
+from radishmount.publication._replica_placement import ReplicaPlacement
 
 
 __all__ = [
@@ -41,6 +42,7 @@
     "Publication",
     "PublishedObject",
     "ReadBundle",
+    "ReplicaPlacement",
     "Rule",
     "Service",
     "Shard",
