--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -268,7 +268,7 @@
     async def update_endpoints(self) -> None:
         """Update the connection pools to the publication, the endpoints and the instances."""
         publication = self.endpoints.merge_into(self.publication)
-        self.replica_placement.apply(publication)
+        self.replica_placement.apply(publication, publication.evacuated_data_centres)
         is_preferred = self.dependencies.own.name in self.preferred_names
         preferred_count = (
             len(self.preferred_names) if is_preferred and self.control.roster.is_settled() else None
