--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -8,6 +8,7 @@
 from radishmount.endpoints._exchange import Failure, LoadReport
 from radishmount.endpoints._latency import LatencyEstimate
 from radishmount.endpoints._limit import InFlightLimit
+from radishmount.endpoints._steady_latency import SteadyLatency
 from radishmount.endpoints._success_rate import SuccessRate
 from radishmount.publication import EndpointSpec
 
@@ -46,7 +47,8 @@
     leaving. `is_tracked_by_discovery` is set where discovery follows the endpoint's heartbeats, and
     its health then never expires here; each start of it is an endpoint of its own, so once it has
     said that it is leaving, `has_departed` holds for good. `may_connect` tells whether this
-    instance may open connections to it. `in_flight` counts the requests handed over, those in the
+    instance may open connections to it, and `is_evacuated` whether the operator wants nothing sent
+    to its data centre. `in_flight` counts the requests handed over, those in the
     queue included; `active_exchanges` counts those taken by a connection.
     """
 
@@ -56,9 +58,11 @@
     on_change: OnChange = lambda endpoint, change, cause: None
     is_tracked_by_discovery: bool = False
     may_connect: bool = True
+    is_evacuated: bool = False
     in_flight: int = 0
     active_exchanges: int = 0
     latency: LatencyEstimate = field(default_factory=LatencyEstimate)
+    steady_latency: SteadyLatency = field(default_factory=SteadyLatency)
     success_rate: SuccessRate = field(default_factory=SuccessRate)
     limit: InFlightLimit = field(default_factory=InFlightLimit)
     ejection: Ejection = field(default_factory=Ejection)
@@ -122,9 +126,10 @@
     def is_available(self, now_ms: float) -> bool:
         """Return whether this instance may send to it now.
 
-        That is if it may connect, the health is fresh, and the endpoint neither leaves nor pauses.
+        That is if it may connect, the data centre is not evacuated, the health is fresh, and the
+        endpoint neither leaves nor pauses.
         """
-        if not self.may_connect or self.is_paused(now_ms):
+        if not self.may_connect or self.is_evacuated or self.is_paused(now_ms):
             return False
         return self.is_health_fresh(now_ms) and not self.is_leaving(now_ms)
 
@@ -184,8 +189,10 @@
         self.ejection.record_reply()
         if is_error:
             self.latency.add_if_slower(latency_ms, now_ms)
+            self.steady_latency.observed_at_ms = now_ms
         else:
             self.latency.add(latency_ms, now_ms)
+            self.steady_latency.add(latency_ms, now_ms)
             self.success_rate.record_success(now_ms)
         is_queueing = report.queued > self.usable_slots
         if is_queueing:
@@ -230,8 +237,11 @@
         """
         if failure.code in UNSUCCESSFUL_CODES and sent_at_ms is not None:
             self.success_rate.record_failure(now_ms)
+        if sent_at_ms is not None:
+            self.steady_latency.observed_at_ms = now_ms
         if sent_at_ms is not None and failure.code in (Code.TIMED_OUT, Code.CANCELLED):
             self.latency.add_lower_bound(now_ms - sent_at_ms, now_ms)
+            self.steady_latency.add_lower_bound(now_ms - sent_at_ms, now_ms)
         if failure.code is Code.SHED:
             self.shed_at_ms = now_ms
             self.limit.decrease_from(self.active_exchanges, now_ms)
--- a/src/radishmount/publication/__init__.py
+++ b/src/radishmount/publication/__init__.py
@@ -11,6 +11,7 @@
     Collection,
     DataCentre,
     EndpointSpec,
+    Evacuation,
     Part,
     Preference,
     Rule,
@@ -18,6 +19,7 @@
     Shard,
 )
 from radishmount.publication._publication import EMPTY_PUBLICATION, Publication
+from radishmount.publication._replica_placement import ReplicaPlacement
 
 
 __all__ = [
@@ -31,6 +33,7 @@
     "DataCentre",
     "BundleDistribution",
     "EndpointSpec",
+    "Evacuation",
     "Diagnostic",
     "ActivePublication",
     "KeyRange",
@@ -39,6 +42,7 @@
     "Publication",
     "PublishedObject",
     "ReadBundle",
+    "ReplicaPlacement",
     "Rule",
     "Service",
     "Shard",
