Keep to the rate of a cold endpoint, all instances together

Cause: `coldPerS` and the cold time in responses were read and not used; each instance ramped cold endpoints by weight for itself, so their sum followed the load and not the rate.

Change: where a service states a cold rate, a request to its endpoint takes one of a number of slots from its choice until 1.05 s after its end. The slots are the bound less a tenth, divided by rendezvous over the instances known in the last two hours; a process that has just started sends nothing to cold endpoints for 10 s, and none while it knows nobody although it has seeds. An endpoint is cold by its entry, by its responses, and for `coldStartS` after an evacuation. What only cold endpoints could take is refused at once as not run (ENDPOINT_COLD), with the time to come back. Lines `cold` and `warm`, the gauge `cold_endpoints`, the counter `cold_refusals`.

Also tests of an evacuation through a whole instance, and of its probes.

--- a/src/radishmount/endpoints/__init__.py
+++ b/src/radishmount/endpoints/__init__.py
@@ -9,6 +9,7 @@
     make_weighted_choice,
     slow_start_weight,
 )
+from radishmount.endpoints._cold_rate import ColdRateSettings, KnownInstances
 from radishmount.endpoints._connection_pool import ConnectionPool
 from radishmount.endpoints._ejection import Ejection, max_ejected
 from radishmount.endpoints._endpoint import HEALTH_MAX_AGE_MS, Endpoint
@@ -45,6 +46,8 @@
 
 
 __all__ = [
+    "KnownInstances",
+    "ColdRateSettings",
     "HEALTH_MAX_AGE_MS",
     "Attempt",
     "AnyAttempt",
--- a/src/radishmount/endpoints/_connection_pool.py
+++ b/src/radishmount/endpoints/_connection_pool.py
@@ -306,7 +306,7 @@
 
     def _finish(self, attempt: AnyAttempt, outcome: Result[Any, Failure]) -> None:
         now_ms = self.clock.now_ms()
-        self.endpoint.request_ended()
+        self.endpoint.request_ended(attempt.sent_at_ms, now_ms)
         match outcome:
             case Ok(reply):
                 sent_at_ms = attempt.sent_at_ms or now_ms
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from radishmount.codes import Code
+from radishmount.endpoints._cold_rate import ColdRate
 from radishmount.endpoints._ejection import Ejection
 from radishmount.endpoints._exchange import Failure, LoadReport
 from radishmount.endpoints._latency import LatencyEstimate
@@ -47,7 +48,8 @@
     its health then never expires here; each start of it is an endpoint of its own, so once it has
     said that it is leaving, `has_departed` holds for good. `may_connect` tells whether this
     instance may open connections to it, and `is_evacuated` whether the operator wants nothing sent
-    to its data centre. `in_flight` counts the requests handed over, those in the
+    to its data centre. `cold_rate` bounds what it gets while it is cold, where its service asks for
+    that. `in_flight` counts the requests handed over, those in the
     queue included; `active_exchanges` counts those taken by a connection.
     """
 
@@ -58,6 +60,8 @@
     is_tracked_by_discovery: bool = False
     may_connect: bool = True
     is_evacuated: bool = False
+    cold_rate: ColdRate | None = None
+    is_cold_announced: bool = False
     in_flight: int = 0
     active_exchanges: int = 0
     latency: LatencyEstimate = field(default_factory=LatencyEstimate)
@@ -125,12 +129,22 @@
         """Return whether this instance may send to it now.
 
         That is if it may connect, the data centre is not evacuated, the health is fresh, and the
-        endpoint neither leaves nor pauses.
+        endpoint neither leaves nor pauses, nor is cold and gets as much as it may get from here.
         """
         if not self.may_connect or self.is_evacuated or self.is_paused(now_ms):
             return False
+        if self.is_held_back(now_ms):
+            return False
         return self.is_health_fresh(now_ms) and not self.is_leaving(now_ms)
 
+    def is_held_back(self, now_ms: float) -> bool:
+        """Return whether it is cold and may get no more from this instance at present."""
+        return self.cold_rate is not None and self.cold_rate.is_full(self.in_flight, now_ms)
+
+    def cold_wait_ms(self, now_ms: float) -> float:
+        """Return in which time it may get one more request, if it is held back."""
+        return 0.0 if self.cold_rate is None else self.cold_rate.wait_ms(self.in_flight, now_ms)
+
     def is_paused(self, now_ms: float) -> bool:
         """Return whether a pause that it has asked for is not over yet."""
         return now_ms < self.paused_until_ms
@@ -171,9 +185,11 @@
         """Count a request that was handed to the connection pool."""
         self.in_flight += 1
 
-    def request_ended(self) -> None:
+    def request_ended(self, sent_at_ms: float | None, now_ms: float) -> None:
         """Count the end of a request that was handed to the connection pool."""
         self.in_flight -= 1
+        if self.cold_rate is not None and sent_at_ms is not None:
+            self.cold_rate.record_end(now_ms)
 
     def record_reply(
         self, report: LoadReport, sent_at_ms: float, now_ms: float, *, is_error: bool = False
@@ -203,6 +219,10 @@
         if report.draining and self.is_tracked_by_discovery:
             self.has_departed = True
         self._record_pause(report.pause_ms, now_ms)
+        if report.cold_ms > 0.0:
+            self.record_cold(now_ms + report.cold_ms, "the endpoint itself", now_ms)
+        elif self.is_cold_announced:
+            self.announce_warm(now_ms)
         if self.reported_at_ms is None or sent_at_ms >= self.reported_at_ms:
             self.report = report
             self.reported_at_ms = sent_at_ms
@@ -212,6 +232,24 @@
             self.on_change(self, "recovered", "steady replies")
         self._announce_leaving(now_ms)
 
+    def record_cold(self, until_ms: float, cause: str, now_ms: float) -> None:
+        """Take it as cold until a time or later, where its service bounds what it then gets."""
+        self.announce_warm(now_ms)
+        rate = self.cold_rate
+        if rate is None or not rate.extend(until_ms) or not rate.is_cold(now_ms):
+            return
+        if not self.is_cold_announced:
+            self.is_cold_announced = True
+            share = f"{rate.slots(now_ms)} of {rate.total} a second from here"
+            self.on_change(self, "cold", f"{cause}, for {until_ms - now_ms:.0f} ms, {share}")
+
+    def announce_warm(self, now_ms: float) -> None:
+        """Call `on_change` if it was cold at the last call and no longer is."""
+        rate = self.cold_rate
+        if self.is_cold_announced and (rate is None or not rate.is_cold(now_ms)):
+            self.is_cold_announced = False
+            self.on_change(self, "warm", "the time is over")
+
     def _record_pause(self, pause_ms: float, now_ms: float) -> None:
         """Begin or extend a pause, after which the load returns as after a start."""
         until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -13,6 +13,12 @@
 from radishmount.counters import Counters
 from radishmount.endpoints._any_attempt import AnyAttempt
 from radishmount.endpoints._choice import SLOW_START_MS
+from radishmount.endpoints._cold_rate import (
+    ColdRate,
+    ColdRateSettings,
+    KnownInstances,
+    total_cold_slots,
+)
 from radishmount.endpoints._connection_pool import ConnectionPool
 from radishmount.endpoints._ejection import Ejection, max_ejected
 from radishmount.endpoints._endpoint import Endpoint
@@ -42,6 +48,8 @@
     it is leaving. `paused_until_ms_by_start` has the pauses of endpoints that were removed, by name
     and start time, as they may return meanwhile. `evacuation_ended_at_ms_by_data_centre` tells
     when the last evacuation of a data centre ended, as its endpoints may be cold after it.
+    `known_instances` share what cold endpoints may get, and `cold_until_ms_by_name` tells until
+    when endpoints are cold by their entries.
     """
 
     own_name: str
@@ -62,8 +70,14 @@
     paused_until_ms_by_start: dict[tuple[str, int], float] = field(default_factory=dict)
     evacuated_data_centres: frozenset[str] = frozenset()
     evacuation_ended_at_ms_by_data_centre: dict[str, float] = field(default_factory=dict)
+    cold_rate_settings: ColdRateSettings = field(default_factory=ColdRateSettings)
+    known_instances: KnownInstances = field(init=False)
+    cold_until_ms_by_name: dict[str, float] = field(default_factory=dict)
     update_waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        self.known_instances = KnownInstances(self.own_name, self.clock.now_ms())
+
     def endpoints_of(self, service: str) -> Iterable[Endpoint]:
         """Return the endpoints of `service`."""
         endpoints = self.endpoints_by_service.get(service)
@@ -99,6 +113,7 @@
         preferred instances, to which callers are sent and for which a part of each connection cap
         is reserved. It is None where no part is reserved for this instance.
         """
+        self._record_cold_entries(self.publication, publication)
         self.publication = publication
         self._apply_evacuations(publication.evacuated_data_centres)
         self.preferred_count = preferred_count
@@ -167,6 +182,46 @@
         if is_evacuated != endpoint.is_evacuated:
             connection_pool.set_evacuated(is_evacuated)
 
+    def _record_cold_entries(self, before: Publication, publication: Publication) -> None:
+        """Record until when endpoints are cold whose entries are new or state another time."""
+        now_ms = self.clock.now_ms()
+        until_ms_by_name = {n: t for n, t in self.cold_until_ms_by_name.items() if t > now_ms}
+        for service in publication.services_by_name.values():
+            if service.cold_per_s <= 0.0:
+                continue
+            for spec in service.endpoints:
+                old = before.endpoints_by_name.get(spec.name) if spec.cold_for_ms else spec
+                if old is None or old.cold_for_ms != spec.cold_for_ms:
+                    until_ms_by_name[spec.name] = now_ms + spec.cold_for_ms
+        self.cold_until_ms_by_name = until_ms_by_name
+
+    def _update_cold_rate(self, endpoint: Endpoint, service: Service) -> None:
+        """Bound what an endpoint gets while it is cold, as its service asks for."""
+        now_ms = self.clock.now_ms()
+        if service.cold_per_s <= 0.0:
+            endpoint.cold_rate = None
+            endpoint.announce_warm(now_ms)
+            return
+        total = total_cold_slots(service.cold_per_s, self.cold_rate_settings)
+        if endpoint.cold_rate is None:
+            endpoint.cold_rate = ColdRate(endpoint.name, total, self.known_instances)
+        endpoint.cold_rate.total = total
+        endpoint.announce_warm(now_ms)
+        until_ms = self.cold_until_ms_by_name.get(endpoint.name)
+        if until_ms is not None:
+            endpoint.record_cold(until_ms, "its entry", now_ms)
+        data_centre = endpoint.spec.data_centre
+        ended_at_ms = self.evacuation_ended_at_ms_by_data_centre.get(data_centre)
+        if ended_at_ms is not None:
+            until_ms = ended_at_ms + service.cold_start_ms
+            endpoint.record_cold(until_ms, "its data centre was evacuated", now_ms)
+
+    def cold_endpoints(self) -> list[str]:
+        """Return the endpoints that are cold and get less than they could for that reason."""
+        now_ms = self.clock.now_ms()
+        endpoints = [pool.endpoint for pool in self.connection_pools_by_name.values()]
+        return [e.name for e in endpoints if e.cold_rate and e.cold_rate.is_cold(now_ms)]
+
     def apply_leaving_list(self, names: frozenset[str]) -> None:
         """Mark the endpoints that the instance list names as leaving, and no others."""
         self.leaving_names = names
@@ -262,6 +317,7 @@
         endpoint.set_listed_as_leaving(name in self.leaving_names, self.clock.now_ms())
         self.connection_pools_by_name[name] = connection_pool
         self._update_evacuation(connection_pool)
+        self._update_cold_rate(endpoint, service)
         connection_pool.set_connection_limit(limit)
 
     def _connection_limit(self, subset: Sequence[str], cap: int) -> int:
--- a/src/radishmount/forwarding/_run.py
+++ b/src/radishmount/forwarding/_run.py
@@ -108,7 +108,12 @@
     """Return why a service has no reply."""
     if progress.last_failure is not None:
         return progress.last_failure.code
-    if any(endpoint.is_evacuated for endpoint in context.pool.endpoints_of(progress.service)):
+    now_ms = context.clock.now_ms()
+    endpoints = list(context.pool.endpoints_of(progress.service))
+    if any(endpoint.is_held_back(now_ms) for endpoint in endpoints):
+        context.counters.add("cold_refusals", progress.service)
+        return Code.ENDPOINT_COLD
+    if any(endpoint.is_evacuated for endpoint in endpoints):
         return Code.DATA_CENTRE_EVACUATED
     return Code.NO_ENDPOINT
 
@@ -126,6 +131,7 @@
             continue
         endpoints = list(context.pool.endpoints_of(progress.service))
         pauses_ms = [e.paused_until_ms - now_ms for e in endpoints if e.is_paused(now_ms)]
+        pauses_ms += [e.cold_wait_ms(now_ms) for e in endpoints if e.is_held_back(now_ms)]
         if pauses_ms and not any(endpoint.is_available(now_ms) for endpoint in endpoints):
             waits_ms.append(min(pauses_ms))
     wait_ms = max(waits_ms)
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -18,7 +18,13 @@
 )
 from radishmount.counters import Counters
 from radishmount.discovery import EndpointList, Store, StoreFollower
-from radishmount.endpoints import EndpointPool, ForwardCall, OpenChannel, make_weighted_choice
+from radishmount.endpoints import (
+    ColdRateSettings,
+    EndpointPool,
+    ForwardCall,
+    OpenChannel,
+    make_weighted_choice,
+)
 from radishmount.fleet import (
     Instance,
     MemberState,
@@ -75,6 +81,7 @@
     retry_budget_settings: RetryBudgetSettings
     addresses_valid_for_ms: float
     max_propagation_ms: float
+    cold_rate_settings: ColdRateSettings = ColdRateSettings()
     emit: Emit = lambda change, fields: None
 
 
@@ -201,6 +208,7 @@
             "endpoints_age_ms": view.endpoints_age_ms,
             "endpoints_known": float(len(self.pool.first_seen_ms_by_name)),
             "evacuated_data_centres": float(len(self.pool.evacuated_data_centres)),
+            "cold_endpoints": float(len(self.pool.cold_endpoints())),
             "store_reached": float(self.follower.is_store_reachable),
             "instances_listed": float(len(self.control.fleet.listed_names)),
             "peer_streams": float(len(self.control.peers.sessions_by_name)),
@@ -252,6 +260,9 @@
         preferred_count = (
             len(self.preferred_names) if is_preferred and self.control.roster.is_settled() else None
         )
+        self.pool.known_instances.apply_list(
+            self.control.fleet.listed_names, self.dependencies.clock.now_ms()
+        )
         await self.pool.apply_publication(publication, self._sharing_instances(), preferred_count)
         self.pool.apply_leaving_list(self.endpoints.draining_names)
 
@@ -322,6 +333,8 @@
     own = dependencies.own
     pool = EndpointPool(own.name, dependencies.open_channel, clock, counters, audit, FORWARD_POLICY)
     pool.subsets.connections_per_instance = 1
+    pool.cold_rate_settings = dependencies.cold_rate_settings
+    pool.known_instances.has_seeds = any(seed != own.peer_address for seed in dependencies.seeds)
     active_publication = ActivePublication(dependencies.read_bundle, audit, counters, clock)
     endpoints = EndpointList()
     choose = make_weighted_choice(own.data_centre, Random(random.random()), FORWARD_POLICY)
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -30,6 +30,7 @@
 from radishmount.clock import Clock, suspend_aware_clock
 from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
+from radishmount.endpoints import ColdRateSettings
 from radishmount.fleet import Instance
 from radishmount.gateway import Gateway, GatewayDependencies, make_gateway
 from radishmount.platform._backend_channel import make_backend_channel_opener
@@ -94,6 +95,7 @@
         """Apply changed settings; the addresses take effect only at the next start."""
         self.gateway.control.roster.seeds = settings.seeds
         self.gateway.forward_context.retry_budget.update_settings(settings.retry_budget_settings)
+        self.gateway.pool.cold_rate_settings = _cold_rate_settings(settings)
         self.gateway.follower.max_propagation_ms = settings.max_propagation_ms
 
     async def leave(self, grace_ms: float) -> None:
@@ -147,6 +149,7 @@
         retry_budget_settings=settings.retry_budget_settings,
         addresses_valid_for_ms=settings.addresses_valid_for_ms,
         max_propagation_ms=settings.max_propagation_ms,
+        cold_rate_settings=_cold_rate_settings(settings),
         emit=log_line,
     )
     gateway = make_gateway(dependencies, audit, counters)
@@ -347,3 +350,7 @@
 def main() -> None:
     """Run the program."""
     raise SystemExit(run_program(PROGRAM, [RunCommand()]))
+
+
+def _cold_rate_settings(settings: DeploymentSettings) -> ColdRateSettings:
+    return ColdRateSettings(settings.cold_ratio, settings.cold_slack)
--- a/tests/endpoints/test_pool.py
+++ b/tests/endpoints/test_pool.py
@@ -57,6 +57,23 @@
         assert harness.endpoints_by_name[FIRST_ENDPOINT].connections == 0
         await harness.stop()
 
+    async def test_an_evacuated_data_centre_gets_no_probes_until_the_end(self) -> None:
+        """Guards against probes, each of which may open a connection."""
+        harness = await start_query_harness(replicas=2)
+        objects = objects_for(harness.addresses)
+        data_centre = find_service(objects, "catalogue-0")["endpoints"][0]["data_centre"]
+        evacuation = {"kind": "evacuation", "name": "drill", "data_centre": data_centre}
+        await publish(harness, [*objects, evacuation])
+        await asyncio.sleep(3.0)
+        before = harness.endpoints_by_name[FIRST_ENDPOINT].probes
+        await asyncio.sleep(5.0)
+        evacuated = harness.endpoints_by_name[FIRST_ENDPOINT].probes
+        await publish(harness, objects, version=3)
+        await asyncio.sleep(3.0)
+
+        assert evacuated == before < harness.endpoints_by_name[FIRST_ENDPOINT].probes
+        await harness.stop()
+
     async def test_an_endpoint_that_moved_is_reached_at_its_new_address(self) -> None:
         harness = await start_query_harness(services=1, replicas=1)
         moved = harness.endpoints_by_address["127.0.0.0:80"]
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -132,7 +132,9 @@
         cold_ms_by_name: Mapping[str, float] | None = None,
         replicas: str = "abc",
         data_centre_by_replica: Mapping[str, str] | None = None,
+        cold_per_s: float = 0.0,
     ) -> None:
+        self.cold_per_s = cold_per_s
         self.data_centre_by_replica = data_centre_by_replica or {}
         self.cold_ms_by_name = cold_ms_by_name or {}
         self.clock: Clock = loop_clock(asyncio.get_running_loop())
@@ -181,7 +183,12 @@
                 name, endpoint.service, name, data_centre, slots=2, cold_for_ms=cold_for_ms
             )
             listed.put(name, entry, 0.0)
-        services = {name: Service(name, 0, CONNECTIONS, ()) for name in service_names}
+        services = {
+            name: Service(
+                name, 0, CONNECTIONS, (), cold_start_ms=3_000.0, cold_per_s=self.cold_per_s
+            )
+            for name in service_names
+        }
         publication = listed.merge_into(Publication(1, "d", services_by_name=services))
         await self.pool.apply_publication(publication, ["entry"])
         self.pool.apply_leaving_list(listed.draining_names)
--- /dev/null
+++ b/tests/forwarding/test_cold_rate.py
@@ -0,0 +1,82 @@
+"""Cold endpoints get no more than their rate; what only they could take is refused at once."""
+
+import asyncio
+
+import pytest
+from result import Err, Ok
+
+from forward_harness import ForwardHarness, forward_harness
+from radishmount.codes import Code, RunStatus
+
+
+pytestmark = pytest.mark.looptime
+
+COLD_PER_S = 10.0  # nine, as a tenth is left for instances that join
+REQUESTS = 60
+LEARNING_S = 12.0
+
+
+async def received_in_a_second(harness: ForwardHarness, name: str) -> int:
+    """Send requests at an even rate for a second; return how many reached an endpoint."""
+    before = len(harness.endpoints_by_name[name].received_ids)
+    for _ in range(REQUESTS):
+        await harness.send(harness.single_route())
+    return len(harness.endpoints_by_name[name].received_ids) - before
+
+
+class TestColdEndpoint:
+    """The load is that of calm, for a service of which an endpoint starts or turns cold."""
+
+    @pytest.mark.parametrize("cold_per_s", [COLD_PER_S, 0.0])
+    async def test_its_rate_holds_when_its_entry_says_so(self, cold_per_s: float) -> None:
+        """Guards against slow start alone, by which an endpoint gets a share of any load."""
+        async with forward_harness(services=1, replicas="a", cold_per_s=cold_per_s) as harness:
+            await asyncio.sleep(LEARNING_S)
+            harness.cold_ms_by_name = {"s0-a": 5_000.0}
+            await harness.publish(harness.services)
+
+            expected = 9 if cold_per_s else REQUESTS
+            assert await received_in_a_second(harness, "s0-a") == expected
+
+    async def test_the_others_take_what_it_may_not_get(self) -> None:
+        async with forward_harness(services=1, replicas="ab", cold_per_s=COLD_PER_S) as harness:
+            await asyncio.sleep(LEARNING_S)
+            harness.cold_ms_by_name = {"s0-a": 5_000.0}
+            await harness.publish(harness.services)
+            outcomes = [await harness.send(harness.single_route()) for _ in range(REQUESTS)]
+
+            assert all(isinstance(outcome, Ok) for outcome in outcomes)
+            assert len(harness.endpoints_by_name["s0-a"].received_ids) <= 9
+
+    async def test_a_request_that_only_it_could_take_is_told_when_to_come_back(self) -> None:
+        """Guards against requests that wait for a cold endpoint until their deadline."""
+        async with forward_harness(services=1, replicas="a", cold_per_s=1.0) as harness:
+            await asyncio.sleep(LEARNING_S)
+            harness.cold_ms_by_name = {"s0-a": 5_000.0}
+            await harness.publish(harness.services)
+            first = await harness.send(harness.single_route())
+            refused_at_ms = harness.clock.now_ms()
+            second = await harness.send(harness.single_route())
+
+            assert isinstance(first, Ok) and isinstance(second, Err)
+            assert harness.clock.now_ms() == refused_at_ms
+            assert second.err_value.code is Code.ENDPOINT_COLD
+            assert second.err_value.ran is RunStatus.NOT_RUN
+            assert 1_000.0 < (second.err_value.retry_after_ms or 0.0) < 1_600.0
+
+    async def test_it_is_cold_for_a_time_after_an_evacuation(self) -> None:
+        """Guards against a data centre whose endpoints have cooled and get all their load back."""
+        async with forward_harness(services=1, replicas="a", cold_per_s=COLD_PER_S) as harness:
+            harness.listed.set_evacuated(["milano"])
+            await harness.publish(harness.services)
+            await asyncio.sleep(LEARNING_S)
+            harness.listed.set_evacuated([])
+            await harness.publish(harness.services)
+            cold = await received_in_a_second(harness, "s0-a")
+            await asyncio.sleep(3.0)
+            await harness.publish(harness.services)
+
+            assert cold == 9
+            assert await received_in_a_second(harness, "s0-a") == REQUESTS
+            changes = [line.change for line in harness.pool.audit.lines]
+            assert changes == ["evacuated", "evacuation ended", "cold", "warm"]
