Leave requests of several kinds and early failures out of what counts as slow

Cause: trials on virtual time showed that a latency of another route, taken for an outlier, confirmed a pause; and that replicas which fail half of their requests kept them, until the retry budget was spent.

--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -1,11 +1,12 @@
 """Load balancing: the choice of the endpoint that an attempt goes to."""
 
 from collections.abc import Callable, Collection, Iterable
+from math import inf
 from random import Random
 
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._latency import decay_weight
-from radishmount.endpoints._locality import home_share, needs_probe, steady_ratio
+from radishmount.endpoints._locality import home_share, needs_probe, steady_ratio, success_share
 from radishmount.policy import DEFAULT_POLICY, QueryPolicy
 
 
@@ -98,6 +99,7 @@
             for n, endpoint in enumerate(home):
                 costs_ms[n] *= steady_ratio(endpoint, fastest_ms, now_ms)
             share = home_share(min(costs_ms), away_ms)
+        share *= success_share(max([e.success_rate.rate_at(now_ms) for e in home]))
         if policy.ramp:
             share *= _relative_weight(home, away, now_ms)
         if share >= 1.0 or random.random() < share:
@@ -110,12 +112,12 @@
         candidates = _candidates(replicas, excluded, now_ms)
         if len(candidates) <= 1:
             return candidates[0] if candidates else None
-        fastest_ms = _fastest_ms(candidates)
         home = [e for e in candidates if e.spec.data_centre == own_data_centre]
         if not policy.own_data_centre_first or not 0 < len(home) < len(candidates):
-            return draw(candidates, fastest_ms, now_ms)
-        for endpoint in home:
-            fastest_ms = min(fastest_ms, endpoint.steady_latency.usual_ms)
+            return draw(candidates, _fastest_ms(candidates), now_ms)
+        # Replicas elsewhere get few requests, so what is usual at home stands for the unknown ones.
+        usual_ms = min([endpoint.steady_latency.usual_ms for endpoint in home])
+        fastest_ms = usual_ms if usual_ms < inf else _fastest_ms(candidates)
         away = [e for e in candidates if e.spec.data_centre != own_data_centre]
         stays = stays_home(home, away, fastest_ms, now_ms)
         return draw(home if stays else away, fastest_ms, now_ms)
--- a/src/radishmount/endpoints/_locality.py
+++ b/src/radishmount/endpoints/_locality.py
@@ -6,13 +6,17 @@
 from radishmount.endpoints._steady_latency import USUAL_PAUSE_MS
 
 
-__all__ = ["home_share", "needs_probe", "steady_ratio"]
+__all__ = ["home_share", "needs_probe", "steady_ratio", "success_share"]
 
 # The ratio of the expected times, in the own data centre over elsewhere, from which on requests
 # leave, and at which nearly all of them do.
 SPILL_FROM_RATIO = 1.5
 SPILL_ALL_RATIO = 2.5
-PROBE_INTERVAL_MS = 2_000.0
+# The success rate below which requests leave, and at which nearly all of them do. A single failure
+# leaves the rate at 0.75; each one costs a retry elsewhere and a part of the retry budget.
+SPILL_BELOW_SUCCESS_RATE = 0.8
+SPILL_ALL_SUCCESS_RATE = 0.5
+PROBE_INTERVAL_MS = 3_000.0
 
 
 def home_share(home_ms: float, away_ms: float) -> float:
@@ -27,10 +31,18 @@
     return 1.0 - min(1.0, max(0.0, spilled))
 
 
+def success_share(success_rate: float) -> float:
+    """Return the share of requests that stay, by the success rate in the own data centre."""
+    kept = (success_rate - SPILL_ALL_SUCCESS_RATE) / (
+        SPILL_BELOW_SUCCESS_RATE - SPILL_ALL_SUCCESS_RATE
+    )
+    return min(1.0, max(0.0, kept))
+
+
 def steady_ratio(endpoint: Endpoint, fastest_ms: float, now_ms: float) -> float:
     """Return by how much the estimated latency falls if ordinary pauses are left out, at most 1."""
-    if endpoint.steady_latency.value_ms is None:
-        return 1.0  # known from peers only
+    if endpoint.steady_latency.value_ms is None or endpoint.report.queued:
+        return 1.0  # known from peers only, or late because of its load
     estimated_ms = endpoint.estimated_latency_ms(fastest_ms, now_ms)
     steady_ms = endpoint.steady_latency.decayed_towards(fastest_ms, now_ms)
     open_for_ms = endpoint.oldest_exchange_age_ms(now_ms)
--- a/src/radishmount/endpoints/_steady_latency.py
+++ b/src/radishmount/endpoints/_steady_latency.py
@@ -12,8 +12,12 @@
     200.0  # endpoints pause for up to 150 ms; requests sent within it are late together
 )
 MAX_CONFIRM_GAP_MS = 2_000.0  # less than the usual time between two pauses
+# A latency above the average times the ratio plus the margin is an outlier: above the differences
+# between the kinds of requests that an endpoint gets.
 OUTLIER_RATIO = 2.0
-SAMPLE_WEIGHT = 0.5  # two confirmed outliers account for three quarters of a rise
+OUTLIER_MARGIN_MS = 25.0
+SAMPLE_WEIGHT = 0.2  # the same as for latencies, see _latency.py
+OUTLIER_WEIGHT = 0.5  # two confirmed outliers account for three quarters of a rise
 USUAL_WEIGHT = 0.05
 USUAL_MAX_GROWTH = 1.5  # bounds what one slow reply adds to the usual latency
 HALF_LIFE_MS = 3_000.0  # the same as for latencies, see _latency.py
@@ -40,14 +44,13 @@
         if self.value_ms is None:
             self.value_ms = self.usual_ms = latency_ms
             return
-        if latency_ms > OUTLIER_RATIO * self.value_ms and not self._is_confirmed(
-            now_ms - latency_ms
-        ):
-            return
-        if latency_ms <= OUTLIER_RATIO * self.value_ms:
-            self.outlier_sent_at_ms = -inf
-        value_ms = min(self.value_ms, OUTLIER_RATIO * latency_ms)
-        self.value_ms = value_ms + SAMPLE_WEIGHT * (latency_ms - value_ms)
+        weight = SAMPLE_WEIGHT
+        if latency_ms > _outlier_limit_ms(self.value_ms):
+            weight = OUTLIER_WEIGHT
+            if not self._is_confirmed(now_ms - latency_ms):
+                return
+        value_ms = min(self.value_ms, _outlier_limit_ms(latency_ms))
+        self.value_ms = value_ms + weight * (latency_ms - value_ms)
         bounded_ms = min(latency_ms, USUAL_MAX_GROWTH * self.usual_ms)
         self.usual_ms += USUAL_WEIGHT * (bounded_ms - self.usual_ms)
 
@@ -59,7 +62,7 @@
 
     def add_hint(self, latency_ms: float, now_ms: float) -> None:
         """Hold back what a peer observed, until a slow exchange of this instance confirms it."""
-        if self.value_ms is not None and latency_ms > OUTLIER_RATIO * self.value_ms:
+        if self.value_ms is not None and latency_ms > _outlier_limit_ms(self.value_ms):
             self._is_confirmed(now_ms - latency_ms)
 
     def decayed_towards(self, fastest_ms: float, now_ms: float) -> float:
@@ -78,3 +81,7 @@
             self.outlier_sent_at_ms = sent_at_ms
             return False
         return True
+
+
+def _outlier_limit_ms(latency_ms: float) -> float:
+    return OUTLIER_RATIO * latency_ms + OUTLIER_MARGIN_MS
