--- a/tests/endpoints/test_choice.py
+++ b/tests/endpoints/test_choice.py
@@ -1,6 +1,8 @@
 """Load balancing: own measurements outweigh the reports of endpoints."""
 
 from collections import Counter
+from collections.abc import Callable
+from heapq import heappop, heappush
 from random import Random
 
 from radishmount.codes import Code
@@ -141,3 +143,98 @@
         far = [replica("b", "torino", 46.0), replica("c", "verona", 46.0)]
 
         assert self.share_in_own_data_centre([full, *far]) < 0.25
+
+    def play(
+        self, near: Endpoint, seconds: int, latency_ms: Callable[[float], float]
+    ) -> list[bool]:
+        """Send 20 requests a second, and return whether each stays in the own data centre.
+
+        `latency_ms` is what a request takes at home by the time when it is sent, and it is 31 ms
+        elsewhere. All of them vary by a third of their work, and endpoints have four slots.
+        """
+        random = Random(11)
+        endpoints = [near, replica("b", "torino", 31.0), replica("c", "verona", 31.0)]
+        for endpoint in endpoints:
+            endpoint.is_tracked_by_discovery = True
+            endpoint.slots = 4
+        choose = make_weighted_choice(OWN_DATA_CENTRE, Random(7))
+        ends: list[tuple[float, int, Endpoint, float]] = []
+        stayed = []
+        for number in range(20 * seconds):
+            now_ms = NOW_MS + 50.0 * number
+            while ends and ends[0][0] <= now_ms:
+                end_ms, _, endpoint, sent_at_ms = heappop(ends)
+                endpoint.request_ended()
+                endpoint.sent_at_ms_by_exchange.pop(round(sent_at_ms))
+                report = LoadReport(slots=4, in_flight=endpoint.in_flight)
+                endpoint.record_reply(report, sent_at_ms, end_ms)
+            chosen = choose(endpoints, (), now_ms)
+            assert chosen is not None
+            stayed.append(chosen is near)
+            chosen.request_submitted()
+            chosen.sent_at_ms_by_exchange[round(now_ms)] = now_ms
+            took_ms = latency_ms(now_ms) if chosen is near else 31.0
+            took_ms += 24.0 * (random.lognormvariate(0.0, 0.3) - 1.0)
+            heappush(ends, (now_ms + took_ms, number, chosen, now_ms))
+        return stayed
+
+    def test_pauses_and_ordinary_latencies_send_nothing_away(self) -> None:
+        """Pattern: equal replicas in calm, each of which pauses for 150 ms every 3.6 s."""
+
+        def latency_ms(now_ms: float) -> float:
+            return 24.0 + max(0.0, 150.0 - now_ms % 3_600.0)
+
+        stayed = self.play(replica("a", latency_ms=24.0), 120, latency_ms)
+
+        assert sum(stayed) >= 0.99 * len(stayed)
+
+    def test_requests_leave_a_slow_replica_and_return_when_it_recovers(self) -> None:
+        """Failure: the replica of the own data centre is ten times slower for 8 s."""
+
+        def latency_ms(now_ms: float) -> float:
+            return 240.0 if 4_000.0 <= now_ms - NOW_MS < 12_000.0 else 24.0
+
+        stayed = self.play(replica("a", latency_ms=24.0), 24, latency_ms)
+
+        assert sum(stayed[100:240]) < 0.1 * 140
+        assert 0 < sum(stayed[160:240]) < 10
+        assert sum(stayed[-160:]) > 0.99 * 160
+
+    def test_a_replica_that_fails_half_of_its_requests_keeps_hardly_any(self) -> None:
+        failing = replica("a", latency_ms=24.0)
+        for _ in range(4):
+            failing.success_rate.record_success(NOW_MS)
+            failing.success_rate.record_failure(NOW_MS)
+        far = [replica("b", "torino", 31.0), replica("c", "verona", 31.0)]
+
+        assert self.share_in_own_data_centre([failing, *far]) < 0.05
+
+    def test_the_share_that_leaves_grows_with_the_queue_and_ends_when_all_have_one(self) -> None:
+        """Pattern: a load that fills the replicas of one data centre, then those elsewhere too."""
+        shares = []
+        for load in (0, 2, 4, 5, 6):
+            near = replica("a", latency_ms=40.0)
+            near.load_of_others = load
+            far = [replica("b", "torino", 46.0), replica("c", "verona", 46.0)]
+            shares.append(self.share_in_own_data_centre([near, *far]))
+        for endpoint in far:
+            endpoint.load_of_others = 6
+
+        assert shares == sorted(shares, reverse=True)
+        assert shares[0] == shares[1] == 1.0
+        assert 0.3 < shares[2] < 0.8
+        assert shares[-1] < 0.05
+        assert self.share_in_own_data_centre([near, *far]) == 1.0
+
+    def test_a_lost_data_centre_leaves_the_choice_to_the_expected_times(self) -> None:
+        """Failure: the replica of the own data centre is lost and has not been ejected yet."""
+        lost = replica("a", latency_ms=24.0)
+        for _ in range(2):
+            lost.record_connection_failure(Failure(Code.NOT_CONNECTED), NOW_MS)
+        near, busy = replica("b", "torino", 31.0), replica("c", "verona", 31.0)
+        busy.load_of_others = 4
+        choose = make_weighted_choice(OWN_DATA_CENTRE, Random(7))
+        chosen = [choose([lost, near, busy], (), NOW_MS) for _ in range(1_000)]
+
+        assert chosen.count(lost) < 10
+        assert chosen.count(near) > 5 * chosen.count(busy)
