Count the sub-requests and bytes that cross data centres, by purpose

Each attempt that ends adds to crossing_sub_requests, crossing_bytes_sent and crossing_bytes_received, labelled first, hedge or retry, if its endpoint is in another data centre. The bytes are those of the connection, heads included. Attempts inside cost nothing.

The test over loopback fails without the call of count_crossing.

--- a/src/radishmount/endpoints/_forward_exchange.py
+++ b/src/radishmount/endpoints/_forward_exchange.py
@@ -25,10 +25,13 @@
     body: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ForwardRequest:
     """One attempt at `call`. Any endpoint other than `expected_endpoint` refuses to run it.
 
+    The channel sets `sent_bytes` when the request is written, and `received_bytes` with the
+    complete response.
+
     A request that is not `idempotent` must not run twice, so it is best sent over a connection
     that is known to work. `needs_headers` is false where only the body and the signature of the
     reply are used, as for a shard.
@@ -41,6 +44,8 @@
     idempotent: bool = True
     needs_headers: bool = True
     index_version: int | None = None
+    sent_bytes: int = 0
+    received_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/forwarding/_context.py
+++ b/src/radishmount/forwarding/_context.py
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True)
 class ForwardContext:
-    """Passed to every forwarded request of one instance.
+    """Passed to every forwarded request of one instance, which is in `data_centre`.
 
     `observe` is called with the route, the verdict and the duration in milliseconds of each
     request that has ended. `on_record` is called with the records of these requests, but only with
@@ -35,6 +35,7 @@
     observe: Callable[[str, str, float], None] = lambda route, verdict, took_ms: None
     on_record: Callable[[ForwardRecord], None] = lambda record: None
     event_loop_lag: EventLoopLag = field(default_factory=EventLoopLag)
+    data_centre: str | None = None
     latency_windows_by_route: dict[str, LatencyWindow] = field(default_factory=dict)
 
     def latency_window(self, route: str) -> LatencyWindow:
--- a/src/radishmount/forwarding/_execution.py
+++ b/src/radishmount/forwarding/_execution.py
@@ -19,6 +19,7 @@
     Purpose,
 )
 from radishmount.forwarding._context import ForwardContext
+from radishmount.forwarding._crossing import count_crossing
 from radishmount.forwarding._hedge import has_queued_requests, hedge_delay_ms
 from radishmount.forwarding._plan import ForwardPlan
 from radishmount.forwarding._service_progress import ServiceProgress
@@ -199,9 +200,7 @@
             idempotent=self.plan.route.idempotent,
             needs_headers=not self.plan.is_fan_out,
         )
-        attempt = Attempt(
-            request, endpoint, self.mailbox.deliver, submitted_at_ms=now_ms, purpose=purpose
-        )
+        attempt = Attempt(request, endpoint, self._deliver, submitted_at_ms=now_ms, purpose=purpose)
         progress.send_count += 1
         progress.tried_endpoints.add(endpoint.name)
         progress.open_attempts.append(attempt)
@@ -209,6 +208,11 @@
         self.context.counters.add("forwarded", purpose.value)
         self.context.pool.submit(attempt)
 
+    def _deliver(self, attempt: Attempt, outcome: Result[ForwardReply, Failure]) -> None:
+        """Count what crossed data centres, also for attempts that the answer did not wait for."""
+        count_crossing(attempt, self.context.data_centre, self.context.counters)
+        self.mailbox.deliver(attempt, outcome)
+
     def _handle_outcome(self, attempt: Attempt, outcome: Result[ForwardReply, Failure]) -> None:
         progress = self.progress_by_service[attempt.request.service]
         progress.open_attempts.remove(attempt)
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -352,6 +352,7 @@
         choose,
         counters,
         ForwardRetryBudget(dependencies.retry_budget_settings),
+        data_centre=own.data_centre,
     )
 
     async def update_endpoints() -> None:
--- a/src/radishmount/platform/_backend_channel.py
+++ b/src/radishmount/platform/_backend_channel.py
@@ -114,6 +114,7 @@
         except CONNECT_ERRORS as error:
             return Err(Failure(Code.NOT_CONNECTED, detail=repr(error)))
         content = self._encoder.encode(request, remaining_ms)
+        request.sent_bytes = len(content)
         try:
             response = await connection.send_request(
                 content, has_body=request.call.method != "HEAD"
@@ -122,6 +123,7 @@
             return Err(Failure(Code.BAD_REPLY, RunStatus.UNKNOWN, detail=repr(error)))
         except OSError as error:
             return Err(Failure(Code.CONNECTION_LOST, RunStatus.UNKNOWN, detail=repr(error)))
+        request.received_bytes = response.received_bytes
         return _parse_response(response, request)
 
     async def place(self, request: OrderRequest, remaining_ms: float) -> OrderAttemptOutcome:
--- a/src/radishmount/platform/_backend_response.py
+++ b/src/radishmount/platform/_backend_response.py
@@ -52,13 +52,15 @@
 class CompleteResponse:
     """A response that was received to its end. The names in `headers` are as they were sent.
 
-    `by_name` has the first value of each header under its name in lower case.
+    `by_name` has the first value of each header under its name in lower case. `received_bytes`
+    includes the head and the framing.
     """
 
     status: int
     headers: RawHeaders
     by_name: dict[bytes, bytes]
     body: bytes
+    received_bytes: int = 0
 
 
 class ResponseReader:
@@ -193,7 +195,9 @@
             return
         self._keeps_alive = self._parser.should_keep_alive()
         status = self._parser.get_status_code()
-        self.response = CompleteResponse(status, self._headers, self._by_name, bytes(self._body))
+        self.response = CompleteResponse(
+            status, self._headers, self._by_name, bytes(self._body), self._received_bytes
+        )
 
     def _reject(self, reason: str) -> None:
         if self.response is None and self.rejection is None:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -4,6 +4,7 @@
 import re
 from collections.abc import AsyncIterator
 from dataclasses import replace
+from typing import Any
 
 import aiohttp
 import orjson
@@ -206,6 +207,25 @@
         assert addresses_by_zone == dict.fromkeys(("z1", "z2"), {"front-1:80", "front-2:80"})
         assert "front-3:80" in orjson.loads(body)["addrs"]
 
+    async def test_bytes_to_and_from_other_data_centres_are_counted(
+        self, harness: PlatformHarness
+    ) -> None:
+        answer: Any = one_record("a")
+        for shard, zone in (("s1", "z1"), ("s2", "z2")):
+            back_end = await harness.add_back_end(shard, f"{shard}-b", answer=answer)
+            entry = backend_entry(back_end, shard, zone=zone, seq=2)
+            await harness.store.put(f"servers/{shard}-b", entry)
+        await harness.publish(3, fan_out_route(["s1", "s2"]))
+
+        status, _, _ = await harness.send_request("/stock/x")
+
+        counters = harness.instance.gateway.counters
+        assert status == 200
+        assert counters.value("crossing_sub_requests", "first") == 1
+        assert counters.value("crossing_bytes_sent", "first") > 60
+        sent = answer(back_end.received[0], "s2-b")
+        assert counters.value("crossing_bytes_received", "first") == len(sent)
+
     async def test_a_leaving_instance_is_not_ready_but_still_serves_requests(
         self, harness: PlatformHarness
     ) -> None:
