--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -6,7 +6,13 @@
 
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._latency import decay_weight
-from radishmount.endpoints._locality import home_share, needs_probe, steady_ratio, success_share
+from radishmount.endpoints._locality import (
+    home_share,
+    needs_probe,
+    record_share,
+    steady_ratio,
+    success_share,
+)
 from radishmount.policy import DEFAULT_POLICY, QueryPolicy
 
 
@@ -102,6 +108,7 @@
         share *= success_share(max([e.success_rate.rate_at(now_ms) for e in home]))
         if policy.ramp:
             share *= _relative_weight(home, away, now_ms)
+        record_share(home[costs_ms.index(min(costs_ms))], share, away_ms, now_ms)
         if share >= 1.0 or random.random() < share:
             return True
         return any(needs_probe(endpoint, now_ms) for endpoint in home)
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -48,7 +48,8 @@
     its health then never expires here; each start of it is an endpoint of its own, so once it has
     said that it is leaving, `has_departed` holds for good. `may_connect` tells whether this
     instance may open connections to it. `in_flight` counts the requests handed over, those in the
-    queue included; `active_exchanges` counts those taken by a connection.
+    queue included; `active_exchanges` counts those taken by a connection. `left_since_ms` tells
+    since when most requests go to other data centres although this endpoint is in the own one.
     """
 
     spec: EndpointSpec
@@ -70,6 +71,7 @@
     available_since_ms: float = NEVER_MS
     shed_at_ms: float = NEVER_MS
     queued_at_ms: float = NEVER_MS
+    left_since_ms: float | None = None
     listed_as_leaving: bool = False
     seen_leaving_at_ms: float = NEVER_MS
     announced_leaving: bool = False
--- a/src/radishmount/endpoints/_locality.py
+++ b/src/radishmount/endpoints/_locality.py
@@ -6,7 +6,7 @@
 from radishmount.endpoints._steady_latency import USUAL_PAUSE_MS
 
 
-__all__ = ["home_share", "needs_probe", "steady_ratio", "success_share"]
+__all__ = ["home_share", "needs_probe", "record_share", "steady_ratio", "success_share"]
 
 # The ratio of the expected times, in the own data centre over elsewhere, from which on requests
 # leave, and at which nearly all of them do.
@@ -17,6 +17,8 @@
 SPILL_BELOW_SUCCESS_RATE = 0.8
 SPILL_ALL_SUCCESS_RATE = 0.5
 PROBE_INTERVAL_MS = 3_000.0
+LEFT_SHARE = 0.5
+MIN_LEFT_MS = 2_000.0  # bounds the lines about an endpoint that is at the limit of its load
 
 
 def home_share(home_ms: float, away_ms: float) -> float:
@@ -51,6 +53,27 @@
     return min(1.0, steady_ms / estimated_ms) if estimated_ms > 0.0 else 1.0
 
 
+def record_share(endpoint: Endpoint, share: float, away_ms: float, now_ms: float) -> None:
+    """Note on the endpoint when most of its requests leave, and when all of them are back.
+
+    `away_ms` is the expected time elsewhere. An endpoint changes at most once in `MIN_LEFT_MS`.
+    """
+    if endpoint.left_since_ms is None:
+        if share < LEFT_SHARE:
+            endpoint.left_since_ms = now_ms
+            latency_ms = endpoint.steady_latency.value_ms or 0.0
+            endpoint.on_change(
+                endpoint,
+                "left for other data centres",
+                f"latency {latency_ms:.0f} ms, {endpoint.in_flight} in flight, "
+                f"{endpoint.load_of_others} of others, success rate "
+                f"{endpoint.success_rate.rate_at(now_ms):.2f}; {away_ms:.0f} ms elsewhere",
+            )
+    elif share >= 1.0 and now_ms - endpoint.left_since_ms >= MIN_LEFT_MS:
+        endpoint.left_since_ms = None
+        endpoint.on_change(endpoint, "used again", "nearly as fast as other data centres")
+
+
 def needs_probe(endpoint: Endpoint, now_ms: float) -> bool:
     """Return whether one request should show how an endpoint is that gets hardly any.
 
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -211,6 +211,12 @@
             "instances_listed": float(len(self.control.fleet.listed_names)),
             "peer_streams": float(len(self.control.peers.sessions_by_name)),
             "forwarding": float(self.in_flight),
+            "endpoints_left": float(
+                sum(
+                    connection_pool.endpoint.left_since_ms is not None
+                    for connection_pool in self.pool.connection_pools_by_name.values()
+                )
+            ),
             "hosts_served_elsewhere": float(
                 self.replica_placement.count_sent_away(self.dependencies.own.data_centre)
             ),
--- a/tests/endpoints/test_choice.py
+++ b/tests/endpoints/test_choice.py
@@ -194,8 +194,13 @@
         def latency_ms(now_ms: float) -> float:
             return 240.0 if 4_000.0 <= now_ms - NOW_MS < 12_000.0 else 24.0
 
-        stayed = self.play(replica("a", latency_ms=24.0), 24, latency_ms)
+        near = replica("a", latency_ms=24.0)
+        changes: list[str] = []
+        near.on_change = lambda endpoint, change, cause: changes.append(change)
 
+        stayed = self.play(near, 24, latency_ms)
+
+        assert changes == ["left for other data centres", "used again"]
         assert sum(stayed[100:240]) < 0.1 * 140
         assert 0 < sum(stayed[160:240]) < 10
         assert sum(stayed[-160:]) > 0.99 * 160
