--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -50,8 +50,9 @@
     said that it is leaving, `has_departed` holds for good. `may_connect` tells whether this
     instance may open connections to it, and `is_evacuated` whether the operator wants nothing sent
     to its data centre. `cold_rate` bounds what it gets while it is cold, where its service asks for
-    that. `in_flight` counts the requests handed over, those in the
-    queue included; `active_exchanges` counts those taken by a connection.
+    that. `in_flight` counts the requests handed over, those in the queue included;
+    `active_exchanges` counts those taken by a connection. `left_since_ms` tells since when most
+    requests go to other data centres although this endpoint is in the own one.
     """
 
     spec: EndpointSpec
@@ -76,6 +77,7 @@
     available_since_ms: float = NEVER_MS
     shed_at_ms: float = NEVER_MS
     queued_at_ms: float = NEVER_MS
+    left_since_ms: float | None = None
     listed_as_leaving: bool = False
     seen_leaving_at_ms: float = NEVER_MS
     announced_leaving: bool = False
