--- a/tests/endpoints/test_choice.py
+++ b/tests/endpoints/test_choice.py
@@ -164,7 +164,7 @@
             now_ms = NOW_MS + 50.0 * number
             while ends and ends[0][0] <= now_ms:
                 end_ms, _, endpoint, sent_at_ms = heappop(ends)
-                endpoint.request_ended()
+                endpoint.request_ended(sent_at_ms, end_ms)
                 endpoint.sent_at_ms_by_exchange.pop(round(sent_at_ms))
                 report = LoadReport(slots=4, in_flight=endpoint.in_flight)
                 endpoint.record_reply(report, sent_at_ms, end_ms)
