Bound the evacuated names that a message holds, and keep those with endpoints

Cause: a thousand long names made a page for peers longer than a frame may be, so a writer of odd keys could keep instances from fetching the list of endpoints.

Change: at most 200 names are kept, those of data centres with endpoints first. Evacuations that a publication states itself stay beside those of the list.

--- a/src/radishmount/border/_peer_endpoint_models.py
+++ b/src/radishmount/border/_peer_endpoint_models.py
@@ -25,7 +25,7 @@
 __all__ = ["ENDPOINT_PEER_MODELS"]
 
 MAX_PAGE_LENGTH = 1_000
-MAX_EVACUATED = 1_000
+MAX_EVACUATED = 1_000  # above what instances send
 
 EvacuatedNames = Annotated[list[DataCentreName], Field(max_length=MAX_EVACUATED)]
 
--- a/src/radishmount/discovery/_endpoint_list.py
+++ b/src/radishmount/discovery/_endpoint_list.py
@@ -12,7 +12,7 @@
 
 GRACE_PERIOD_MS = 2_500.0  # entries that lapsed in an outage return within 2 s after it
 DEPARTURE_KEPT_MS = 60_000.0  # after the entry was removed; far longer than a write is delayed
-MAX_EVACUATED = 1_000  # bounds what an odd writer adds to each page for peers
+MAX_EVACUATED = 200  # bounds what an odd writer adds to each page for peers
 
 
 @dataclass(slots=True)
@@ -77,8 +77,13 @@
             self.missing_until_ms_by_name.setdefault(name, now_ms + GRACE_PERIOD_MS)
 
     def set_evacuated(self, data_centres: Iterable[str]) -> bool:
-        """Replace the evacuated data centres; return whether this changed anything."""
-        evacuated = frozenset(sorted(data_centres)[:MAX_EVACUATED])
+        """Replace the evacuated data centres; return whether this changed anything.
+
+        Of more than `MAX_EVACUATED`, those that have endpoints are kept first.
+        """
+        used = {endpoint.data_centre for endpoint in self.by_name.values()}
+        ranked = sorted(data_centres, key=lambda name: (name not in used, name))
+        evacuated = frozenset(ranked[:MAX_EVACUATED])
         if evacuated == self.evacuated_data_centres:
             return False
         self.evacuated_data_centres = evacuated
@@ -180,10 +185,11 @@
                 slots=slots_by_service.get(name, 0),
                 endpoints=tuple(specs_by_service.get(name, ())),
             )
+        evacuations_by_name = {
+            name: Evacuation(name, name) for name in sorted(self.evacuated_data_centres)
+        }
         return replace(
             publication,
             services_by_name=services_by_name,
-            evacuations_by_name={
-                name: Evacuation(name, name) for name in sorted(self.evacuated_data_centres)
-            },
+            evacuations_by_name={**publication.evacuations_by_name, **evacuations_by_name},
         )
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -300,12 +300,11 @@
         self.read_revision = answer.revision
         if answer.revision < self.known_revision:
             return  # a peer has sent newer ones meanwhile
-        # Evacuations go first, as a full read logs the state that it leaves.
-        has_evacuations = self._apply_evacuations(answer, is_full=is_full)
         if is_full:
             changed_names = self._apply_full_read(answer, now_ms)
         else:
             changed_names = self._apply_changes(answer, now_ms)
+        has_evacuations = self._apply_evacuations(answer, is_full=is_full)
         after, self.known_revision = self.known_revision, answer.revision
         changed_at = answer.last_change
         if is_full:
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -190,7 +190,9 @@
             if service.cold_per_s <= 0.0:
                 continue
             for spec in service.endpoints:
-                old = before.endpoints_by_name.get(spec.name) if spec.cold_for_ms else spec
+                if spec.cold_for_ms <= 0.0:
+                    continue
+                old = before.endpoints_by_name.get(spec.name)
                 if old is None or old.cold_for_ms != spec.cold_for_ms:
                     until_ms_by_name[spec.name] = now_ms + spec.cold_for_ms
         self.cold_until_ms_by_name = until_ms_by_name
--- a/tests/discovery/test_evacuation.py
+++ b/tests/discovery/test_evacuation.py
@@ -12,7 +12,13 @@
     register_peer_models,
     unpack_frame,
 )
-from radishmount.discovery import EndpointPage, EvacuationEntry, StoreFailureKind, StoreNews
+from radishmount.discovery import (
+    EndpointList,
+    EndpointPage,
+    EvacuationEntry,
+    StoreFailureKind,
+    StoreNews,
+)
 from radishmount.fleet import Notice
 from radishmount.platform._store_client import ItemModel, _parse_entries
 from store_harness import GossipHarness, endpoint_entry
@@ -80,6 +86,19 @@
 
         assert _parse_entries(items) == [BEGIN, END]
 
+    def test_many_names_leave_room_for_those_with_endpoints(self) -> None:
+        """Guards against pages for peers that are too long to be sent."""
+        endpoints = EndpointList()
+        endpoints.put("a", endpoint_entry("a").endpoint, 0.0)
+        endpoints.set_evacuated(["milano", *(f"a{number}" for number in range(1_000))])
+        evacuated = tuple(endpoints.evacuated_data_centres)
+        register_peer_models(*ENDPOINT_PEER_MODELS)
+
+        assert "milano" in evacuated
+        assert unpack_frame(
+            pack_frame(Notice(StoreNews(1, 2, evacuated=evacuated))).unwrap()
+        ).is_ok()
+
 
 class TestMessages:
     """Messages between instances, also with instances of the version before."""
