--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -105,7 +105,7 @@
             for n, endpoint in enumerate(home):
                 costs_ms[n] *= steady_ratio(endpoint, fastest_ms, now_ms)
             share = home_share(min(costs_ms), away_ms)
-        share *= success_share(max([e.success_rate.rate_at(now_ms) for e in home]))
+        share *= success_share(_best_success_rate(home, now_ms), _best_success_rate(away, now_ms))
         if policy.ramp:
             share *= _relative_weight(home, away, now_ms)
         record_share(home[costs_ms.index(min(costs_ms))], share, away_ms, now_ms)
@@ -199,6 +199,10 @@
     return home_weight / max(home_weight, away_weight)
 
 
+def _best_success_rate(endpoints: list[Endpoint], now_ms: float) -> float:
+    return max([endpoint.success_rate.rate_at(now_ms) for endpoint in endpoints])
+
+
 def _fastest_ms(sampled: list[Endpoint]) -> float:
     known = [e.latency.value_ms for e in sampled if e.latency.value_ms is not None]
     return min(known) if known else UNKNOWN_LATENCY_MS
--- a/src/radishmount/endpoints/_locality.py
+++ b/src/radishmount/endpoints/_locality.py
@@ -12,11 +12,11 @@
 # leave, and at which nearly all of them do.
 SPILL_FROM_RATIO = 1.5
 SPILL_ALL_RATIO = 2.5
-# The success rate below which requests leave, and at which nearly all of them do. A single failure
-# leaves the rate at 0.75; each one costs a retry elsewhere and a part of the retry budget.
+# The same for the ratio of the success rates. A single failure leaves a rate at 0.75; each one
+# costs a retry elsewhere and a part of the retry budget.
 SPILL_BELOW_SUCCESS_RATE = 0.8
 SPILL_ALL_SUCCESS_RATE = 0.5
-PROBE_INTERVAL_MS = 3_000.0
+PROBE_INTERVAL_MS = 5_000.0  # a probe of a replica that is still slow costs a hedge
 LEFT_SHARE = 0.5
 MIN_LEFT_MS = 2_000.0  # bounds the lines about an endpoint that is at the limit of its load
 
@@ -33,9 +33,9 @@
     return 1.0 - min(1.0, max(0.0, spilled))
 
 
-def success_share(success_rate: float) -> float:
-    """Return the share of requests that stay, by the success rate in the own data centre."""
-    kept = (success_rate - SPILL_ALL_SUCCESS_RATE) / (
+def success_share(home_rate: float, away_rate: float) -> float:
+    """Return the share of requests that stay, by the success rates at home and elsewhere."""
+    kept = (home_rate / away_rate - SPILL_ALL_SUCCESS_RATE) / (
         SPILL_BELOW_SUCCESS_RATE - SPILL_ALL_SUCCESS_RATE
     )
     return min(1.0, max(0.0, kept))
