Test that a suspended instance sends nothing to an evacuated data centre

A request that arrives after the pause waits until the store was consulted, which puts the evacuation in force.

--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -23,3 +23,18 @@
 
         assert statuses == [200, 503, 200]
         assert [request.request_id for request in back_end.received] == ["q1", "q3"]
+
+    async def test_an_instance_that_was_suspended_sends_nothing_there(self) -> None:
+        """Guards against requests that are sent before the store is consulted again."""
+        boot_ms = [0.0]
+        harness = await start_platform_harness(lambda: boot_ms[0])
+        back_end = await harness.add_back_end("orders", "b1")
+        await harness.publish(3, single_route())
+        harness.store.withholds_events = True  # the open watch delivers no more changes
+        await harness.store.put("op/evacuate/z1", {})
+        harness.store.withholds_events = False
+        boot_ms[0] += 5_000.0
+        status, _, _ = await harness.send_request("/orders/7")
+        await harness.stop()
+
+        assert (status, back_end.received) == (503, [])
