--- /dev/null
+++ b/src/radishmount/admission/_service_room.py
@@ -0,0 +1,97 @@
+"""How long one more request would wait for a slot at the endpoints of one service."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import inf
+
+from radishmount.endpoints import Endpoint, decay_weight
+
+
+__all__ = ["ServiceRoom"]
+
+REPORT_HALF_LIFE_MS = 500.0  # the same as in the choice of endpoints
+MAX_REPORTED_ROUNDS = 4  # bounds the reported load of others, in multiples of the slots
+SHED_RECENT_MS = 250.0
+MIN_SUCCESS_RATE = 0.5  # an endpoint that fails more often is no room
+# A reported queue counts up to this multiple of the rise in latency that this instance measured.
+EVIDENCE_FACTOR = 2.0
+UNLOADED_MAX_LOAD = 0.5  # of the slots, up to which a latency counts as that of an idle endpoint
+UNLOADED_FALL_WEIGHT = 0.2
+UNLOADED_RISE_WEIGHT = 0.02  # slow, so that the queues of an overload do not pass for the usual
+
+
+@dataclass(slots=True)
+class ServiceRoom:
+    """The room at one service, as this instance sees it.
+
+    `unloaded_ms` is how long requests take while few run, and none until that was seen: then no
+    wait is assumed, whatever the endpoints report. `wait_ms` is the wait at the endpoint where it
+    is shortest, infinite where no endpoint can be used.
+    """
+
+    unloaded_ms: float | None = None
+    wait_ms: float = 0.0
+    evaluated_at_ms: float = -inf
+
+    def evaluate(self, endpoints: Iterable[Endpoint], now_ms: float) -> None:
+        """Update the wait; the first endpoint with a free slot ends the search."""
+        self.evaluated_at_ms = now_ms
+        shortest_ms = inf
+        for endpoint in endpoints:
+            if not _is_usable(endpoint, now_ms):
+                continue
+            wait_ms = self._wait_at(endpoint, now_ms)
+            if wait_ms <= 0.0:
+                self.wait_ms = 0.0
+                return
+            shortest_ms = min(shortest_ms, wait_ms)
+        self.wait_ms = shortest_ms
+
+    def _wait_at(self, endpoint: Endpoint, now_ms: float) -> float:
+        """Return how long one more request would wait there for a slot.
+
+        With more requests than slots, a request takes as long as it takes all those before it to
+        pass the slots. So the part of the latency that is spent waiting is the part of the requests
+        that have no slot. The latency that this instance measured must have risen as well, or the
+        endpoint must have shed a request.
+        """
+        load = _load(endpoint, now_ms)
+        slots = endpoint.usable_slots
+        waiting = load + 1.0 - slots if slots > 0 else 0.0
+        is_shedding = now_ms - endpoint.shed_at_ms < SHED_RECENT_MS
+        if load <= UNLOADED_MAX_LOAD * slots and not is_shedding:
+            self._record_unloaded(endpoint.latency.value_ms)
+        if self.unloaded_ms is None or (waiting <= 0.0 and not is_shedding):
+            return 0.0
+        latency_ms = endpoint.estimated_latency_ms(self.unloaded_ms, now_ms)
+        if is_shedding:
+            return latency_ms
+        rise_ms = max(0.0, latency_ms - self.unloaded_ms)
+        return min(latency_ms * waiting / (load + 1.0), EVIDENCE_FACTOR * rise_ms)
+
+    def _record_unloaded(self, latency_ms: float | None) -> None:
+        if latency_ms is None:
+            return
+        if self.unloaded_ms is None:
+            self.unloaded_ms = latency_ms
+            return
+        is_fall = latency_ms < self.unloaded_ms
+        weight = UNLOADED_FALL_WEIGHT if is_fall else UNLOADED_RISE_WEIGHT
+        self.unloaded_ms += weight * (latency_ms - self.unloaded_ms)
+
+
+def _is_usable(endpoint: Endpoint, now_ms: float) -> bool:
+    """Return whether an endpoint is healthy, and answers most of its requests."""
+    if not endpoint.is_healthy(now_ms):
+        return False
+    return endpoint.success_rate.rate_at(now_ms) >= MIN_SUCCESS_RATE
+
+
+def _load(endpoint: Endpoint, now_ms: float) -> float:
+    """Return the requests of this instance at an endpoint, and those of others by its report."""
+    load = float(endpoint.in_flight)
+    if endpoint.reported_at_ms is None:
+        return load
+    load_of_others = min(endpoint.load_of_others, MAX_REPORTED_ROUNDS * endpoint.slots)
+    age_ms = now_ms - endpoint.reported_at_ms
+    return load + load_of_others * decay_weight(age_ms, REPORT_HALF_LIFE_MS)
--- a/src/radishmount/forwarding/_execution.py
+++ b/src/radishmount/forwarding/_execution.py
@@ -154,6 +154,9 @@
             return False
         if progress.send_count == progress.unsent_count:
             return True  # nothing has arrived at an endpoint yet
+        if self.context.withholds_repeat(self.plan, progress.service):
+            self.context.counters.add("repeats_withheld", "short of room")
+            return False
         if not self.context.retry_budget.try_withdraw(progress.service, now_ms):
             self.context.counters.add("repeats_withheld", progress.service)
             return False
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -7,6 +7,7 @@
 
 from result import Err
 
+from radishmount.admission import RoomAdmission, RoomRequest
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.codes import Code, Refusal, RunStatus
@@ -30,6 +31,7 @@
 from radishmount.forwarding import (
     ForwardContext,
     ForwardOutcome,
+    ForwardPlan,
     ForwardRecord,
     ForwardRetryBudget,
     ForwardVerdict,
@@ -97,6 +99,7 @@
     follower: StoreFollower
     pool: EndpointPool
     forward_context: ForwardContext
+    room: RoomAdmission
     slow_endpoint_gossip: SlowEndpointGossip
     audit: AuditTrail
     counters: Counters
@@ -165,6 +168,9 @@
         lag_ms = context.event_loop_lag.reply_margin_ms()
         time_left_ms = self.planned_stop.bound_time_left(time_left_ms, arrived_at_ms)
         plan = make_plan(call, route, arrived_at_ms, time_left_ms, context.random, lag_ms)
+        refusal = self.room.admit(_make_room_request(plan))
+        if refusal is not None:
+            return self._refuse(call, refusal, plan)
         self.in_flight += 1
         try:
             async with self.planned_stop.limit():
@@ -204,6 +210,7 @@
             "instances_listed": float(len(self.control.fleet.listed_names)),
             "peer_streams": float(len(self.control.peers.sessions_by_name)),
             "forwarding": float(self.in_flight),
+            "short_of_room": float(self.room.short_count()),
         }
 
     def status(self) -> dict[str, Any]:
@@ -215,16 +222,19 @@
             **self.gauges(),
         }
 
-    def _refuse(self, call: ForwardCall, refusal: Refusal) -> ForwardOutcome:
-        """Refuse a request before it has a plan, and record the refusal."""
+    def _refuse(
+        self, call: ForwardCall, refusal: Refusal, plan: ForwardPlan | None = None
+    ) -> ForwardOutcome:
+        """Refuse a request before it is sent anywhere, and record the refusal."""
         view = self.view()
+        now_ms = self.dependencies.clock.now_ms()
         record = ForwardRecord(
             request_id=call.request_id,
-            route="",
+            route="" if plan is None else plan.route.name,
             verdict=ForwardVerdict.REFUSED,
-            took_ms=0.0,
-            allowed_ms=0.0,
-            parts=0,
+            took_ms=0.0 if plan is None else now_ms - plan.arrived_at_ms,
+            allowed_ms=0.0 if plan is None else plan.deadline_at_ms - plan.arrived_at_ms,
+            parts=0 if plan is None else len(plan.services),
             missing=(),
             attempts=(),
             version=view.version,
@@ -232,6 +242,8 @@
             refusal=refusal,
         )
         self.counters.add("requests", ForwardVerdict.REFUSED.value)
+        if plan is not None:
+            self.forward_context.observe(record.route, record.verdict.value, record.took_ms)
         self.forward_context.on_record(record)
         return Err(refusal)
 
@@ -291,6 +303,7 @@
                 max(0.0, self.dependencies.clock.now_ms() - due_at_ms)
             )
             self._announce_load()
+            self.room.update()
             if preferred_names(self.control.fleet) != self.preferred_names:
                 await self.apply_roster()
 
@@ -312,6 +325,25 @@
             self.load_announced_at_ms = now_ms
 
 
+def _make_room_request(plan: ForwardPlan) -> RoomRequest:
+    """Return what admission needs to know of a request.
+
+    A caller repeats a request with a new id, perhaps on a new connection. So a repeat is told from
+    another request by the caller's address and by what is asked.
+    """
+    call, route = plan.call, plan.route
+    return RoomRequest(
+        services=plan.services,
+        allowed_missing=len(plan.services) - plan.min_replies,
+        priority=route.priority,
+        target_ms=route.target_latency_ms,
+        deadline_at_ms=plan.deadline_at_ms,
+        caller_key=lambda: hash(
+            (call.caller_address, route.name, call.method, call.target, call.body)
+        ),
+    )
+
+
 def make_gateway(
     dependencies: GatewayDependencies, audit: AuditTrail, counters: Counters | None = None
 ) -> Gateway:
@@ -333,6 +365,11 @@
         ForwardRetryBudget(dependencies.retry_budget_settings),
     )
 
+    room = RoomAdmission(pool.endpoints_of, clock, random, counters, audit)
+    forward_context.withholds_repeat = lambda plan, service: room.withholds_repeat(
+        _make_room_request(plan), service
+    )
+
     async def update_endpoints() -> None:
         await gateway.update_endpoints()
 
@@ -372,6 +409,7 @@
         follower=follower,
         pool=pool,
         forward_context=forward_context,
+        room=room,
         slow_endpoint_gossip=slow_endpoint_gossip,
         audit=audit,
         counters=counters,
--- a/src/radishmount/platform/_ingress.py
+++ b/src/radishmount/platform/_ingress.py
@@ -142,6 +142,7 @@
         target=request.raw_path,
         headers=headers,
         body=body,
+        caller_address=request.remote or "",
     )
 
 
@@ -177,7 +178,9 @@
         status = http_status_of(refusal.code)
     elif refusal.ran is RunStatus.NOT_RUN:
         status = HTTPStatus.SERVICE_UNAVAILABLE
-        retry_after_s = max(MIN_RETRY_AFTER_S, (refusal.retry_after_ms or 0.0) / 1000.0)
+        retry_after_s = (refusal.retry_after_ms or 0.0) / 1000.0
+        if refusal.code is not Code.NO_ROOM:
+            retry_after_s = max(MIN_RETRY_AFTER_S, retry_after_s)
         headers[RETRY_AFTER_HEADER] = f"{retry_after_s:.3f}".rstrip("0")
     else:
         status = HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY
