--- a/src/radishmount/admission/_room_admission.py
+++ b/src/radishmount/admission/_room_admission.py
@@ -19,6 +19,7 @@
 __all__ = ["RoomAdmission", "RoomCause"]
 
 EVALUATION_INTERVAL_MS = 25.0
+SHORT_INTERVAL_MS = 10.0  # while requests wait, as a queue may fill within tens of milliseconds
 MAX_ADMITTED_BETWEEN = 8  # requests after which the room is evaluated before the interval ends
 URGENCY_FACTOR = 0.5  # of the wait that the next more urgent kind may have
 REPEAT_FACTOR = 0.5  # of the wait up to which first attempts are sent
@@ -121,8 +122,9 @@
         if room is None:
             room = self._add_room(services)
         room.used_at_ms = now_ms
+        interval_ms = SHORT_INTERVAL_MS if room.waits else EVALUATION_INTERVAL_MS
         if (
-            now_ms - room.evaluated_at_ms >= EVALUATION_INTERVAL_MS
+            now_ms - room.evaluated_at_ms >= interval_ms
             or room.admitted_since_evaluation >= MAX_ADMITTED_BETWEEN
         ):
             self._evaluate(room, now_ms)
--- a/src/radishmount/admission/_service_room.py
+++ b/src/radishmount/admission/_service_room.py
@@ -11,8 +11,7 @@
 
 REPORT_HALF_LIFE_MS = 500.0  # the same as in the choice of endpoints
 MAX_REPORTED_ROUNDS = 4  # bounds the reported load of others, in multiples of the slots
-SHED_RECENT_MS = 250.0
-MIN_SUCCESS_RATE = 0.5  # an endpoint that fails more often is no room
+SHED_RECENT_MS = 100.0
 # A reported queue counts up to this multiple of the rise in latency that this instance measured.
 EVIDENCE_FACTOR = 2.0
 UNLOADED_MAX_LOAD = 0.5  # of the slots, up to which a latency counts as that of an idle endpoint
@@ -38,7 +37,7 @@
         self.evaluated_at_ms = now_ms
         shortest_ms = inf
         for endpoint in endpoints:
-            if not _is_usable(endpoint, now_ms):
+            if not endpoint.is_healthy(now_ms):
                 continue
             wait_ms = self._wait_at(endpoint, now_ms)
             if wait_ms <= 0.0:
@@ -80,13 +79,6 @@
         self.unloaded_ms += weight * (latency_ms - self.unloaded_ms)
 
 
-def _is_usable(endpoint: Endpoint, now_ms: float) -> bool:
-    """Return whether an endpoint is healthy, and answers most of its requests."""
-    if not endpoint.is_healthy(now_ms):
-        return False
-    return endpoint.success_rate.rate_at(now_ms) >= MIN_SUCCESS_RATE
-
-
 def _load(endpoint: Endpoint, now_ms: float) -> float:
     """Return the requests of this instance at an endpoint, and those of others by its report."""
     load = float(endpoint.in_flight)
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -48,7 +48,7 @@
 from radishmount.tasks import TaskSupervisor
 
 
-__all__ = ["Gateway", "GatewayDependencies", "make_gateway"]
+__all__ = ["Gateway", "GatewayDependencies", "make_gateway", "make_room_request"]
 
 FORWARD_POLICY = QueryPolicy(probes=False, adaptive_limits=False)
 ASSUMED_INSTANCES = 8  # usual size of a fleet, for connection shares until the roster is known
@@ -168,7 +168,7 @@
         lag_ms = context.event_loop_lag.reply_margin_ms()
         time_left_ms = self.planned_stop.bound_time_left(time_left_ms, arrived_at_ms)
         plan = make_plan(call, route, arrived_at_ms, time_left_ms, context.random, lag_ms)
-        refusal = self.room.admit(_make_room_request(plan))
+        refusal = self.room.admit(make_room_request(plan))
         if refusal is not None:
             return self._refuse(call, refusal, plan)
         self.in_flight += 1
@@ -325,7 +325,7 @@
             self.load_announced_at_ms = now_ms
 
 
-def _make_room_request(plan: ForwardPlan) -> RoomRequest:
+def make_room_request(plan: ForwardPlan) -> RoomRequest:
     """Return what admission needs to know of a request.
 
     A caller repeats a request with a new id, perhaps on a new connection. So a repeat is told from
@@ -367,7 +367,7 @@
 
     room = RoomAdmission(pool.endpoints_of, clock, random, counters, audit)
     forward_context.withholds_repeat = lambda plan, service: room.withholds_repeat(
-        _make_room_request(plan), service
+        make_room_request(plan), service
     )
 
     async def update_endpoints() -> None:
