--- a/src/radishmount/admission/_demand.py
+++ b/src/radishmount/admission/_demand.py
@@ -1,6 +1,5 @@
 """The requests of one kind that ask for room at the same services."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from radishmount.endpoints import decay_weight
@@ -18,8 +17,6 @@
     """A request that asks for room at `services`, of which `allowed_missing` need not answer.
 
     A lower `priority` goes first. An answer within `target_ms` of the arrival is on time.
-    `caller_key` returns a key that is the same where a caller repeats a request, and most probably
-    another one for any other request. It is called only while room is short.
     """
 
     services: tuple[str, ...]
@@ -27,7 +24,6 @@
     priority: int
     target_ms: float
     deadline_at_ms: float
-    caller_key: Callable[[], int]
 
 
 DemandKey = tuple[int, int, float]
--- a/src/radishmount/admission/_room_admission.py
+++ b/src/radishmount/admission/_room_admission.py
@@ -6,7 +6,6 @@
 from random import Random
 
 from radishmount.admission._demand import Demand, RoomRequest
-from radishmount.admission._early_returns import EarlyReturns
 from radishmount.admission._service_room import ServiceRoom
 from radishmount.admission._shared_room import SharedRoom
 from radishmount.audit import AuditTrail
@@ -35,7 +34,6 @@
 
     TIME = "late"
     RESERVED = "reserved"
-    EARLY = "early"
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +64,6 @@
     audit: AuditTrail
     rooms_by_services: dict[tuple[str, ...], SharedRoom] = field(default_factory=dict)
     rooms_by_service: dict[str, ServiceRoom] = field(default_factory=dict)
-    early_returns: EarlyReturns = field(default_factory=EarlyReturns)
 
     def admit(self, request: RoomRequest) -> Refusal | None:
         """Return why a request is refused, or none if it may be sent now."""
@@ -98,8 +95,10 @@
             return False
         room = self._room_for(request.services, now_ms)
         demand = room.demand_for(request, now_ms)
-        limits_ms = [limit_ms for _, _, limit_ms in _wait_limits(room, demand, now_ms)]
-        return service_room.wait_ms > REPEAT_FACTOR * min(limits_ms)
+        limit_ms = room.wait_limit_ms(demand)
+        for _, _, other_limit_ms in _wait_limits(room, demand, now_ms):
+            limit_ms = min(limit_ms, other_limit_ms)
+        return service_room.wait_ms > REPEAT_FACTOR * limit_ms
 
     def update(self) -> None:
         """Note which services have room again, and forget those that no request goes to."""
@@ -122,19 +121,21 @@
         if room is None:
             room = self._add_room(services)
         room.used_at_ms = now_ms
+        self._evaluate_if_due(room, now_ms)
+        return room
+
+    def _evaluate_if_due(self, room: SharedRoom, now_ms: float) -> None:
         interval_ms = SHORT_INTERVAL_MS if room.waits else EVALUATION_INTERVAL_MS
         if (
             now_ms - room.evaluated_at_ms >= interval_ms
             or room.admitted_since_evaluation >= MAX_ADMITTED_BETWEEN
         ):
             self._evaluate(room, now_ms)
-        return room
 
     def _add_room(self, services: tuple[str, ...]) -> SharedRoom:
-        room = SharedRoom(services)
-        own_services = frozenset(services)
+        room = SharedRoom(services, frozenset(services))
         for other in self.rooms_by_services.values():
-            if not own_services.isdisjoint(other.services):
+            if not room.service_names.isdisjoint(other.services):
                 other.competitors.append(room)
                 room.competitors.append(other)
         room.competitors.append(room)
@@ -146,6 +147,7 @@
         room.admitted_since_evaluation = 0
         room.waits = []
         room.unloaded_ms = 0.0
+        room.full_wait_ms = inf
         for service in room.services:
             service_room = self.rooms_by_service.get(service)
             if service_room is None:
@@ -156,6 +158,7 @@
                 continue
             room.waits.append((service_room.wait_ms, service))
             room.unloaded_ms = max(room.unloaded_ms, service_room.unloaded_ms or 0.0)
+            room.full_wait_ms = min(room.full_wait_ms, service_room.full_wait_ms)
         room.waits.sort(reverse=True)
 
     def _find_shortage(
@@ -166,27 +169,29 @@
         time_left_ms = max(0.0, request.deadline_at_ms - now_ms - room.unloaded_ms)
         if wait_ms > time_left_ms:
             return Shortage(RoomCause.TIME, service, wait_ms, time_left_ms)
-        is_early = self.early_returns.is_early(request.caller_key(), now_ms)
-        reserved = None
+        if wait_ms > demand.wait_limit_ms(room.unloaded_ms):
+            limit_ms = demand.wait_limit_ms(room.unloaded_ms)
+            shortage = Shortage(RoomCause.TIME, service, wait_ms, limit_ms)
+        else:
+            shortage = None
         for other_room, other, limit_ms in _wait_limits(room, demand, now_ms):
-            wait_ms, service = other_room.wait_for(other)
-            if wait_ms > other.wait_limit_ms(other_room.unloaded_ms):
-                cause = RoomCause.TIME if other is demand else RoomCause.RESERVED
-                return Shortage(cause, service, wait_ms, limit_ms)
-            if wait_ms > limit_ms:
-                reserved = Shortage(RoomCause.RESERVED, service, wait_ms, limit_ms)
-            elif is_early and wait_ms > URGENCY_FACTOR * limit_ms:
-                return Shortage(RoomCause.EARLY, service, wait_ms, URGENCY_FACTOR * limit_ms)
-        if reserved is None or (not is_early and _is_below_least_share(room, demand, now_ms)):
+            self._evaluate_if_due(other_room, now_ms)
+            wait_ms, service = other_room.wait_caused_by(room, other)
+            if wait_ms <= limit_ms:
+                continue
+            shortage = Shortage(RoomCause.RESERVED, service, wait_ms, limit_ms)
+            if other.priority < demand.priority and wait_ms > other.wait_limit_ms(
+                other_room.unloaded_ms
+            ):
+                return shortage
+        if shortage is not None and _is_below_least_share(room, demand, now_ms):
             return None
-        return reserved
+        return shortage
 
     def _refuse(
         self, room: SharedRoom, request: RoomRequest, shortage: Shortage, now_ms: float
     ) -> Refusal:
         retry_after_ms = self._retry_after_ms(room, request, shortage, now_ms)
-        if shortage.cause != RoomCause.EARLY:
-            self.early_returns.record_refusal(request.caller_key(), retry_after_ms, now_ms)
         detail = (
             f"{shortage.cause}, priority {request.priority}, {shortage.service}: "
             f"wait {shortage.wait_ms:.0f} ms, at most {shortage.limit_ms:.0f} ms"
@@ -240,21 +245,21 @@
 def _wait_limits(
     room: SharedRoom, demand: Demand, now_ms: float
 ) -> list[tuple[SharedRoom, Demand, float]]:
-    """Return how long the kinds that are at least as urgent may be made to wait by this one.
+    """Return how long the other kinds, if they are no less urgent, may wait because of this one.
 
-    The first entry is the kind itself. Each more urgent kind has its room and its limit, which is
-    halved for each step in priority between the two.
+    That is as long as they are neither late nor shed, and half as long for each step in priority.
     """
-    limits = [(room, demand, demand.wait_limit_ms(room.unloaded_ms))]
-    more_urgent = [
+    others = [
         (other_room, other)
         for other_room, other in room.competing_demands(now_ms)
-        if other.priority < demand.priority
+        if other is not demand and other.priority <= demand.priority
     ]
-    priorities = sorted({other.priority for _, other in more_urgent}, reverse=True)
-    for other_room, other in more_urgent:
-        steps = 1 + priorities.index(other.priority)
-        limit_ms = other.wait_limit_ms(other_room.unloaded_ms) * URGENCY_FACTOR**steps
+    more_urgent = {other.priority for _, other in others} - {demand.priority}
+    priorities = [demand.priority, *sorted(more_urgent, reverse=True)]
+    limits = []
+    for other_room, other in others:
+        steps = priorities.index(other.priority)
+        limit_ms = other_room.wait_limit_ms(other) * URGENCY_FACTOR**steps
         limits.append((other_room, other, limit_ms))
     return limits
 
--- a/src/radishmount/admission/_service_room.py
+++ b/src/radishmount/admission/_service_room.py
@@ -12,6 +12,7 @@
 REPORT_HALF_LIFE_MS = 500.0  # the same as in the choice of endpoints
 MAX_REPORTED_ROUNDS = 4  # bounds the reported load of others, in multiples of the slots
 SHED_RECENT_MS = 100.0
+FULL_KEPT_MS = 10_000.0  # after the last time that an endpoint shed
 # A reported queue counts up to this multiple of the rise in latency that this instance measured.
 EVIDENCE_FACTOR = 2.0
 UNLOADED_MAX_LOAD = 0.5  # of the slots, up to which a latency counts as that of an idle endpoint
@@ -25,16 +26,21 @@
 
     `unloaded_ms` is how long requests take while few run, and none until that was seen: then no
     wait is assumed, whatever the endpoints report. `wait_ms` is the wait at the endpoint where it
-    is shortest, infinite where no endpoint can be used.
+    is shortest, infinite where no endpoint can be used. `full_wait_ms` is the wait at which
+    endpoints shed requests, infinite where none has shed lately.
     """
 
     unloaded_ms: float | None = None
     wait_ms: float = 0.0
+    full_wait_ms: float = inf
+    full_seen_at_ms: float = -inf
     evaluated_at_ms: float = -inf
 
     def evaluate(self, endpoints: Iterable[Endpoint], now_ms: float) -> None:
         """Update the wait; the first endpoint with a free slot ends the search."""
         self.evaluated_at_ms = now_ms
+        if now_ms - self.full_seen_at_ms >= FULL_KEPT_MS:
+            self.full_wait_ms = inf
         shortest_ms = inf
         for endpoint in endpoints:
             if not endpoint.is_healthy(now_ms):
@@ -63,10 +69,20 @@
         if self.unloaded_ms is None or (waiting <= 0.0 and not is_shedding):
             return 0.0
         latency_ms = endpoint.estimated_latency_ms(self.unloaded_ms, now_ms)
+        wait_ms = latency_ms * max(0.0, waiting) / (load + 1.0)
         if is_shedding:
-            return latency_ms
-        rise_ms = max(0.0, latency_ms - self.unloaded_ms)
-        return min(latency_ms * waiting / (load + 1.0), EVIDENCE_FACTOR * rise_ms)
+            return max(wait_ms, self._record_full(endpoint, self.unloaded_ms))
+        return min(wait_ms, EVIDENCE_FACTOR * max(0.0, latency_ms - self.unloaded_ms))
+
+    def _record_full(self, endpoint: Endpoint, unloaded_ms: float) -> float:
+        """Return the wait at an endpoint that has just shed, by the queue that it reports."""
+        queued = endpoint.report.queued
+        if queued <= 0:
+            return unloaded_ms
+        full_wait_ms = unloaded_ms * queued / max(1, endpoint.usable_slots)
+        self.full_wait_ms = full_wait_ms
+        self.full_seen_at_ms = endpoint.shed_at_ms
+        return full_wait_ms
 
     def _record_unloaded(self, latency_ms: float | None) -> None:
         if latency_ms is None:
--- a/src/radishmount/endpoints/_forward_exchange.py
+++ b/src/radishmount/endpoints/_forward_exchange.py
@@ -16,7 +16,6 @@
     """A request as a caller sent it. `target` is the path and query, byte for byte.
 
     `headers` are the end-to-end headers, without those of the caller's connection.
-    `caller_address` is the address that the connection came from, empty where that is unknown.
     """
 
     request_id: str
@@ -24,7 +23,6 @@
     target: str
     headers: HeaderPairs = ()
     body: bytes = b""
-    caller_address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -326,21 +326,14 @@
 
 
 def make_room_request(plan: ForwardPlan) -> RoomRequest:
-    """Return what admission needs to know of a request.
-
-    A caller repeats a request with a new id, perhaps on a new connection. So a repeat is told from
-    another request by the caller's address and by what is asked.
-    """
-    call, route = plan.call, plan.route
+    """Return what admission needs to know of a request."""
+    route = plan.route
     return RoomRequest(
         services=plan.services,
         allowed_missing=len(plan.services) - plan.min_replies,
         priority=route.priority,
         target_ms=route.target_latency_ms,
         deadline_at_ms=plan.deadline_at_ms,
-        caller_key=lambda: hash(
-            (call.caller_address, route.name, call.method, call.target, call.body)
-        ),
     )
 
 
--- a/src/radishmount/platform/_ingress.py
+++ b/src/radishmount/platform/_ingress.py
@@ -142,7 +142,6 @@
         target=request.raw_path,
         headers=headers,
         body=body,
-        caller_address=request.remote or "",
     )
 
 
--- a/tests/crowd_harness.py
+++ b/tests/crowd_harness.py
@@ -176,7 +176,6 @@
                 "GET",
                 f"/{call_number}",
                 body=str(kind.work_ms).encode(),
-                caller_address="10.0.0.1",
             )
             plan = make_plan(call, route, arrived_ms, time_left_ms, instance.random)
             refusal = instance.room.admit(make_room_request(plan))
