--- a/src/radishmount/admission/_service_room.py
+++ b/src/radishmount/admission/_service_room.py
@@ -11,10 +11,10 @@
 
 REPORT_HALF_LIFE_MS = 500.0  # the same as in the choice of endpoints
 MAX_REPORTED_ROUNDS = 4  # bounds the reported load of others, in multiples of the slots
-SHED_RECENT_MS = 100.0
+SHED_RECENT_MS = 40.0
 FULL_KEPT_MS = 10_000.0  # after the last time that an endpoint shed
 # A reported queue counts up to this multiple of the rise in latency that this instance measured.
-EVIDENCE_FACTOR = 2.0
+EVIDENCE_FACTOR = 3.0
 UNLOADED_MAX_LOAD = 0.5  # of the slots, up to which a latency counts as that of an idle endpoint
 UNLOADED_FALL_WEIGHT = 0.2
 UNLOADED_RISE_WEIGHT = 0.02  # slow, so that the queues of an overload do not pass for the usual
--- a/tests/crowd_harness.py
+++ b/tests/crowd_harness.py
@@ -128,7 +128,7 @@
 class Crowd:
     """Some instances, the endpoints that they share, and what callers got by kind."""
 
-    def __init__(self, services: int, replicas: int = 3, instances: int = 4) -> None:
+    def __init__(self, services: int, replicas: int = 3, instances: int = 4, seed: int = 11) -> None:
         self.endpoints_by_name = {
             f"s{n}-{r}": CrowdedEndpoint(f"s{n}-{r}", f"s{n}")
             for n in range(services)
@@ -137,7 +137,7 @@
         self.instances = [
             CrowdedInstance(self.endpoints_by_name, services, seed) for seed in range(instances)
         ]
-        self.random = Random(11)
+        self.random = Random(seed)
         self.tallies: defaultdict[str, Tally] = defaultdict(Tally)
         self.ran_by_id: Counter[str] = Counter()
         self.sent_count = 0
