--- /dev/null
+++ b/tests/admission/test_room.py
@@ -0,0 +1,211 @@
+"""Tests of the admission of forwarded requests, on virtual time, with endpoints that fill up."""
+
+import pytest
+
+from crowd_harness import Crowd, Kind, make_crowd
+from radishmount.admission import RoomRequest
+from radishmount.codes import Code, RunStatus
+from radishmount.endpoints import Endpoint, LoadReport
+from radishmount.publication import EndpointSpec
+from radishmount.routes import Route, WeightedService
+
+
+pytestmark = pytest.mark.looptime
+
+SHARDS = tuple(f"s{n}" for n in range(10))
+MAX_INVERSION = 0.05  # by which a more urgent kind may be served less often than a less urgent one
+MIN_SHARE_OF_ALL = 0.25  # of how often all are served
+
+
+def search_kinds(times: float) -> list[Kind]:
+    """Return searches of three priorities that go to the same shards, at `times` the usual rate."""
+
+    def kind(priority: int, target_ms: float, min_share: float, work_ms: float) -> Kind:
+        route = Route(
+            f"p{priority}",
+            "h",
+            "/",
+            priority=priority,
+            target_latency_ms=target_ms,
+            timeout_ms=3.5 * target_ms,
+            shards=SHARDS,
+            top_records=5,
+            min_share=min_share,
+        )
+        return Kind(route, 25.0 * times, work_ms)
+
+    return [kind(0, 228.0, 0.9, 22.5), kind(1, 90.0, 0.8, 7.5), kind(2, 500.0, 0.9, 22.5)]
+
+
+def booking_kinds(per_s: float) -> list[Kind]:
+    """Return requests of two priorities that may run once, and go to one service."""
+
+    def kind(priority: int) -> Kind:
+        services = (WeightedService("s0"),)
+        times = {"target_latency_ms": 400.0, "timeout_ms": 2_000.0}
+        route = Route(
+            f"p{priority}", "h", "/", False, priority=priority, services=services, **times
+        )
+        return Kind(route, per_s, 90.0)
+
+    return [kind(0), kind(1)]
+
+
+def lose_endpoints(crowd: Crowd, *, lost: bool) -> None:
+    """Make 13 of 30 endpoints unreachable: all but one of three shards, one of the others."""
+    for name, endpoint in crowd.endpoints_by_name.items():
+        service, _, replica = name.partition("-")
+        endpoint.unreachable = lost and (
+            replica == "a" or (replica == "b" and service in {"s1", "s4", "s7"})
+        )
+
+
+def audit_changes(crowd: Crowd) -> list[str]:
+    return [line.change for instance in crowd.instances for line in instance.audit.lines]
+
+
+def assert_order_kept(ratios: list[float]) -> None:
+    """Check the shares of the kinds that were served, the most urgent kind first."""
+    assert ratios == pytest.approx(sorted(ratios, reverse=True), abs=MAX_INVERSION)
+
+
+class TestCrush:
+    """Pattern: endpoints are lost in mass while callers send four times as much."""
+
+    async def test_urgent_searches_are_served_first_and_no_kind_starves(self) -> None:
+        crowd = await make_crowd(len(SHARDS))
+        await crowd.run(search_kinds(1.0), 2.0)
+        lose_endpoints(crowd, lost=True)
+
+        tallies = await crowd.run(search_kinds(4.0), 5.0)
+
+        kinds = [tallies[name] for name in ("p0", "p1", "p2")]
+        assert_order_kept([kind.in_time_ratio for kind in kinds])
+        assert_order_kept([kind.served_ratio for kind in kinds])
+        all_served = sum(k.in_time + k.late for k in kinds) / sum(k.sent for k in kinds)
+        assert min(kind.served_ratio for kind in kinds) >= MIN_SHARE_OF_ALL * all_served
+
+    async def test_bookings_are_refused_at_once_and_none_of_them_runs(self) -> None:
+        crowd = await make_crowd(1, "abcd")
+        await crowd.run(booking_kinds(35.0), 2.0)
+
+        tallies = await crowd.run(booking_kinds(175.0), 5.0)
+
+        assert_order_kept([tallies["p0"].in_time_ratio, tallies["p1"].in_time_ratio])
+        assert max(tally.slowest_refusal_ms for tally in tallies.values()) <= 100.0
+        ran_ids = [name for e in crowd.endpoints_by_name.values() for name in e.ran_ids]
+        assert len(ran_ids) == len(set(ran_ids))
+        assert crowd.refused_ids.isdisjoint(ran_ids)
+
+    async def test_with_the_endpoints_back_everything_is_admitted_again(self) -> None:
+        crowd = await make_crowd(len(SHARDS))
+        await crowd.run(search_kinds(1.0), 2.0)
+        lose_endpoints(crowd, lost=True)
+        await crowd.run(search_kinds(4.0), 3.0)
+        lose_endpoints(crowd, lost=False)
+        await crowd.run(search_kinds(1.0), 3.0)
+
+        tallies = await crowd.run(search_kinds(1.0), 2.0)
+
+        assert sum(tally.refusals for tally in tallies.values()) == 0
+        assert audit_changes(crowd).count("short of room") >= 1
+        short, again = (audit_changes(crowd).count(c) for c in ("short of room", "has room again"))
+        assert short == again
+
+
+class TestNoRefusalWithRoom:
+    """Requests that the endpoints can take are admitted, whatever is reported about them."""
+
+    async def test_a_burst_that_fits_is_served(self) -> None:
+        """Pattern: eight times the usual traffic, with all endpoints."""
+        crowd = await make_crowd(len(SHARDS))
+        await crowd.run(search_kinds(1.0)[:2], 2.0)
+
+        tallies = await crowd.run(search_kinds(8.0)[:2], 3.0)
+
+        assert [tally.in_time_ratio for tally in tallies.values()] == [1.0, 1.0]
+        assert audit_changes(crowd) == []
+
+    @pytest.mark.parametrize("false_since_start", [True, False])
+    async def test_a_false_queue_refuses_nothing(self, false_since_start: bool) -> None:
+        crowd = await make_crowd(1)
+        for when in (True, False):
+            if when is false_since_start:
+                for endpoint in crowd.endpoints_by_name.values():
+                    endpoint.false_queue = 40
+            tallies = await crowd.run(booking_kinds(20.0), 3.0)
+
+        assert [tally.refusals for tally in tallies.values()] == [0, 0]
+
+
+def make_queued_endpoint(name: str) -> Endpoint:
+    """Return an endpoint that was fast, and has three rounds of requests now."""
+    endpoint = Endpoint(
+        EndpointSpec(name, "milano", "127.0.0.1:80"), 4, is_tracked_by_discovery=True
+    )
+    for sent_at_ms, in_flight, queued in ((0.0, 1, 0), (400.0, 4, 8), (450.0, 4, 8)):
+        endpoint.record_reply(LoadReport(4, in_flight, queued), sent_at_ms, sent_at_ms + 50.0)
+        if not queued:
+            endpoint.latency.value_ms = 20.0
+    endpoint.latency.value_ms = 60.0
+    return endpoint
+
+
+class TestRoomAdmission:
+    """One instance's decision about one request."""
+
+    async def make_instance(self) -> Crowd:
+        """Return a crowd at whose service `s0` there is a wait of some 40 ms, after calm."""
+        crowd = await make_crowd(2, "a")
+        room = crowd.instances[0].room
+        await crowd.run(booking_kinds(20.0), 1.0)
+        for service_room in room.rooms_by_service.values():
+            service_room.unloaded_ms = 20.0
+        queued = make_queued_endpoint("s0-a")
+        queued.reported_at_ms = queued.latency.updated_at_ms = room.clock.now_ms()
+        free = Endpoint(EndpointSpec("s1-a", "milano", "b:1"), 4, is_tracked_by_discovery=True)
+        room.endpoints_of = lambda service: [queued if service == "s0" else free]
+        room.rooms_by_services.clear()
+        return crowd
+
+    def request(self, crowd: Crowd, priority: int, *services: str, **fields: float) -> RoomRequest:
+        deadline_at_ms = crowd.instances[0].clock.now_ms() + fields.get("left_ms", 600.0)
+        missing = int(fields.get("missing", 0))
+        return RoomRequest(services, missing, priority, 100.0, deadline_at_ms)
+
+    async def test_only_kinds_that_compete_for_the_same_endpoints_matter(self) -> None:
+        crowd = await self.make_instance()
+        admit = crowd.instances[0].room.admit
+
+        assert admit(self.request(crowd, 0, "s0", "s1")) is None
+        assert admit(self.request(crowd, 1, "s1")) is None
+        assert admit(self.request(crowd, 1, "s0")) is None  # the first one, of a kind that has none
+        refusal = admit(self.request(crowd, 1, "s0"))
+        assert refusal is not None
+        assert (refusal.code, refusal.ran) == (Code.NO_ROOM, RunStatus.NOT_RUN)
+        assert refusal.detail.startswith("reserved, priority 1, s0: wait ")
+
+    async def test_a_full_shard_that_may_be_left_out_does_not_count(self) -> None:
+        crowd = await self.make_instance()
+        admit = crowd.instances[0].room.admit
+
+        assert admit(self.request(crowd, 0, "s0", "s1", left_ms=40.0)) is not None
+        assert admit(self.request(crowd, 0, "s0", "s1", left_ms=40.0, missing=1)) is None
+
+    async def test_refused_callers_return_at_different_times_while_they_can_wait(self) -> None:
+        crowd = await self.make_instance()
+        requests = [self.request(crowd, 0, "s0", left_ms=45.0) for _ in range(20)]
+        refusals = [crowd.instances[0].room.admit(request) for request in requests]
+
+        waits_ms = {refusal.retry_after_ms or 0.0 for refusal in refusals if refusal is not None}
+        assert len(waits_ms) == 20
+        assert 0.0 < min(waits_ms) <= max(waits_ms) <= 15.0
+
+    async def test_repeats_stop_before_first_attempts_do(self) -> None:
+        crowd = await self.make_instance()
+        room = crowd.instances[0].room
+        request = self.request(crowd, 0, "s0")
+
+        assert room.admit(request) is None
+        assert room.withholds_repeat(request, "s0")
+        assert not room.withholds_repeat(request, "s1")
--- a/tests/forwarding/test_overload.py
+++ b/tests/forwarding/test_overload.py
@@ -50,6 +50,21 @@
             assert harness.counters.value("forwarded", "hedge") == hedges
             assert harness.counters.value("hedges_withheld", "full") > 0
 
+    async def test_no_repeat_is_sent_where_first_attempts_need_the_room(self) -> None:
+        async with forward_harness(1) as harness:
+            harness.context.withholds_repeat = lambda plan, service: service == "s0"
+            for endpoint in harness.endpoints_of("s0"):
+                endpoint.service_ms = 300.0
+                endpoint.requests_to_shed = 1
+            route = harness.single_route()
+
+            outcomes = [await harness.send(route) for _ in range(9)]
+
+            assert [outcome.is_ok() for outcome in outcomes].count(False) == 3
+            assert harness.counters.value("forwarded", "first") == 9
+            assert harness.counters.value("forwarded", "hedge") == 0
+            assert harness.counters.value("forwarded", "retry") == 0
+
     async def test_attempts_not_sent_yet_are_cancelled_with_the_answer(self) -> None:
         async with forward_harness(4) as harness:
             for endpoint in harness.endpoints_of("s3"):
