--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 
 import aiohttp
 import orjson
@@ -17,6 +18,9 @@
     single_route,
     start_platform_harness,
 )
+from radishmount.admission import RoomRequest
+from radishmount.codes import Code, Refusal
+from radishmount.forwarding import ForwardRecord
 from radishmount.standins import ReceivedRequest
 
 
@@ -42,6 +46,20 @@
     return answer
 
 
+@dataclass(frozen=True)
+class FullRoom:
+    """An admission that refuses every request."""
+
+    refusal: Refusal
+
+    def admit(self, request: RoomRequest) -> Refusal:
+        """Refuse."""
+        return self.refusal
+
+    def update(self) -> None:
+        """Do nothing."""
+
+
 def never_respond(request: ReceivedRequest, name: str) -> None:
     """Send no response."""
 
@@ -85,6 +103,23 @@
         assert status == 503
         assert "Retry-After" in headers
 
+    async def test_a_request_without_room_is_503_and_is_not_sent(
+        self, harness: PlatformHarness
+    ) -> None:
+        back_end = await harness.add_back_end("orders", "b1")
+        await harness.publish(3, single_route())
+        gateway = harness.instance.gateway
+        refusal = Refusal(Code.NO_ROOM, detail="reserved", retry_after_ms=62.0)
+        gateway.room = FullRoom(refusal)  # type: ignore[assignment]
+
+        status, headers, _ = await harness.send_request("/orders/7")
+
+        assert (status, headers["Retry-After"]) == (503, "0.062")
+        assert back_end.received == []
+        record = gateway.explain("q1")
+        assert isinstance(record, ForwardRecord)
+        assert (record.route, record.refusal) == ("r-single", refusal)
+
     async def test_an_unsafe_request_with_a_truncated_response_is_502(
         self, harness: PlatformHarness
     ) -> None:
