--- a/src/radishmount/admission/_demand.py
+++ b/src/radishmount/admission/_demand.py
@@ -12,7 +12,7 @@
 REPLY_MARGIN_MS = 24.0  # for the way to the caller and back
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RoomRequest:
     """A request that asks for room at `services`, of which `allowed_missing` need not answer.
 
--- a/src/radishmount/admission/_room_admission.py
+++ b/src/radishmount/admission/_room_admission.py
@@ -17,7 +17,7 @@
 
 __all__ = ["RoomAdmission", "RoomCause"]
 
-EVALUATION_INTERVAL_MS = 25.0
+EVALUATION_INTERVAL_MS = 50.0  # also bounds the cost for instances with many small requests
 SHORT_INTERVAL_MS = 10.0  # while requests wait, as a queue may fill within tens of milliseconds
 MAX_ADMITTED_BETWEEN = 8  # requests after which the room is evaluated before the interval ends
 URGENCY_FACTOR = 0.5  # of the wait that the next more urgent kind may have
@@ -69,10 +69,10 @@
         """Return why a request is refused, or none if it may be sent now."""
         now_ms = self.clock.now_ms()
         room = self._room_for(request.services, now_ms)
-        demand = room.demand_for(request, now_ms)
         if not room.waits:
             room.admitted_since_evaluation += 1
             return None
+        demand = room.demand_for(request, now_ms)
         shortage = self._find_shortage(room, demand, request, now_ms)
         demand.count(admitted=shortage is None, now_ms=now_ms)
         if shortage is None:
--- a/src/radishmount/admission/_service_room.py
+++ b/src/radishmount/admission/_service_room.py
@@ -98,7 +98,7 @@
 def _load(endpoint: Endpoint, now_ms: float) -> float:
     """Return the requests of this instance at an endpoint, and those of others by its report."""
     load = float(endpoint.in_flight)
-    if endpoint.reported_at_ms is None:
+    if endpoint.reported_at_ms is None or not endpoint.load_of_others:
         return load
     load_of_others = min(endpoint.load_of_others, MAX_REPORTED_ROUNDS * endpoint.slots)
     age_ms = now_ms - endpoint.reported_at_ms
