--- a/src/radishmount/admission/_room_admission.py
+++ b/src/radishmount/admission/_room_admission.py
@@ -108,6 +108,7 @@
                 room.short_since_ms is not None
                 and now_ms - room.refused_at_ms >= ROOM_AGAIN_AFTER_MS
             ):
+                self._evaluate(room, now_ms)
                 self._record_room_again(room, now_ms)
             if now_ms - room.used_at_ms >= FORGET_UNUSED_AFTER_MS:
                 self._forget(room)
