--- a/src/radishmount/admission/__init__.py
+++ b/src/radishmount/admission/__init__.py
@@ -6,6 +6,7 @@
 from radishmount.admission._queue import AdmissionQueue, Permit, QueuedPerSlotOf
 from radishmount.admission._quota import Quotas, TokenBucket
 from radishmount.admission._room_admission import RoomAdmission, RoomCause
+from radishmount.admission._service_room import ServiceRoom
 from radishmount.admission._slots import queued_per_slot, share_of_slots
 
 
@@ -19,6 +20,7 @@
     "RoomAdmission",
     "RoomCause",
     "RoomRequest",
+    "ServiceRoom",
     "SlotShareOf",
     "TokenBucket",
     "queued_per_slot",
--- a/src/radishmount/admission/_room_admission.py
+++ b/src/radishmount/admission/_room_admission.py
@@ -32,7 +32,7 @@
 class RoomCause:
     """Why a request is refused for want of room."""
 
-    TIME = "late"
+    TIME = "would be late"
     RESERVED = "reserved"
 
 
--- a/tests/admission/test_room.py
+++ b/tests/admission/test_room.py
@@ -1,12 +1,16 @@
 """Tests of the admission of forwarded requests, on virtual time, with endpoints that fill up."""
 
+from math import inf
+from random import Random
+
 import pytest
 
 from crowd_harness import Crowd, Kind, make_crowd
-from radishmount.admission import RoomRequest
+from fakes import virtual_clock
+from radishmount.admission import RoomAdmission, RoomRequest, ServiceRoom
+from radishmount.audit import AuditTrail
 from radishmount.codes import Code, RunStatus
-from radishmount.endpoints import Endpoint, LoadReport
-from radishmount.publication import EndpointSpec
+from radishmount.counters import Counters
 from radishmount.routes import Route, WeightedService
 
 
@@ -141,74 +145,50 @@
         assert [tally.refusals for tally in tallies.values()] == [0, 0]
 
 
-def make_queued_endpoint(name: str) -> Endpoint:
-    """Return an endpoint that was fast, and has three rounds of requests now."""
-    endpoint = Endpoint(
-        EndpointSpec(name, "milano", "127.0.0.1:80"), 4, is_tracked_by_discovery=True
-    )
-    for sent_at_ms, in_flight, queued in ((0.0, 1, 0), (400.0, 4, 8), (450.0, 4, 8)):
-        endpoint.record_reply(LoadReport(4, in_flight, queued), sent_at_ms, sent_at_ms + 50.0)
-        if not queued:
-            endpoint.latency.value_ms = 20.0
-    endpoint.latency.value_ms = 60.0
-    return endpoint
+class TestRoomAdmission:
+    """One instance's decision: at `s0` a request waits 40 ms and works 20 ms, at `s1` none waits."""
 
+    def make_admission(self) -> RoomAdmission:
+        clock = virtual_clock()
+        admission = RoomAdmission(lambda name: (), clock, Random(1), Counters(), AuditTrail(clock))
+        for service, wait_ms in (("s0", 40.0), ("s1", 0.0)):
+            admission.rooms_by_service[service] = ServiceRoom(20.0, wait_ms, evaluated_at_ms=inf)
+        return admission
 
-class TestRoomAdmission:
-    """One instance's decision about one request."""
-
-    async def make_instance(self) -> Crowd:
-        """Return a crowd at whose service `s0` there is a wait of some 40 ms, after calm."""
-        crowd = await make_crowd(2, "a")
-        room = crowd.instances[0].room
-        await crowd.run(booking_kinds(20.0), 1.0)
-        for service_room in room.rooms_by_service.values():
-            service_room.unloaded_ms = 20.0
-        queued = make_queued_endpoint("s0-a")
-        queued.reported_at_ms = queued.latency.updated_at_ms = room.clock.now_ms()
-        free = Endpoint(EndpointSpec("s1-a", "milano", "b:1"), 4, is_tracked_by_discovery=True)
-        room.endpoints_of = lambda service: [queued if service == "s0" else free]
-        room.rooms_by_services.clear()
-        return crowd
-
-    def request(self, crowd: Crowd, priority: int, *services: str, **fields: float) -> RoomRequest:
-        deadline_at_ms = crowd.instances[0].clock.now_ms() + fields.get("left_ms", 600.0)
-        missing = int(fields.get("missing", 0))
-        return RoomRequest(services, missing, priority, 100.0, deadline_at_ms)
+    def request(
+        self, priority: int, *services: str, missing: int = 0, left_ms: float = 600.0
+    ) -> RoomRequest:
+        return RoomRequest(services, missing, priority, 100.0, virtual_clock().now_ms() + left_ms)
 
     async def test_only_kinds_that_compete_for_the_same_endpoints_matter(self) -> None:
-        crowd = await self.make_instance()
-        admit = crowd.instances[0].room.admit
+        admit = self.make_admission().admit
 
-        assert admit(self.request(crowd, 0, "s0", "s1")) is None
-        assert admit(self.request(crowd, 1, "s1")) is None
-        assert admit(self.request(crowd, 1, "s0")) is None  # the first one, of a kind that has none
-        refusal = admit(self.request(crowd, 1, "s0"))
+        assert admit(self.request(0, "s0", "s1")) is None
+        assert admit(self.request(1, "s1")) is None
+        assert admit(self.request(1, "s0")) is None  # the first one, of a kind that has none
+        refusal = admit(self.request(1, "s0"))
         assert refusal is not None
         assert (refusal.code, refusal.ran) == (Code.NO_ROOM, RunStatus.NOT_RUN)
-        assert refusal.detail.startswith("reserved, priority 1, s0: wait ")
+        assert refusal.detail == "reserved, priority 1, s0: wait 40 ms, at most 28 ms"
 
     async def test_a_full_shard_that_may_be_left_out_does_not_count(self) -> None:
-        crowd = await self.make_instance()
-        admit = crowd.instances[0].room.admit
+        admit = self.make_admission().admit
 
-        assert admit(self.request(crowd, 0, "s0", "s1", left_ms=40.0)) is not None
-        assert admit(self.request(crowd, 0, "s0", "s1", left_ms=40.0, missing=1)) is None
+        assert admit(self.request(0, "s0", "s1", left_ms=40.0)) is not None
+        assert admit(self.request(0, "s0", "s1", left_ms=40.0, missing=1)) is None
 
     async def test_refused_callers_return_at_different_times_while_they_can_wait(self) -> None:
-        crowd = await self.make_instance()
-        requests = [self.request(crowd, 0, "s0", left_ms=45.0) for _ in range(20)]
-        refusals = [crowd.instances[0].room.admit(request) for request in requests]
+        admission = self.make_admission()
+        refusals = [admission.admit(self.request(0, "s0", left_ms=45.0)) for _ in range(20)]
 
         waits_ms = {refusal.retry_after_ms or 0.0 for refusal in refusals if refusal is not None}
         assert len(waits_ms) == 20
         assert 0.0 < min(waits_ms) <= max(waits_ms) <= 15.0
 
     async def test_repeats_stop_before_first_attempts_do(self) -> None:
-        crowd = await self.make_instance()
-        room = crowd.instances[0].room
-        request = self.request(crowd, 0, "s0")
+        admission = self.make_admission()
+        request = self.request(0, "s0")
 
-        assert room.admit(request) is None
-        assert room.withholds_repeat(request, "s0")
-        assert not room.withholds_repeat(request, "s1")
+        assert admission.admit(request) is None
+        assert admission.withholds_repeat(request, "s0")
+        assert not admission.withholds_repeat(request, "s1")
