--- a/src/radishmount/admission/_service_room.py
+++ b/src/radishmount/admission/_service_room.py
@@ -9,9 +9,16 @@
 
 __all__ = ["ServiceRoom"]
 
-REPORT_HALF_LIFE_MS = 500.0  # the same as in the choice of endpoints
+REPORT_HALF_LIFE_LATENCIES = 2.0  # what an endpoint reports as running is done soon after
+MIN_REPORT_HALF_LIFE_MS = 10.0
 MAX_REPORTED_ROUNDS = 4  # bounds the reported load of others, in multiples of the slots
 SHED_RECENT_MS = 40.0
+# Endpoints pause now and then, each for a fraction of a second, and what waits then is soon served.
+# Only where requests wait most of the time is there too little room.
+QUEUEING_HALF_LIFE_MS = 500.0
+CROWDED_ABOVE_RATIO = 0.6
+CROWDED_UNTIL_RATIO = 0.3
+MAX_SAMPLE_MS = 100.0  # the time before, in which nothing was observed, counts as free of queues
 FULL_KEPT_MS = 10_000.0  # after the last time that an endpoint shed
 # A reported queue counts up to this multiple of the rise in latency that this instance measured.
 EVIDENCE_FACTOR = 3.0
@@ -27,18 +34,39 @@
     `unloaded_ms` is how long requests take while few run, and none until that was seen: then no
     wait is assumed, whatever the endpoints report. `wait_ms` is the wait at the endpoint where it
     is shortest, infinite where no endpoint can be used. `full_wait_ms` is the wait at which
-    endpoints shed requests, infinite where none has shed lately.
+    endpoints shed requests, infinite where none has shed lately. `queueing_ratio` is the recent
+    part of the time in which requests had to wait; the wait counts only while the service
+    `is_crowded`.
     """
 
     unloaded_ms: float | None = None
     wait_ms: float = 0.0
     full_wait_ms: float = inf
     full_seen_at_ms: float = -inf
+    queueing_ratio: float = 0.0
+    is_crowded: bool = False
     evaluated_at_ms: float = -inf
 
     def evaluate(self, endpoints: Iterable[Endpoint], now_ms: float) -> None:
-        """Update the wait; the first endpoint with a free slot ends the search."""
+        """Update the wait."""
+        elapsed_ms = now_ms - self.evaluated_at_ms
         self.evaluated_at_ms = now_ms
+        wait_ms = self._shortest_wait_ms(endpoints, now_ms)
+        self._update_crowded(0.0 < wait_ms < inf, elapsed_ms)
+        self.wait_ms = wait_ms if self.is_crowded or wait_ms == inf else 0.0
+
+    def _update_crowded(self, is_queueing: bool, elapsed_ms: float) -> None:
+        if not is_queueing and not self.queueing_ratio:
+            return
+        self.queueing_ratio *= decay_weight(elapsed_ms, QUEUEING_HALF_LIFE_MS)
+        if is_queueing:
+            sample_ms = min(elapsed_ms, MAX_SAMPLE_MS)
+            self.queueing_ratio += 1.0 - decay_weight(sample_ms, QUEUEING_HALF_LIFE_MS)
+        least_ratio = CROWDED_UNTIL_RATIO if self.is_crowded else CROWDED_ABOVE_RATIO
+        self.is_crowded = self.queueing_ratio > least_ratio
+
+    def _shortest_wait_ms(self, endpoints: Iterable[Endpoint], now_ms: float) -> float:
+        """Return the wait where it is shortest; an endpoint with a free slot ends the search."""
         if now_ms - self.full_seen_at_ms >= FULL_KEPT_MS:
             self.full_wait_ms = inf
         shortest_ms = inf
@@ -47,10 +75,9 @@
                 continue
             wait_ms = self._wait_at(endpoint, now_ms)
             if wait_ms <= 0.0:
-                self.wait_ms = 0.0
-                return
+                return 0.0
             shortest_ms = min(shortest_ms, wait_ms)
-        self.wait_ms = shortest_ms
+        return shortest_ms
 
     def _wait_at(self, endpoint: Endpoint, now_ms: float) -> float:
         """Return how long one more request would wait there for a slot.
@@ -102,4 +129,5 @@
         return load
     load_of_others = min(endpoint.load_of_others, MAX_REPORTED_ROUNDS * endpoint.slots)
     age_ms = now_ms - endpoint.reported_at_ms
-    return load + load_of_others * decay_weight(age_ms, REPORT_HALF_LIFE_MS)
+    half_life_ms = REPORT_HALF_LIFE_LATENCIES * (endpoint.latency.value_ms or 0.0)
+    return load + load_of_others * decay_weight(age_ms, max(MIN_REPORT_HALF_LIFE_MS, half_life_ms))
