--- a/tests/admission/test_room.py
+++ b/tests/admission/test_room.py
@@ -146,7 +146,7 @@
 
 
 class TestRoomAdmission:
-    """One instance's decision: at `s0` a request waits 40 ms and works 20 ms, at `s1` none waits."""
+    """One decision: at `s0` a request waits 40 ms and works 20 ms, at `s1` nothing waits."""
 
     def make_admission(self) -> RoomAdmission:
         clock = virtual_clock()
