--- a/src/radishmount/admission/_service_room.py
+++ b/src/radishmount/admission/_service_room.py
@@ -18,7 +18,7 @@
 QUEUEING_HALF_LIFE_MS = 500.0
 CROWDED_ABOVE_RATIO = 0.6
 CROWDED_UNTIL_RATIO = 0.3
-MAX_SAMPLE_MS = 100.0  # the time before, in which nothing was observed, counts as free of queues
+MAX_SAMPLE_MS = 100.0  # an observed queue is assumed to have existed for no longer
 FULL_KEPT_MS = 10_000.0  # after the last time that an endpoint shed
 # A reported queue counts up to this multiple of the rise in latency that this instance measured.
 EVIDENCE_FACTOR = 3.0
