--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -7,6 +7,7 @@
 
 from result import Err
 
+from radishmount.admission import RoomAdmission, RoomRequest
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.codes import Code, Refusal, RunStatus
@@ -37,6 +38,7 @@
 from radishmount.forwarding import (
     ForwardContext,
     ForwardOutcome,
+    ForwardPlan,
     ForwardRecord,
     ForwardRetryBudget,
     ForwardVerdict,
@@ -58,7 +60,7 @@
 from radishmount.tasks import TaskSupervisor
 
 
-__all__ = ["Gateway", "GatewayDependencies", "make_gateway"]
+__all__ = ["Gateway", "GatewayDependencies", "make_gateway", "make_room_request"]
 
 FORWARD_POLICY = QueryPolicy(probes=False, adaptive_limits=False)
 ASSUMED_INSTANCES = 8  # usual size of a fleet, for connection shares until the roster is known
@@ -110,6 +112,7 @@
     follower: StoreFollower
     pool: EndpointPool
     forward_context: ForwardContext
+    room: RoomAdmission
     slow_endpoint_gossip: SlowEndpointGossip
     replica_placement: ReplicaPlacement
     audit: AuditTrail
@@ -179,6 +182,9 @@
         lag_ms = context.event_loop_lag.reply_margin_ms()
         time_left_ms = self.planned_stop.bound_time_left(time_left_ms, arrived_at_ms)
         plan = make_plan(call, route, arrived_at_ms, time_left_ms, context.random, lag_ms)
+        refusal = self.room.admit(make_room_request(plan))
+        if refusal is not None:
+            return self._refuse(call, refusal, plan)
         self.in_flight += 1
         try:
             async with self.planned_stop.limit():
@@ -229,6 +235,7 @@
             "hosts_served_elsewhere": float(
                 self.replica_placement.count_sent_away(self.dependencies.own.data_centre)
             ),
+            "short_of_room": float(self.room.short_count()),
         }
 
     def status(self) -> dict[str, Any]:
@@ -240,16 +247,19 @@
             **self.gauges(),
         }
 
-    def _refuse(self, call: ForwardCall, refusal: Refusal) -> ForwardOutcome:
-        """Refuse a request before it has a plan, and record the refusal."""
+    def _refuse(
+        self, call: ForwardCall, refusal: Refusal, plan: ForwardPlan | None = None
+    ) -> ForwardOutcome:
+        """Refuse a request before it is sent anywhere, and record the refusal."""
         view = self.view()
+        now_ms = self.dependencies.clock.now_ms()
         record = ForwardRecord(
             request_id=call.request_id,
-            route="",
+            route="" if plan is None else plan.route.name,
             verdict=ForwardVerdict.REFUSED,
-            took_ms=0.0,
-            allowed_ms=0.0,
-            parts=0,
+            took_ms=0.0 if plan is None else now_ms - plan.arrived_at_ms,
+            allowed_ms=0.0 if plan is None else plan.deadline_at_ms - plan.arrived_at_ms,
+            parts=0 if plan is None else len(plan.services),
             missing=(),
             attempts=(),
             version=view.version,
@@ -257,6 +267,8 @@
             refusal=refusal,
         )
         self.counters.add("requests", ForwardVerdict.REFUSED.value)
+        if plan is not None:
+            self.forward_context.observe(record.route, record.verdict.value, record.took_ms)
         self.forward_context.on_record(record)
         return Err(refusal)
 
@@ -330,6 +342,7 @@
                 max(0.0, self.dependencies.clock.now_ms() - due_at_ms)
             )
             self._announce_load()
+            self.room.update()
             if preferred_names(self.control.fleet) != self.preferred_names:
                 await self.apply_roster()
 
@@ -351,6 +364,18 @@
             self.load_announced_at_ms = now_ms
 
 
+def make_room_request(plan: ForwardPlan) -> RoomRequest:
+    """Return what admission needs to know of a request."""
+    route = plan.route
+    return RoomRequest(
+        services=plan.services,
+        allowed_missing=len(plan.services) - plan.min_replies,
+        priority=route.priority,
+        target_ms=route.target_latency_ms,
+        deadline_at_ms=plan.deadline_at_ms,
+    )
+
+
 def make_gateway(
     dependencies: GatewayDependencies, audit: AuditTrail, counters: Counters | None = None
 ) -> Gateway:
@@ -375,6 +400,11 @@
         data_centre=own.data_centre,
     )
 
+    room = RoomAdmission(pool.endpoints_of, clock, random, counters, audit)
+    forward_context.withholds_repeat = lambda plan, service: room.withholds_repeat(
+        make_room_request(plan), service
+    )
+
     async def update_endpoints() -> None:
         await gateway.update_endpoints()
 
@@ -414,6 +444,7 @@
         follower=follower,
         pool=pool,
         forward_context=forward_context,
+        room=room,
         slow_endpoint_gossip=slow_endpoint_gossip,
         replica_placement=ReplicaPlacement(audit),
         audit=audit,
