--- /dev/null
+++ b/src/radishmount/endpoints/_capacity.py
@@ -0,0 +1,189 @@
+"""How much an endpoint takes well, learned from its replies and the load reports in them."""
+
+from dataclasses import dataclass, field
+
+from radishmount.endpoints._exchange import LoadReport
+from radishmount.endpoints._latency import decay_weight
+
+
+__all__ = ["EndpointCapacity", "KindLatencies"]
+
+MAX_KINDS = 32  # per service; replies of further kinds are compared as they are
+MIN_SAMPLES = 5.0  # below this an average is not used
+KIND_WEIGHT = 0.05
+USUAL_WEIGHT = 0.1
+MAX_SAMPLE_RATIO = 2.0  # of the average; bounds the effect of one pause
+LEVELS = 4  # quarters of the slots
+MAX_LEVEL_SAMPLES = 20.0
+HALF_LIFE_MS = 10_000.0  # an unused endpoint is taken for an ordinary one after some of these
+KNEE_RATIO = 1.3  # above the noise of averages of `MIN_SAMPLES` and more
+MAX_LEVEL_FACTOR = 3.0
+BUSY_MACHINE_RATIO = 1.25  # of the usual slowdown figure
+SLOWDOWN_WEIGHT = 0.1
+HELD_BACK_SLOTS_RATIO = 0.5
+HELD_BACK_SLOWNESS = 2.0  # above the usual differences of healthy replicas
+RELEASE_SLOWNESS = 1.6
+HELD_BACK_AFTER_MS = 1_000.0  # longer than a pause or a busy moment of the machine
+RELEASED_AFTER_MS = 5_000.0
+
+
+@dataclass(slots=True)
+class KindLatencies:
+    """The usual latency of each kind of work of one service, over all of its replicas.
+
+    One endpoint may serve short and long work. `average_ms` is the mean of the kinds as they come,
+    so dividing by the latency of a kind and multiplying by `average_ms` makes replies of different
+    kinds comparable. Only the proportion of kinds matters, so a slow replica distorts nothing.
+    """
+
+    ms_by_kind: dict[str, float] = field(default_factory=dict)
+    samples_by_kind: dict[str, float] = field(default_factory=dict)
+    average_ms: float = 0.0
+
+    def to_average_work(self, kind: str, latency_ms: float) -> float:
+        """Add one latency, and return what it would have been for work of average length."""
+        kind_ms = self.ms_by_kind.get(kind)
+        if kind_ms is None:
+            if len(self.ms_by_kind) >= MAX_KINDS:
+                return latency_ms
+            kind_ms = latency_ms
+        samples = self.samples_by_kind[kind] = self.samples_by_kind.get(kind, 0.0) + 1.0
+        bounded_ms = min(latency_ms, MAX_SAMPLE_RATIO * kind_ms)
+        kind_ms += max(KIND_WEIGHT, 1.0 / samples) * (bounded_ms - kind_ms)
+        self.ms_by_kind[kind] = kind_ms
+        self.average_ms += KIND_WEIGHT * (kind_ms - self.average_ms) if self.average_ms else kind_ms
+        if samples < MIN_SAMPLES or len(self.ms_by_kind) == 1 or kind_ms <= 0.0:
+            return latency_ms
+        return latency_ms * self.average_ms / kind_ms
+
+
+@dataclass(slots=True)
+class EndpointCapacity:
+    """The speed of one endpoint, and the number of requests up to which it does not slow down.
+
+    Latencies of comparable work are averaged for each quarter of the slots that was in use, as the
+    report in the reply says. The knee is the last quarter before the average rises. All of it fades
+    with age, towards the speed of the other replicas and a knee at the slots.
+
+        capacity.record(12.0, average_ms=10.0, report=reply.load, slots=4, now_ms=clock.now_ms())
+        capacity.knee_ratio
+    """
+
+    usual_ms: float = 0.0
+    usual_samples: float = 0.0
+    ms_by_level: list[float] = field(default_factory=lambda: [0.0] * LEVELS)
+    samples_by_level: list[float] = field(default_factory=lambda: [0.0] * LEVELS)
+    knee_ratio: float = 1.0
+    slowness: float = 1.0
+    usual_slowdown: float | None = None
+    updated_at_ms: float = 0.0
+    held_back_since_ms: float | None = None
+    contrary_since_ms: float | None = None
+
+    def record(
+        self, latency_ms: float, average_ms: float, report: LoadReport, slots: int, now_ms: float
+    ) -> float:
+        """Add a latency of average work; return it without the effect of the load at the time.
+
+        `average_ms` is that of all replicas of the service.
+        """
+        self._fade(now_ms)
+        is_machine_busy = self._is_machine_busy(report.slowdown)
+        if report.slots <= 0:
+            self._add_usual(latency_ms, average_ms)
+            return latency_ms
+        requests = report.in_flight + report.queued + 1
+        if not is_machine_busy and requests <= slots:
+            self._add_to_level(_level(requests, slots), latency_ms)
+        unloaded_ms = latency_ms / self.load_factor(requests, slots)
+        self._add_usual(unloaded_ms, average_ms)
+        return unloaded_ms
+
+    def load_factor(self, requests: float, slots: int) -> float:
+        """Return how many times longer work takes with `requests` at the endpoint."""
+        base_ms = self.ms_by_level[0]
+        level = _level(requests, slots)
+        factor = 1.0
+        if (
+            min(self.samples_by_level[0], self.samples_by_level[level]) >= MIN_SAMPLES
+            and base_ms > 0.0
+        ):
+            factor = min(MAX_LEVEL_FACTOR, max(1.0, self.ms_by_level[level] / base_ms))
+        return factor + max(0.0, requests - slots) / max(1, slots)
+
+    def comfortable_requests(self, slots: int, now_ms: float) -> float:
+        """Return how many requests it takes without slowing down, between 1 and `slots`."""
+        weight = decay_weight(now_ms - self.updated_at_ms, HALF_LIFE_MS)
+        ratio = 1.0 - weight * (1.0 - self.knee_ratio)
+        return max(1.0, ratio * slots)
+
+    def held_back_change(self, slots: int, now_ms: float) -> str | None:
+        """Return the change where it is found to take less than others, or no longer; else None."""
+        is_held_back = self.held_back_since_ms is not None
+        slowness_limit = RELEASE_SLOWNESS if is_held_back else HELD_BACK_SLOWNESS
+        takes_less = slots > 1 and self.knee_ratio <= HELD_BACK_SLOTS_RATIO
+        if (takes_less or self.slowness >= slowness_limit) is is_held_back:
+            self.contrary_since_ms = None
+            return None
+        if self.contrary_since_ms is None:
+            self.contrary_since_ms = now_ms
+        due_after_ms = RELEASED_AFTER_MS if is_held_back else HELD_BACK_AFTER_MS
+        if now_ms - self.contrary_since_ms < due_after_ms:
+            return None
+        self.held_back_since_ms = None if is_held_back else now_ms
+        self.contrary_since_ms = None
+        return "no longer held back" if is_held_back else "held back"
+
+    def _fade(self, now_ms: float) -> None:
+        """Count older samples less, so that new ones move the averages faster after a break."""
+        weight = decay_weight(now_ms - self.updated_at_ms, HALF_LIFE_MS)
+        self.updated_at_ms = now_ms
+        self.usual_samples *= weight
+        for level in range(LEVELS):
+            self.samples_by_level[level] *= weight
+
+    def _is_machine_busy(self, slowdown: float | None) -> bool:
+        """Return whether the machine says that work takes longer now than it usually says.
+
+        Compared with its own average, a figure that is constant or always too high has no effect.
+        """
+        if slowdown is None:
+            return False
+        usual = slowdown if self.usual_slowdown is None else self.usual_slowdown
+        self.usual_slowdown = usual + SLOWDOWN_WEIGHT * (slowdown - usual)
+        return slowdown > BUSY_MACHINE_RATIO * usual
+
+    def _add_usual(self, latency_ms: float, average_ms: float) -> None:
+        self.usual_samples += 1.0
+        weight = max(USUAL_WEIGHT, 1.0 / self.usual_samples)
+        if self.usual_ms:
+            latency_ms = min(latency_ms, MAX_SAMPLE_RATIO * self.usual_ms)
+        self.usual_ms += min(1.0, weight) * (latency_ms - self.usual_ms)
+        if average_ms > 0.0:
+            trust = self.usual_samples / (self.usual_samples + MIN_SAMPLES)
+            self.slowness = 1.0 + trust * (self.usual_ms / average_ms - 1.0)
+
+    def _add_to_level(self, level: int, latency_ms: float) -> None:
+        samples = self.samples_by_level[level] = min(
+            MAX_LEVEL_SAMPLES, self.samples_by_level[level] + 1.0
+        )
+        value_ms = self.ms_by_level[level] or latency_ms
+        bounded_ms = min(latency_ms, MAX_SAMPLE_RATIO * value_ms)
+        self.ms_by_level[level] = value_ms + min(1.0, 1.0 / samples) * (bounded_ms - value_ms)
+        self.knee_ratio = self._find_knee_ratio()
+
+    def _find_knee_ratio(self) -> float:
+        if self.samples_by_level[0] < MIN_SAMPLES:
+            return 1.0
+        limit_ms = KNEE_RATIO * self.ms_by_level[0]
+        for level in range(1, LEVELS):
+            if self.samples_by_level[level] < MIN_SAMPLES:
+                continue
+            if self.ms_by_level[level] > limit_ms:
+                return level / LEVELS
+        return 1.0
+
+
+def _level(requests: float, slots: int) -> int:
+    """Return the quarter of the slots that `requests` reach, from 0."""
+    return max(0, min(LEVELS - 1, -int(-LEVELS * requests // max(1, slots)) - 1))
--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -107,12 +107,14 @@
 
     `fastest_ms` is the latency of the fastest replica, towards which old estimates decay.
     """
-    load = float(endpoint.in_flight)
+    load = 0.0
     if policy.reports and endpoint.reported_at_ms is not None:
         load_of_others = min(endpoint.load_of_others, MAX_REPORTED_ROUNDS * endpoint.slots)
-        load += load_of_others * decay_weight(now_ms - endpoint.reported_at_ms, REPORT_HALF_LIFE_MS)
+        load = load_of_others * decay_weight(now_ms - endpoint.reported_at_ms, REPORT_HALF_LIFE_MS)
     service_ms = endpoint.estimated_latency_ms(fastest_ms, now_ms)
-    expected = service_ms * (1.0 + load / max(1, endpoint.usable_slots))
+    factor = endpoint.capacity.load_factor(1.0 + load + endpoint.in_flight, endpoint.usable_slots)
+    load /= max(1.0, endpoint.comfortable_requests(now_ms))
+    expected = service_ms * factor * (1.0 + load + endpoint.in_flight)
     expected *= 1.0 + SHED_WEIGHT * decay_weight(now_ms - endpoint.shed_at_ms, SHED_HALF_LIFE_MS)
     expected *= 1.0 + FAILURE_WEIGHT * endpoint.ejection.consecutive_failures
     if policy.own_data_centre_first and endpoint.spec.data_centre != own_data_centre:
--- a/src/radishmount/endpoints/_connection_pool.py
+++ b/src/radishmount/endpoints/_connection_pool.py
@@ -294,7 +294,10 @@
             case Ok(reply):
                 sent_at_ms = attempt.sent_at_ms or now_ms
                 is_error = getattr(reply, "is_server_error", False)
-                self.endpoint.record_reply(reply.load, sent_at_ms, now_ms, is_error=is_error)
+                kind = getattr(attempt.request, "kind", "")
+                self.endpoint.record_reply(
+                    reply.load, sent_at_ms, now_ms, is_error=is_error, kind=kind
+                )
                 self.probe_at_ms = max(self.probe_at_ms, sent_at_ms + PROBE_INTERVAL_MS)
                 self.on_health_update()
             case Err(failure):
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from radishmount.codes import Code
+from radishmount.endpoints._capacity import EndpointCapacity, KindLatencies
 from radishmount.endpoints._ejection import Ejection
 from radishmount.endpoints._exchange import Failure, LoadReport
 from radishmount.endpoints._latency import LatencyEstimate
@@ -47,7 +48,8 @@
     its health then never expires here; each start of it is an endpoint of its own, so once it has
     said that it is leaving, `has_departed` holds for good. `may_connect` tells whether this
     instance may open connections to it. `in_flight` counts the requests handed over, those in the
-    queue included; `active_exchanges` counts those taken by a connection.
+    queue included; `active_exchanges` counts those taken by a connection. `kind_latencies` is
+    shared by the replicas of a service.
     """
 
     spec: EndpointSpec
@@ -61,6 +63,8 @@
     latency: LatencyEstimate = field(default_factory=LatencyEstimate)
     success_rate: SuccessRate = field(default_factory=SuccessRate)
     limit: InFlightLimit = field(default_factory=InFlightLimit)
+    capacity: EndpointCapacity = field(default_factory=EndpointCapacity)
+    kind_latencies: KindLatencies = field(default_factory=KindLatencies)
     ejection: Ejection = field(default_factory=Ejection)
     report: LoadReport = field(default_factory=LoadReport)
     reported_at_ms: float | None = None
@@ -94,6 +98,13 @@
             return self.slots
         return min(self.report.slots, self.slots)
 
+    def comfortable_requests(self, now_ms: float) -> float:
+        """Return how many requests, of all instances together, it takes without slowing down.
+
+        That is between 1 and its usable slots, and its slots until replies show otherwise.
+        """
+        return self.capacity.comfortable_requests(self.usable_slots, now_ms)
+
     def holds(self, index_version: int, now_ms: float) -> bool:
         """Return whether it reports a version, and did not refuse that version just before."""
         if index_version not in self.report.versions:
@@ -173,9 +184,15 @@
         self.in_flight -= 1
 
     def record_reply(
-        self, report: LoadReport, sent_at_ms: float, now_ms: float, *, is_error: bool = False
+        self,
+        report: LoadReport,
+        sent_at_ms: float,
+        now_ms: float,
+        *,
+        is_error: bool = False,
+        kind: str = "",
     ) -> None:
-        """Record the latency, the success and the load report of a reply.
+        """Record the latency, the success and the load report of a reply to work of one kind.
 
         An endpoint that fails at once must not look like a fast one, so an error reply may raise
         the latency and never sets or lowers it. `record_error_reply` counts the failure.
@@ -185,7 +202,7 @@
         if is_error:
             self.latency.add_if_slower(latency_ms, now_ms)
         else:
-            self.latency.add(latency_ms, now_ms)
+            self.latency.add(self._record_capacity(latency_ms, report, kind, now_ms), now_ms)
             self.success_rate.record_success(now_ms)
         is_queueing = report.queued > self.usable_slots
         if is_queueing:
@@ -193,6 +210,23 @@
         self.limit.record_reply(latency_ms, is_queueing, now_ms)
         self.record_report(report, sent_at_ms, now_ms)
 
+    def _record_capacity(
+        self, latency_ms: float, report: LoadReport, kind: str, now_ms: float
+    ) -> float:
+        """Learn from a reply; return its latency as of average work at an endpoint without load."""
+        work = self.kind_latencies
+        average_work_ms = work.to_average_work(kind, latency_ms)
+        slots, capacity = self.usable_slots, self.capacity
+        unloaded_ms = capacity.record(average_work_ms, work.average_ms, report, slots, now_ms)
+        change = capacity.held_back_change(slots, now_ms)
+        if change is not None:
+            cause = (
+                f"takes {capacity.comfortable_requests(slots, now_ms):.0f} of {slots} requests"
+                f" well, work takes {capacity.slowness:.1f} times as long as at all replicas"
+            )
+            self.on_change(self, change, cause)
+        return unloaded_ms
+
     def record_report(self, report: LoadReport, sent_at_ms: float, now_ms: float) -> None:
         """Record a load report that answers a request or probe sent at `sent_at_ms`."""
         if not self.is_health_fresh(now_ms):
--- a/src/radishmount/endpoints/_forward_exchange.py
+++ b/src/radishmount/endpoints/_forward_exchange.py
@@ -30,7 +30,8 @@
     """One attempt at `call`. Any endpoint other than `expected_endpoint` refuses to run it.
 
     A request that is not `idempotent` must not run twice, so it is best sent over a connection
-    that is known to work. `needs_headers` is false where only the body and the signature of the
+    that is known to work. `kind` names the kind of work, so that latencies are compared within it;
+    the route is one. `needs_headers` is false where only the body and the signature of the
     reply are used, as for a shard.
     """
 
@@ -41,6 +42,7 @@
     idempotent: bool = True
     needs_headers: bool = True
     index_version: int | None = None
+    kind: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -11,6 +11,7 @@
 from radishmount.codes import Code
 from radishmount.counters import Counters
 from radishmount.endpoints._any_attempt import AnyAttempt
+from radishmount.endpoints._capacity import KindLatencies
 from radishmount.endpoints._choice import SLOW_START_MS
 from radishmount.endpoints._connection_pool import ConnectionPool
 from radishmount.endpoints._ejection import Ejection, max_ejected
@@ -193,6 +194,9 @@
         endpoints = [
             self.connection_pools_by_name[spec.name].endpoint for spec in service.endpoints
         ]
+        kind_latencies = endpoints[0].kind_latencies if endpoints else KindLatencies()
+        for endpoint in endpoints:
+            endpoint.kind_latencies = kind_latencies
         self.endpoints_by_service[service.name] = endpoints
         return endpoints
 
--- a/src/radishmount/forwarding/_execution.py
+++ b/src/radishmount/forwarding/_execution.py
@@ -198,6 +198,7 @@
             deadline_at_ms=self.plan.deadline_at_ms,
             idempotent=self.plan.route.idempotent,
             needs_headers=not self.plan.is_fan_out,
+            kind=self.plan.route.name,
         )
         attempt = Attempt(
             request, endpoint, self.mailbox.deliver, submitted_at_ms=now_ms, purpose=purpose
