--- a/src/radishmount/endpoints/_capacity.py
+++ b/src/radishmount/endpoints/_capacity.py
@@ -15,6 +15,7 @@
 MAX_SAMPLE_RATIO = 2.0  # of the average; bounds the effect of one pause
 LEVELS = 4  # quarters of the slots
 MAX_LEVEL_SAMPLES = 20.0
+FADE_INTERVAL_MS = 500.0  # a small part of the half-life
 HALF_LIFE_MS = 10_000.0  # an unused endpoint is taken for an ordinary one after some of these
 KNEE_RATIO = 1.3  # above the noise of averages of `MIN_SAMPLES` and more
 MAX_LEVEL_FACTOR = 3.0
@@ -27,6 +28,14 @@
 RELEASED_AFTER_MS = 5_000.0
 
 
+@dataclass(slots=True)
+class KindLatency:
+    """The average latency of one kind of work, and the number of its replies."""
+
+    value_ms: float
+    samples: int = 0
+
+
 @dataclass(slots=True)
 class KindLatencies:
     """The usual latency of each kind of work of one service, over all of its replicas.
@@ -36,25 +45,27 @@
     kinds comparable. Only the proportion of kinds matters, so a slow replica distorts nothing.
     """
 
-    ms_by_kind: dict[str, float] = field(default_factory=dict)
-    samples_by_kind: dict[str, float] = field(default_factory=dict)
+    latencies_by_kind: dict[str, KindLatency] = field(default_factory=dict)
     average_ms: float = 0.0
 
     def to_average_work(self, kind: str, latency_ms: float) -> float:
         """Add one latency, and return what it would have been for work of average length."""
-        kind_ms = self.ms_by_kind.get(kind)
-        if kind_ms is None:
-            if len(self.ms_by_kind) >= MAX_KINDS:
+        usual = self.latencies_by_kind.get(kind)
+        if usual is None:
+            if len(self.latencies_by_kind) >= MAX_KINDS:
                 return latency_ms
-            kind_ms = latency_ms
-        samples = self.samples_by_kind[kind] = self.samples_by_kind.get(kind, 0.0) + 1.0
-        bounded_ms = min(latency_ms, MAX_SAMPLE_RATIO * kind_ms)
-        kind_ms += max(KIND_WEIGHT, 1.0 / samples) * (bounded_ms - kind_ms)
-        self.ms_by_kind[kind] = kind_ms
-        self.average_ms += KIND_WEIGHT * (kind_ms - self.average_ms) if self.average_ms else kind_ms
-        if samples < MIN_SAMPLES or len(self.ms_by_kind) == 1 or kind_ms <= 0.0:
+            usual = self.latencies_by_kind[kind] = KindLatency(latency_ms)
+        usual.samples += 1
+        weight = KIND_WEIGHT if usual.samples > 1.0 / KIND_WEIGHT else 1.0 / usual.samples
+        usual.value_ms += weight * (
+            min(latency_ms, MAX_SAMPLE_RATIO * usual.value_ms) - usual.value_ms
+        )
+        if not self.average_ms:
+            self.average_ms = usual.value_ms
+        self.average_ms += KIND_WEIGHT * (usual.value_ms - self.average_ms)
+        if usual.samples < MIN_SAMPLES or len(self.latencies_by_kind) == 1 or not usual.value_ms:
             return latency_ms
-        return latency_ms * self.average_ms / kind_ms
+        return latency_ms * self.average_ms / usual.value_ms
 
 
 @dataclass(slots=True)
@@ -76,7 +87,7 @@
     knee_ratio: float = 1.0
     slowness: float = 1.0
     usual_slowdown: float | None = None
-    updated_at_ms: float = 0.0
+    faded_at_ms: float = 0.0
     held_back_since_ms: float | None = None
     contrary_since_ms: float | None = None
 
@@ -87,38 +98,43 @@
 
         `average_ms` is that of all replicas of the service.
         """
-        self._fade(now_ms)
-        is_machine_busy = self._is_machine_busy(report.slowdown)
+        if now_ms - self.faded_at_ms >= FADE_INTERVAL_MS:
+            self._fade(now_ms)
+        is_machine_busy = report.slowdown is not None and self._is_machine_busy(report.slowdown)
         if report.slots <= 0:
             self._add_usual(latency_ms, average_ms)
             return latency_ms
         requests = report.in_flight + report.queued + 1
         if not is_machine_busy and requests <= slots:
             self._add_to_level(_level(requests, slots), latency_ms)
-        unloaded_ms = latency_ms / self.load_factor(requests, slots)
+        unloaded_ms = latency_ms
+        if requests > slots or self.knee_ratio < 1.0:
+            unloaded_ms /= self.load_factor(requests, slots)
+            unloaded_ms /= 1.0 + max(0, requests - slots) / slots
         self._add_usual(unloaded_ms, average_ms)
         return unloaded_ms
 
     def load_factor(self, requests: float, slots: int) -> float:
-        """Return how many times longer work takes with `requests` at the endpoint."""
+        """Return how many times longer work takes with `requests` at the endpoint, once it runs."""
         base_ms = self.ms_by_level[0]
         level = _level(requests, slots)
-        factor = 1.0
-        if (
-            min(self.samples_by_level[0], self.samples_by_level[level]) >= MIN_SAMPLES
-            and base_ms > 0.0
-        ):
-            factor = min(MAX_LEVEL_FACTOR, max(1.0, self.ms_by_level[level] / base_ms))
-        return factor + max(0.0, requests - slots) / max(1, slots)
+        if min(self.samples_by_level[0], self.samples_by_level[level]) < MIN_SAMPLES:
+            return 1.0
+        return min(MAX_LEVEL_FACTOR, max(1.0, self.ms_by_level[level] / base_ms))
 
     def comfortable_requests(self, slots: int, now_ms: float) -> float:
         """Return how many requests it takes without slowing down, between 1 and `slots`."""
-        weight = decay_weight(now_ms - self.updated_at_ms, HALF_LIFE_MS)
+        if self.knee_ratio == 1.0:
+            return float(max(1, slots))
+        age_ms = now_ms - self.faded_at_ms - FADE_INTERVAL_MS
+        weight = decay_weight(age_ms, HALF_LIFE_MS)
         ratio = 1.0 - weight * (1.0 - self.knee_ratio)
         return max(1.0, ratio * slots)
 
     def held_back_change(self, slots: int, now_ms: float) -> str | None:
         """Return the change where it is found to take less than others, or no longer; else None."""
+        if self._is_ordinary():
+            return None
         is_held_back = self.held_back_since_ms is not None
         slowness_limit = RELEASE_SLOWNESS if is_held_back else HELD_BACK_SLOWNESS
         takes_less = slots > 1 and self.knee_ratio <= HELD_BACK_SLOTS_RATIO
@@ -134,43 +150,54 @@
         self.contrary_since_ms = None
         return "no longer held back" if is_held_back else "held back"
 
+    def _is_ordinary(self) -> bool:
+        """Return whether it takes as much as others, and did so at the last reply."""
+        return (
+            self.slowness < HELD_BACK_SLOWNESS
+            and self.knee_ratio == 1.0
+            and self.held_back_since_ms is None
+            and self.contrary_since_ms is None
+        )
+
     def _fade(self, now_ms: float) -> None:
         """Count older samples less, so that new ones move the averages faster after a break."""
-        weight = decay_weight(now_ms - self.updated_at_ms, HALF_LIFE_MS)
-        self.updated_at_ms = now_ms
+        weight = decay_weight(now_ms - self.faded_at_ms, HALF_LIFE_MS)
+        self.faded_at_ms = now_ms
         self.usual_samples *= weight
         for level in range(LEVELS):
             self.samples_by_level[level] *= weight
 
-    def _is_machine_busy(self, slowdown: float | None) -> bool:
+    def _is_machine_busy(self, slowdown: float) -> bool:
         """Return whether the machine says that work takes longer now than it usually says.
 
         Compared with its own average, a figure that is constant or always too high has no effect.
         """
-        if slowdown is None:
-            return False
         usual = slowdown if self.usual_slowdown is None else self.usual_slowdown
         self.usual_slowdown = usual + SLOWDOWN_WEIGHT * (slowdown - usual)
         return slowdown > BUSY_MACHINE_RATIO * usual
 
     def _add_usual(self, latency_ms: float, average_ms: float) -> None:
-        self.usual_samples += 1.0
-        weight = max(USUAL_WEIGHT, 1.0 / self.usual_samples)
-        if self.usual_ms:
-            latency_ms = min(latency_ms, MAX_SAMPLE_RATIO * self.usual_ms)
-        self.usual_ms += min(1.0, weight) * (latency_ms - self.usual_ms)
+        samples = self.usual_samples = self.usual_samples + 1.0
+        usual_ms = self.usual_ms or latency_ms
+        if latency_ms > MAX_SAMPLE_RATIO * usual_ms:
+            latency_ms = MAX_SAMPLE_RATIO * usual_ms
+        usual_ms += max(USUAL_WEIGHT, 1.0 / samples) * (latency_ms - usual_ms)
+        self.usual_ms = usual_ms
         if average_ms > 0.0:
-            trust = self.usual_samples / (self.usual_samples + MIN_SAMPLES)
-            self.slowness = 1.0 + trust * (self.usual_ms / average_ms - 1.0)
+            trust = samples / (samples + MIN_SAMPLES)
+            self.slowness = 1.0 + trust * (usual_ms / average_ms - 1.0)
 
     def _add_to_level(self, level: int, latency_ms: float) -> None:
-        samples = self.samples_by_level[level] = min(
-            MAX_LEVEL_SAMPLES, self.samples_by_level[level] + 1.0
-        )
+        samples = self.samples_by_level[level]
+        if samples < MAX_LEVEL_SAMPLES:
+            samples += 1.0
+            self.samples_by_level[level] = samples
         value_ms = self.ms_by_level[level] or latency_ms
-        bounded_ms = min(latency_ms, MAX_SAMPLE_RATIO * value_ms)
-        self.ms_by_level[level] = value_ms + min(1.0, 1.0 / samples) * (bounded_ms - value_ms)
-        self.knee_ratio = self._find_knee_ratio()
+        if latency_ms > MAX_SAMPLE_RATIO * value_ms:
+            latency_ms = MAX_SAMPLE_RATIO * value_ms
+        self.ms_by_level[level] = value_ms + (latency_ms - value_ms) / max(1.0, samples)
+        if self.knee_ratio < 1.0 or latency_ms > KNEE_RATIO * self.ms_by_level[0]:
+            self.knee_ratio = self._find_knee_ratio()
 
     def _find_knee_ratio(self) -> float:
         if self.samples_by_level[0] < MIN_SAMPLES:
--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -112,9 +112,13 @@
         load_of_others = min(endpoint.load_of_others, MAX_REPORTED_ROUNDS * endpoint.slots)
         load = load_of_others * decay_weight(now_ms - endpoint.reported_at_ms, REPORT_HALF_LIFE_MS)
     service_ms = endpoint.estimated_latency_ms(fastest_ms, now_ms)
-    factor = endpoint.capacity.load_factor(1.0 + load + endpoint.in_flight, endpoint.usable_slots)
-    load /= max(1.0, endpoint.comfortable_requests(now_ms))
-    expected = service_ms * factor * (1.0 + load + endpoint.in_flight)
+    capacity, slots = endpoint.capacity, endpoint.usable_slots
+    room = float(max(1, slots))
+    if capacity.knee_ratio < 1.0:
+        service_ms *= capacity.load_factor(1.0 + load + endpoint.in_flight, slots)
+        room = capacity.comfortable_requests(slots, now_ms)
+    # Own requests in flight are certain, and the load of others is known only from the past.
+    expected = service_ms * (1.0 + load / room + endpoint.in_flight)
     expected *= 1.0 + SHED_WEIGHT * decay_weight(now_ms - endpoint.shed_at_ms, SHED_HALF_LIFE_MS)
     expected *= 1.0 + FAILURE_WEIGHT * endpoint.ejection.consecutive_failures
     if policy.own_data_centre_first and endpoint.spec.data_centre != own_data_centre:
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 from result import Err
 
@@ -135,6 +136,27 @@
                 connection_pool.endpoint.apply_leaving_hint(now_ms)
                 connection_pool.probe_now()
 
+    def held_back_endpoints(self) -> list[dict[str, Any]]:
+        """Return the endpoints found to take less than others, those held back longest first."""
+        now_ms = self.clock.now_ms()
+        rows = []
+        for service, endpoints in self.endpoints_by_service.items():
+            for endpoint in endpoints:
+                since_ms = endpoint.capacity.held_back_since_ms
+                if since_ms is None:
+                    continue
+                rows.append(
+                    {
+                        "endpoint": endpoint.name,
+                        "service": service,
+                        "held_back_for_ms": round(now_ms - since_ms),
+                        "comfortable_requests": round(endpoint.comfortable_requests(now_ms), 1),
+                        "slots": endpoint.usable_slots,
+                        "slowness": round(endpoint.capacity.slowness, 2),
+                    }
+                )
+        return sorted(rows, key=lambda row: -row["held_back_for_ms"])
+
     def slow_endpoints(self) -> list[SlowEndpointHint]:
         """Return the endpoints that are far slower than the other replicas of their service."""
         now_ms = self.clock.now_ms()
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -51,6 +51,7 @@
 FORWARD_POLICY = QueryPolicy(probes=False, adaptive_limits=False)
 ASSUMED_INSTANCES = 8  # usual size of a fleet, for connection shares until the roster is known
 MAX_ADDRESSES_VALID_FOR_MS = 2_000.0  # within this time, callers stop using a lost instance
+MAX_HELD_BACK_ROWS = 50  # in the status of an instance
 MAX_ADDRESSES = 64  # callers read at most this many addresses
 PREFERRED_CHECK_INTERVAL_MS = 250.0  # a fraction of the time for which callers keep addresses
 ROSTER_CHECK_INTERVAL_MS = 100.0  # a fraction of the time that peers need to find each other
@@ -204,6 +205,7 @@
             "instances_listed": float(len(self.control.fleet.listed_names)),
             "peer_streams": float(len(self.control.peers.sessions_by_name)),
             "forwarding": float(self.in_flight),
+            "endpoints_held_back": float(len(self.pool.held_back_endpoints())),
         }
 
     def status(self) -> dict[str, Any]:
@@ -213,6 +215,7 @@
             "data_centre": self.dependencies.own.data_centre,
             "instances": self.control.fleet.listed_names,
             **self.gauges(),
+            "held_back": self.pool.held_back_endpoints()[:MAX_HELD_BACK_ROWS],
         }
 
     def _refuse(self, call: ForwardCall, refusal: Refusal) -> ForwardOutcome:
