--- a/src/radishmount/endpoints/_capacity.py
+++ b/src/radishmount/endpoints/_capacity.py
@@ -11,8 +11,10 @@
 MAX_KINDS = 32  # per service; replies of further kinds are compared as they are
 MIN_SAMPLES = 5.0  # below this an average is not used
 KIND_WEIGHT = 0.05
+MIN_KIND_MS = 1.0  # a first reply that took no time must not bound the next ones to none
 USUAL_WEIGHT = 0.1
 MAX_SAMPLE_RATIO = 2.0  # of the average; bounds the effect of one pause
+MAX_USUAL_RATIO = 3.0  # a slow endpoint gets few requests, and must show after a few replies
 LEVELS = 4  # quarters of the slots
 MAX_LEVEL_SAMPLES = 20.0
 FADE_INTERVAL_MS = 500.0  # a small part of the half-life
@@ -56,11 +58,12 @@
                 return latency_ms
             usual = self.latencies_by_kind[kind] = KindLatency(latency_ms)
         usual.samples += 1
-        weight = KIND_WEIGHT if usual.samples > 1.0 / KIND_WEIGHT else 1.0 / usual.samples
-        usual.value_ms += weight * (
-            min(latency_ms, MAX_SAMPLE_RATIO * usual.value_ms) - usual.value_ms
-        )
-        if not self.average_ms:
+        weight = KIND_WEIGHT
+        if usual.samples * KIND_WEIGHT < 1.0:
+            weight = 1.0 / usual.samples
+        bounded_ms = min(latency_ms, MAX_SAMPLE_RATIO * max(usual.value_ms, MIN_KIND_MS))
+        usual.value_ms += weight * (bounded_ms - usual.value_ms)
+        if self.average_ms < MIN_KIND_MS:
             self.average_ms = usual.value_ms
         self.average_ms += KIND_WEIGHT * (usual.value_ms - self.average_ms)
         if usual.samples < MIN_SAMPLES or len(self.latencies_by_kind) == 1 or not usual.value_ms:
@@ -101,8 +104,8 @@
         if now_ms - self.faded_at_ms >= FADE_INTERVAL_MS:
             self._fade(now_ms)
         is_machine_busy = report.slowdown is not None and self._is_machine_busy(report.slowdown)
+        self._add_usual(latency_ms, average_ms)
         if report.slots <= 0:
-            self._add_usual(latency_ms, average_ms)
             return latency_ms
         requests = report.in_flight + report.queued + 1
         if not is_machine_busy and requests <= slots:
@@ -110,15 +113,15 @@
         unloaded_ms = latency_ms
         if requests > slots or self.knee_ratio < 1.0:
             unloaded_ms /= self.load_factor(requests, slots)
-            unloaded_ms /= 1.0 + max(0, requests - slots) / slots
-        self._add_usual(unloaded_ms, average_ms)
+            unloaded_ms /= 1.0 + max(0, requests - slots) / max(1, slots)
         return unloaded_ms
 
     def load_factor(self, requests: float, slots: int) -> float:
         """Return how many times longer work takes with `requests` at the endpoint, once it runs."""
         base_ms = self.ms_by_level[0]
         level = _level(requests, slots)
-        if min(self.samples_by_level[0], self.samples_by_level[level]) < MIN_SAMPLES:
+        samples = min(self.samples_by_level[0], self.samples_by_level[level])
+        if samples < MIN_SAMPLES or base_ms <= 0.0:
             return 1.0
         return min(MAX_LEVEL_FACTOR, max(1.0, self.ms_by_level[level] / base_ms))
 
@@ -179,8 +182,8 @@
     def _add_usual(self, latency_ms: float, average_ms: float) -> None:
         samples = self.usual_samples = self.usual_samples + 1.0
         usual_ms = self.usual_ms or latency_ms
-        if latency_ms > MAX_SAMPLE_RATIO * usual_ms:
-            latency_ms = MAX_SAMPLE_RATIO * usual_ms
+        if latency_ms > MAX_USUAL_RATIO * usual_ms:
+            latency_ms = MAX_USUAL_RATIO * usual_ms
         usual_ms += max(USUAL_WEIGHT, 1.0 / samples) * (latency_ms - usual_ms)
         self.usual_ms = usual_ms
         if average_ms > 0.0:
--- a/tests/endpoints/test_capacity.py
+++ b/tests/endpoints/test_capacity.py
@@ -1,7 +1,10 @@
 """How much an endpoint takes well is learned from its replies, and followed both ways."""
 
+import asyncio
+
 import pytest
 
+from forward_harness import forward_harness
 from radishmount.endpoints import Endpoint, LoadReport, expected_completion_ms
 from radishmount.publication import EndpointSpec
 
@@ -105,6 +108,23 @@
         assert endpoint.comfortable_requests(replies.now_ms) == SLOTS / 2
 
 
+class TestOwnRequests:
+    """The requests that this instance has in flight count whole."""
+
+    def test_an_own_request_in_flight_counts_as_much_as_the_work(self) -> None:
+        """Pattern: a burst that several instances spread over replicas that slow down early."""
+        busy, free = replicas(2)
+        for endpoint in (busy, free):
+            endpoint.latency.add(AVERAGE_MS, 1_000.0)
+        busy.request_submitted()
+
+        busy_ms, free_ms = (
+            expected_completion_ms(e, "milano", AVERAGE_MS, 1_000.0) for e in (busy, free)
+        )
+
+        assert busy_ms == pytest.approx(2.0 * free_ms)
+
+
 class TestKindsOfWork:
     """Replies are compared within their kind of work."""
 
@@ -149,3 +169,18 @@
         replies.add(endpoints[0], 250.0)
 
         assert endpoints[0].capacity.slowness < 1.2
+
+    @pytest.mark.looptime
+    async def test_the_pool_lists_those_held_back(self) -> None:
+        async with forward_harness(1) as harness:
+            harness.endpoints_by_name["s0-b"].service_ms = 80.0
+            route = harness.single_route()
+            for _ in range(60):
+                await asyncio.gather(*(harness.send(route) for _ in range(9)))
+                await asyncio.sleep(0.1)
+
+            (row,) = harness.pool.held_back_endpoints()
+
+            assert (row["endpoint"], row["service"]) == ("s0-b", "s0")
+            assert row["slowness"] > 2.0
+            assert harness.counters.value("endpoint_changes", "held back") == 1.0
