Count a reply whole that is too late for load alone to explain

An endpoint that had a knee, or turned slow while requests were unequally many, had its slow replies divided by the load factor. The new test fails without it.

--- a/src/radishmount/endpoints/_capacity.py
+++ b/src/radishmount/endpoints/_capacity.py
@@ -111,6 +111,8 @@
         if not is_machine_busy and requests <= slots:
             self._add_to_level(_level(requests, slots), latency_ms)
         unloaded_ms = latency_ms
+        if latency_ms > MAX_SAMPLE_RATIO * average_ms:
+            return latency_ms  # load alone does not explain a reply that is this late
         if requests > slots or self.knee_ratio < 1.0:
             unloaded_ms /= self.load_factor(requests, slots)
             unloaded_ms /= 1.0 + max(0, requests - slots) / max(1, slots)
--- a/tests/endpoints/test_capacity.py
+++ b/tests/endpoints/test_capacity.py
@@ -21,6 +21,7 @@
     ]
     for endpoint in endpoints:
         endpoint.is_tracked_by_discovery = True
+        endpoint.latency.rise_weight = 0.5  # as the pool sets it for forwarded requests
         endpoint.kind_latencies = endpoints[0].kind_latencies
     return endpoints
 
@@ -161,6 +162,17 @@
         assert replies.changes == [("e1", "held back"), ("e1", "no longer held back")]
         assert endpoints[1].capacity.held_back_since_ms is None
 
+    def test_a_replica_with_a_knee_that_turns_slow_shows_after_a_few_replies(self) -> None:
+        """Pattern: the slow one had a knee, which must not pass for the cause of late replies."""
+        replies, endpoints = Replies(), replicas()
+        for endpoint in endpoints:
+            replies.add_rounds(10, endpoint, full_ms=2.0 * AVERAGE_MS)
+        for _ in range(4):
+            replies.add(endpoints[1], 8.0 * AVERAGE_MS, running=4)
+
+        latency_ms = endpoints[1].latency.value_ms
+        assert latency_ms is not None and latency_ms > 6.0 * AVERAGE_MS
+
     def test_a_single_pause_is_no_change_of_speed(self) -> None:
         replies, endpoints = Replies(), replicas()
         for _ in range(30):
