Merge how much each endpoint takes well

The choice keeps the raw latencies that admission and the choice of data centres compare; what is learned (comfortable requests) and own requests in flight, counted whole, divide the load among the replicas of one place.

--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -92,7 +92,8 @@
         weights = []
         for endpoint in candidates:
             weight = slow_start_weight(endpoint, now_ms) if policy.ramp else 1.0
-            weights.append(weight * cost_ms(endpoint, fastest_ms, now_ms) ** -WEIGHT_EXPONENT)
+            cost = cost_ms(endpoint, fastest_ms, now_ms) * _spread_factor(endpoint, now_ms, policy)
+            weights.append(weight * cost**-WEIGHT_EXPONENT)
         return random.choices(candidates, weights)[0]
 
     def stays_home(
@@ -143,10 +144,7 @@
 
     `fastest_ms` is the latency of the fastest replica, towards which old estimates decay.
     """
-    load = float(endpoint.in_flight)
-    if policy.reports and endpoint.reported_at_ms is not None:
-        load_of_others = min(endpoint.load_of_others, MAX_REPORTED_ROUNDS * endpoint.slots)
-        load += load_of_others * decay_weight(now_ms - endpoint.reported_at_ms, REPORT_HALF_LIFE_MS)
+    load = endpoint.in_flight + _load_of_others(endpoint, now_ms, policy)
     service_ms = endpoint.estimated_latency_ms(fastest_ms, now_ms)
     expected = service_ms * (1.0 + load / max(1, endpoint.usable_slots))
     expected *= 1.0 + SHED_WEIGHT * decay_weight(now_ms - endpoint.shed_at_ms, SHED_HALF_LIFE_MS)
@@ -156,6 +154,28 @@
     return expected
 
 
+def _load_of_others(endpoint: Endpoint, now_ms: float, policy: QueryPolicy) -> float:
+    """Return the requests of other instances at an endpoint, less with the age of the report."""
+    if not policy.reports or endpoint.reported_at_ms is None:
+        return 0.0
+    load_of_others = min(endpoint.load_of_others, MAX_REPORTED_ROUNDS * endpoint.slots)
+    return load_of_others * decay_weight(now_ms - endpoint.reported_at_ms, REPORT_HALF_LIFE_MS)
+
+
+def _spread_factor(endpoint: Endpoint, now_ms: float, policy: QueryPolicy) -> float:
+    """Return by how much more an endpoint counts as loaded when requests are spread over equals.
+
+    Own requests in flight are certain, while the load of others is known from the past only. So
+    among the replicas of one place the own ones count whole, and those of others as a share of what
+    the endpoint takes well, which may be less than its slots.
+    """
+    own, others = endpoint.in_flight, _load_of_others(endpoint, now_ms, policy)
+    if not own and not others:
+        return 1.0
+    room = max(1.0, endpoint.comfortable_requests(now_ms))
+    return (1.0 + own + others / room) / (1.0 + (own + others) / max(1, endpoint.usable_slots))
+
+
 def slow_start_weight(endpoint: Endpoint, now_ms: float) -> float:
     """Return the share of its usual load that an endpoint gets, rising to 1 in `SLOW_START_MS`.
 
--- a/src/radishmount/endpoints/_forward_exchange.py
+++ b/src/radishmount/endpoints/_forward_exchange.py
@@ -33,7 +33,8 @@
     complete response.
 
     A request that is not `idempotent` must not run twice, so it is best sent over a connection
-    that is known to work. `needs_headers` is false where only the body and the signature of the
+    that is known to work. `kind` names the kind of work, so that latencies are compared within it;
+    the route is one. `needs_headers` is false where only the body and the signature of the
     reply are used, as for a shard.
     """
 
@@ -46,6 +47,7 @@
     index_version: int | None = None
     sent_bytes: int = 0
     received_bytes: int = 0
+    kind: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 from result import Err
 
@@ -12,6 +13,7 @@
 from radishmount.codes import Code
 from radishmount.counters import Counters
 from radishmount.endpoints._any_attempt import AnyAttempt
+from radishmount.endpoints._capacity import KindLatencies
 from radishmount.endpoints._choice import SLOW_START_MS
 from radishmount.endpoints._cold_rate import (
     ColdRate,
@@ -240,6 +242,27 @@
                 connection_pool.endpoint.apply_leaving_hint(now_ms)
                 connection_pool.probe_now()
 
+    def held_back_endpoints(self) -> list[dict[str, Any]]:
+        """Return the endpoints found to take less than others, those held back longest first."""
+        now_ms = self.clock.now_ms()
+        rows = []
+        for service, endpoints in self.endpoints_by_service.items():
+            for endpoint in endpoints:
+                since_ms = endpoint.capacity.held_back_since_ms
+                if since_ms is None:
+                    continue
+                rows.append(
+                    {
+                        "endpoint": endpoint.name,
+                        "service": service,
+                        "held_back_for_ms": round(now_ms - since_ms),
+                        "comfortable_requests": round(endpoint.comfortable_requests(now_ms), 1),
+                        "slots": endpoint.usable_slots,
+                        "slowness": round(endpoint.capacity.slowness, 2),
+                    }
+                )
+        return sorted(rows, key=lambda row: -row["held_back_for_ms"])
+
     def slow_endpoints(self) -> list[SlowEndpointHint]:
         """Return the endpoints that are far slower than the other replicas of their service."""
         now_ms = self.clock.now_ms()
@@ -300,6 +323,9 @@
         endpoints = [
             self.connection_pools_by_name[spec.name].endpoint for spec in service.endpoints
         ]
+        kind_latencies = endpoints[0].kind_latencies if endpoints else KindLatencies()
+        for endpoint in endpoints:
+            endpoint.kind_latencies = kind_latencies
         self.endpoints_by_service[service.name] = endpoints
         return endpoints
 
--- a/src/radishmount/forwarding/_execution.py
+++ b/src/radishmount/forwarding/_execution.py
@@ -202,6 +202,7 @@
             deadline_at_ms=self.plan.deadline_at_ms,
             idempotent=self.plan.route.idempotent,
             needs_headers=not self.plan.is_fan_out,
+            kind=self.plan.route.name,
         )
         attempt = Attempt(request, endpoint, self._deliver, submitted_at_ms=now_ms, purpose=purpose)
         progress.send_count += 1
