Press one real process with crowds of clients that keep no limit

Change: tests only. tests/hostile/ starts `python deploy/instance.py` on a loopback address, with the store and a back end in the test process, sends with raw sockets, and checks, while the crowd is still connected, that the process lives, that its peak memory (VmHWM) and its open descriptors stay under a bound, and that a request without and one with a body of 100,000 bytes are answered 200 (tried up to five times, as callers do). They are marked `hostile` and run one at a time, in a second pytest call of `make test`.

Crowd and bounds, fixed here: 150 connections (500 for the limit of descriptors); memoryMb 50, maxFds 400, and the limits of the pages for heads and bodies.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,8 @@
 	touch $@
 
 test: lint
-	$(BIN)/pytest -n 4
+	$(BIN)/pytest -n 4 -m "not hostile"
+	$(BIN)/pytest -m hostile tests/hostile
 
 lint: $(VENV)/.installed
 	$(BIN)/black --quiet --check $(SOURCES)
