Bound what an instance holds for its clients

Cause: nobody counted the bytes that are held for clients, so crowds that send without end or stop just short of the end took any amount of memory. A read of up to 256 KB was parsed as a whole; bytes after invalid HTTP were parsed again and again; heads had a bound for each line only.

Change: client_memory/ is the one place that knows what is held: one account for each port, with its own part of the settings' memory and descriptors, and one for each connection. Beyond half of its budget a port stops reading bodies that have had their fair part; beyond the budget it evicts those that hold most for longest without progress. Connections read at most 16 KB at a time into one shared buffer (asyncio.BufferedProtocol), bound heads, trailers, chunk extensions and empty lines as a whole while they arrive, and account for requests, bodies and responses that are not taken. Few pipelined requests start in a turn of the event loop. ClientConnection moves to a module of its own.

--- a/src/radishmount/border/__init__.py
+++ b/src/radishmount/border/__init__.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from radishmount.border._bundle import digest_of, read_bundle, write_bundle
     from radishmount.border._callers import CallerService, make_caller_app
+    from radishmount.border._client_connection import ConnectionLimits
     from radishmount.border._endpoint_client import EndpointChannel, open_endpoint_channel
     from radishmount.border._endpoint_fields import (
         ColdTime,
@@ -41,9 +42,9 @@
     from radishmount.border._peer_order_models import ORDER_PEER_MODELS
     from radishmount.border._peer_stream import PeerServer, make_peer_opener, serve_peers
     from radishmount.border._platform_client import HttpPlatformClient
+    from radishmount.border._request_body import read_request_body
     from radishmount.border._responses import http_status_of
     from radishmount.border._serve import (
-        ConnectionLimits,
         Server,
         send_continue,
         serve,
@@ -104,6 +105,7 @@
     "read_folder",
     "read_json",
     "read_jsonc",
+    "read_request_body",
     "read_settings",
     "serve",
     "serve_low_level",
@@ -144,7 +146,7 @@
         "PeerModel": "_peer_models",
         "PeerServer": "_peer_stream",
         "RequestMetrics": "_metrics",
-        "ConnectionLimits": "_serve",
+        "ConnectionLimits": "_client_connection",
         "Server": "_serve",
         "register_peer_models": "_peer_codec",
         "check_folder": "_object_files",
@@ -165,6 +167,7 @@
         "read_json": "_models",
         "read_jsonc": "_jsonc",
         "read_settings": "_settings",
+        "read_request_body": "_request_body",
         "serve": "_serve",
         "serve_low_level": "_serve",
         "serve_peers": "_peer_stream",
--- a/src/radishmount/border/_caller_orders.py
+++ b/src/radishmount/border/_caller_orders.py
@@ -7,7 +7,7 @@
 from pydantic import Field
 from result import Err, Ok, Result
 
-from radishmount.border._http import elapsed_ms, request_id_of
+from radishmount.border._http import body_of, elapsed_ms, request_id_of
 from radishmount.border._models import BorderModel, read_json
 from radishmount.border._responses import (
     RESULT_NAME,
@@ -86,7 +86,7 @@
             return refusal_response(
                 Refusal(Code.BAD_FIELD, detail=IDEMPOTENCY_KEY_HEADER), request_id
             )
-        match read_json(OrderModel, await request.read()):
+        match read_json(OrderModel, body_of(request)):
             case Err(refusal):
                 return refusal_response(refusal, request_id)
             case Ok(model):
@@ -96,7 +96,7 @@
 
     async def issue(request: web.Request) -> web.StreamResponse:
         request_id = request_id_of(request)
-        match read_json(TicketModel, await request.read()):
+        match read_json(TicketModel, body_of(request)):
             case Err(refusal):
                 return refusal_response(refusal, request_id)
             case Ok(model):
--- a/src/radishmount/border/_callers.py
+++ b/src/radishmount/border/_callers.py
@@ -10,6 +10,7 @@
 from radishmount.border._caller_responses import address_response, search_response
 from radishmount.border._http import (
     HttpService,
+    body_of,
     elapsed_ms,
     make_http_app,
     request_id_of,
@@ -112,7 +113,7 @@
 
     async def search(request: web.Request) -> web.StreamResponse:
         request_id = request_id_of(request)
-        match read_json(SearchModel, await request.read()):
+        match read_json(SearchModel, body_of(request)):
             case Err(refusal):
                 return refusal_response(refusal, request_id)
             case Ok(model):
--- /dev/null
+++ b/src/radishmount/border/_client_connection.py
@@ -0,0 +1,371 @@
+"""One HTTP connection of a client, which accounts for what the process holds for it."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+
+from radishmount.border._framing_guard import FramingGuard
+from radishmount.border._responses import refusal_response
+from radishmount.client_memory import Activity, ConnectionAccount
+from radishmount.codes import Code, Refusal, RunStatus
+
+
+__all__ = ["IDLE_TIMEOUT_S", "ClientConnection", "ConnectionLimits", "OpenConnections"]
+
+IDLE_TIMEOUT_S = 60.0
+MAX_HEADER_BYTES = 8_190
+# One read of a socket, and what a body may have before it is read on. Small reads keep the cost of
+# a parse in bounds: tiny fields and chunks take many times their bytes as objects.
+READ_BYTES = 16_384
+WRITE_BUFFER_BYTES = 16_384  # of a response; what exceeds this is accounted for
+MESSAGE_BYTES = 3_072  # the objects of a request without its header fields
+HEAD_FACTOR = 2  # the limit holds for the line, and again for all fields
+FIELD_BYTES = 400  # the objects of one header field
+BODY_FACTOR = 1.5  # a body grows in steps, which leave gaps in the heap
+RESPONSE_FACTOR = 2  # a response is held by its handler and by the transport
+RESPONSE_CHECK_S = 1.0
+RESPONSE_STALL_CHECKS = 10  # without progress; then the client is taken to be gone
+STARTS_IN_A_TURN = 4  # of requests that were sent behind another one, in a turn of the event loop
+HEAD_TIMEOUT_RESPONSE = (
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+LARGE_HEAD_RESPONSE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
+TOO_MUCH_HELD_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
+# The event loop reads one socket at a time, and each read is copied before the next one.
+READ_BUFFER = memoryview(bytearray(READ_BYTES))
+
+
+@dataclass(slots=True)
+class OpenConnections:
+    """The connections of one server.
+
+    While the server drains, or `is_leaving` returns true, each closes after its next response.
+    `turns` lets few requests start in a turn of the event loop that were sent behind another one.
+    """
+
+    is_leaving: Callable[[], bool] = lambda: False
+    is_draining: bool = False
+    connections: "set[ClientConnection]" = field(default_factory=set)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    turns: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(STARTS_IN_A_TURN))
+
+    async def wait_until_none(self) -> None:
+        """Wait until no connection is open."""
+        while self.connections:
+            self.changed.clear()
+            await self.changed.wait()
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """The limits for each connection of a client.
+
+    A connection is closed after `idle_timeout_s` without a request. A request is refused if its
+    head is not complete within `head_timeout_s` of its first byte, or if its line or the sum of its
+    fields exceeds `max_header_bytes`.
+    """
+
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+    max_header_bytes: int = MAX_HEADER_BYTES
+    head_timeout_s: float = IDLE_TIMEOUT_S
+
+
+class ClientConnection(web.RequestHandler, asyncio.BufferedProtocol):
+    """One connection of a client; errors that aiohttp detects are answered with a code too.
+
+    `body_timeout` bounds the reading of a body while a handler reads one; `refuse_body` ends it.
+    """
+
+    __slots__ = (
+        "_costs",
+        "_guard",
+        "_head_timeout_s",
+        "_head_timer",
+        "_is_refusing",
+        "_last_payload",
+        "_last_total_bytes",
+        "_open_connections",
+        "_requests_seen",
+        "_response_bytes",
+        "_response_stalls",
+        "_response_timer",
+        "account",
+        "body_refusal",
+        "body_timeout",
+        "max_header_bytes",
+    )
+
+    def __init__(
+        self,
+        manager: web.Server,
+        loop: asyncio.AbstractEventLoop,
+        limits: ConnectionLimits,
+        open_connections: OpenConnections,
+        account: ConnectionAccount,
+        options: dict[str, Any],
+    ) -> None:
+        super().__init__(
+            manager,
+            loop=loop,
+            keepalive_timeout=limits.idle_timeout_s,
+            max_line_size=limits.max_header_bytes,
+            max_field_size=limits.max_header_bytes,
+            read_bufsize=READ_BYTES,
+            **options,
+        )
+        self.max_header_bytes = limits.max_header_bytes
+        self._head_timeout_s = limits.head_timeout_s
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._open_connections = open_connections
+        self._guard = FramingGuard(HEAD_FACTOR * limits.max_header_bytes)
+        self._is_refusing = False
+        self._costs: deque[int] = deque()
+        self._requests_seen = 0
+        self._last_payload: StreamReader = EMPTY_PAYLOAD
+        self._last_total_bytes = 0
+        self._response_bytes = 0
+        self._response_stalls = 0
+        self._response_timer: asyncio.TimerHandle | None = None
+        self.body_timeout: asyncio.Timeout | None = None
+        self.body_refusal: Refusal | None = None
+        self.account = account
+        account.activity = self._activity
+        account.evict = self._evict
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Add the connection to those of the server."""
+        super().connection_made(transport)
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._open_connections.connections.add(self)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read, is waiting or is handled."""
+        is_reading_head = self._head_timer is not None
+        if self._request_in_progress or self._messages or is_reading_head:
+            return
+        if self._waiter is None or self._waiter.done():
+            return  # it is between two requests, and closes after the response to the next one
+        self.force_close()
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send the response; with the last one before the server stops, the connection ends."""
+        is_last = self._open_connections.is_draining or self._open_connections.is_leaving()
+        if (is_last or self._is_refusing) and not self._messages:
+            resp.force_close()
+        finished = await super().finish_response(request, resp, start_time)
+        self._account_for(b"")  # what followed a declined upgrade is parsed after the response
+        if self._costs:
+            self.account.release(self._costs.popleft())
+        self.account.record_progress()
+        if self._messages:
+            async with self._open_connections.turns:
+                await asyncio.sleep(0.0)
+        return finished
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the bytes of a read."""
+        self.data_received(bytes(READ_BUFFER[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; the first bytes of a request head start the head timeout."""
+        if self._is_refusing:
+            return
+        if data and not self._costs and self.account.port.is_full():
+            self.account.port.record_refused("full")
+            self._end(TOO_MUCH_HELD_RESPONSE)
+            return
+        super().data_received(data)
+        self._account_for(data)
+        if self._messages or self._request_in_progress:
+            self._stop_head_timer()
+        elif self._head_timer is None and data and self.transport is not None:
+            self._start_head_timer()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the timers when the connection ends."""
+        self._stop_head_timer()
+        self._stop_response_timer()
+        self.account.port.close(self.account)
+        self._open_connections.connections.discard(self)
+        self._open_connections.changed.set()
+        super().connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        """Account for a response that the client does not take as fast as it is written."""
+        super().pause_writing()
+        if self.transport is None:
+            return
+        self._response_bytes = self.transport.get_write_buffer_size()
+        self._response_stalls = 0
+        self._response_timer = self._loop.call_later(RESPONSE_CHECK_S, self._check_response)
+        self.account.hold(RESPONSE_FACTOR * self._response_bytes)
+
+    def resume_writing(self) -> None:
+        """Account for a response that the client has taken, but for a rest."""
+        self._stop_response_timer()
+        super().resume_writing()
+
+    def refuse_body(self, refusal: Refusal) -> None:
+        """End the reading of a body; its request is refused, and the connection closes."""
+        if self.body_timeout is None or self.body_refusal is not None:
+            return
+        self.body_refusal = refusal
+        if not self.body_timeout.expired():
+            self.body_timeout.reschedule(self._loop.time())
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to invalid HTTP, or after an unexpected error."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the response has already started")
+        refusal = Refusal(Code.INTERNAL, detail=type(exc).__name__, ran=RunStatus.UNKNOWN)
+        if isinstance(exc, LineTooLong):
+            refusal = Refusal(Code.HEADER_TOO_LARGE)
+        elif status < 500:
+            refusal = Refusal(Code.BAD_HTTP, detail=type(exc).__name__)
+        response = refusal_response(refusal, "")
+        response.force_close()
+        return response
+
+    def _account_for(self, data: bytes) -> None:
+        """Account for what the parser made of received bytes, and for what it still keeps."""
+        new_messages = self._request_count - self._requests_seen
+        self._requests_seen = self._request_count
+        if new_messages:
+            for index in range(-new_messages, 0):
+                self._account_for_message(*self._messages[index])
+            has_progressed = True
+        else:
+            body_bytes = self._last_payload.total_bytes - self._last_total_bytes
+            has_progressed = body_bytes > 0
+            if has_progressed:
+                self._last_total_bytes += body_bytes
+                cost = int(BODY_FACTOR * body_bytes)
+                if self._costs:
+                    self._costs[-1] += cost
+                    self.account.hold(cost)
+        before = self._guard.pending_bytes
+        self._guard.record(len(data), has_progressed=has_progressed)
+        if self._guard.pending_bytes != before:
+            self.account.hold(self._guard.pending_bytes - before)
+        if has_progressed:
+            self.account.record_progress()
+        if self._guard.is_exceeded():
+            self._refuse_framing()
+
+    def _account_for_message(self, message: Any, payload: StreamReader) -> None:
+        cost = MESSAGE_BYTES + int(BODY_FACTOR * payload.total_bytes)
+        if hasattr(message, "raw_headers"):
+            cost += FIELD_BYTES * len(message.raw_headers)
+        else:
+            self._is_refusing = True  # invalid HTTP; what follows has no meaning
+        self._costs.append(cost)
+        self._last_payload, self._last_total_bytes = payload, payload.total_bytes
+        self.account.hold(cost)
+
+    def _refuse_framing(self) -> None:
+        """Refuse a head, or what follows one, that is larger than any client needs."""
+        self.account.port.counters.add("client_heads_refused", self.account.port.port.value)
+        if self.body_timeout is not None:
+            self._is_refusing = True
+            self.refuse_body(Refusal(Code.HEADER_TOO_LARGE))
+            return
+        self._end(LARGE_HEAD_RESPONSE)
+
+    def _evict(self, code: Code) -> None:
+        """End what the connection holds, with a refusal where one can still be sent."""
+        match self._activity():
+            case Activity.BODY:
+                self._is_refusing = True
+                self._lingering_time = 0.0
+                self.refuse_body(Refusal(code, retry_after_ms=1_000.0))
+            case Activity.HEAD:
+                self._end(TOO_MUCH_HELD_RESPONSE)
+            case Activity.IDLE:
+                self._end(b"")
+            case _:
+                self._is_refusing = True
+                if self.transport is not None:
+                    self.transport.abort()
+
+    def _end(self, response: bytes) -> None:
+        """Close the connection, after `response` if no other request is handled."""
+        self._is_refusing = True
+        self._stop_head_timer()
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self._costs:
+            return  # the connection closes after the last response
+        if response:
+            self.transport.write(response)
+        self.force_close()
+
+    def _activity(self) -> Activity:
+        if self._response_timer is not None:
+            return Activity.RESPONSE
+        if self.body_timeout is not None:
+            return Activity.BODY
+        if self._costs:
+            return Activity.QUEUED if self._messages else Activity.RUNNING
+        return Activity.HEAD if self._guard.pending_bytes else Activity.IDLE
+
+    def _check_response(self) -> None:
+        """Abort the connection if its client has taken no part of a response for some time."""
+        if self.transport is None:
+            return
+        left_bytes = self.transport.get_write_buffer_size()
+        self._response_stalls += 1
+        if left_bytes < self._response_bytes:
+            self.account.release(RESPONSE_FACTOR * (self._response_bytes - left_bytes))
+            self.account.record_progress()
+            self._response_bytes, self._response_stalls = left_bytes, 0
+        if self._response_stalls >= RESPONSE_STALL_CHECKS:
+            self.account.port.counters.add("answers_not_read")
+            self.transport.abort()
+            return
+        self._response_timer = self._loop.call_later(RESPONSE_CHECK_S, self._check_response)
+
+    def _stop_response_timer(self) -> None:
+        if self._response_timer is not None:
+            self._response_timer.cancel()
+            self._response_timer = None
+            self.account.release(RESPONSE_FACTOR * self._response_bytes)
+            self._response_bytes = 0
+
+    def _start_head_timer(self) -> None:
+        self._head_timer = self._loop.call_later(self._head_timeout_s, self._refuse_slow_head)
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _refuse_slow_head(self) -> None:
+        self._head_timer = None
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(HEAD_TIMEOUT_RESPONSE)
+            self.transport.close()
--- a/src/radishmount/border/_http.py
+++ b/src/radishmount/border/_http.py
@@ -12,6 +12,7 @@
 
 from radishmount.audit import AuditTrail
 from radishmount.border._metrics import RequestMetrics
+from radishmount.border._request_body import read_request_body
 from radishmount.border._responses import CHUNKS, RESULT_NAME, refusal_response
 from radishmount.border._shielded_tasks import ShieldedTasks
 from radishmount.clock import loop_clock
@@ -21,6 +22,7 @@
 
 __all__ = [
     "HttpService",
+    "body_of",
     "elapsed_ms",
     "make_http_app",
     "request_id_of",
@@ -29,6 +31,7 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 REQUEST_ID_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
 REQUEST_ID = web.RequestKey("request_id", str)
+BODY = web.RequestKey("body", bytes)
 ARRIVED_AT_MS = web.RequestKey("arrived_at_ms", float)
 BODY_TIMEOUT_S = 5.0
 SEND_TIMEOUT_S = 30.0
@@ -55,6 +58,11 @@
     return request[REQUEST_ID]
 
 
+def body_of(request: web.Request) -> bytes:
+    """Return the body of `request`, which was read before its handler."""
+    return request[BODY]
+
+
 def elapsed_ms(request: web.Request) -> float:
     """Return the time since the head of `request` arrived, in milliseconds."""
     clock = loop_clock(asyncio.get_running_loop())
@@ -113,15 +121,10 @@
             return refusal_response(refusal, request[REQUEST_ID])
         case Ok(request_id):
             request[REQUEST_ID] = request_id or service.new_request_id()
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            await request.read()
-    except TimeoutError:
-        return _refuse_unread_body(request, Refusal(Code.BODY_TOO_SLOW))
-    except web.HTTPRequestEntityTooLarge:
-        return _refuse_unread_body(request, Refusal(Code.BODY_TOO_LARGE))
-    except web.RequestPayloadError as error:
-        return _refuse_unread_body(request, Refusal(Code.BAD_HTTP, detail=str(error)))
+    body = await read_request_body(request, BODY_TIMEOUT_S)
+    if isinstance(body, Refusal):
+        return _refuse_unread_body(request, body)
+    request[BODY] = body
     return None
 
 
--- /dev/null
+++ b/src/radishmount/client_memory/__init__.py
@@ -0,0 +1,29 @@
+"""How much an instance holds for its clients, and who has to go when that is too much."""
+
+from radishmount.client_memory._account import Activity, ConnectionAccount
+from radishmount.client_memory._eviction import choose_evictions, choose_for_new, choose_stalled
+from radishmount.client_memory._limits import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
+    Port,
+    PortLimits,
+    divide_limits,
+)
+from radishmount.client_memory._memory import ClientMemory
+from radishmount.client_memory._port_account import PortAccount
+
+
+__all__ = [
+    "Activity",
+    "ClientMemory",
+    "ConnectionAccount",
+    "DEFAULT_DESCRIPTORS",
+    "DEFAULT_MEMORY_BYTES",
+    "Port",
+    "PortAccount",
+    "PortLimits",
+    "choose_evictions",
+    "choose_for_new",
+    "choose_stalled",
+    "divide_limits",
+]
--- /dev/null
+++ b/src/radishmount/client_memory/_account.py
@@ -0,0 +1,73 @@
+"""What one connection of a client holds."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from radishmount.client_memory._limits import CONNECTION_BYTES
+from radishmount.codes import Code
+
+
+if TYPE_CHECKING:
+    from radishmount.client_memory._port_account import PortAccount
+
+
+__all__ = ["Activity", "ConnectionAccount"]
+
+
+class Activity(StrEnum):
+    """What a connection is doing, which decides how it can be ended.
+
+    A connection is `QUEUED` when further requests wait behind the one that is handled.
+    """
+
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    RUNNING = "running"
+    QUEUED = "queued"
+    RESPONSE = "response"
+
+
+@dataclass(slots=True, eq=False)
+class ConnectionAccount:
+    """The bytes held for one connection, counted as the process pays for them.
+
+    `progressed_at_ms` is when the client last completed a head, sent a part of a body or took a
+    part of a response. `activity` and `evict` are set by the connection; `evict` ends what the
+    connection holds, with a refusal for the given reason where one can still be sent.
+    """
+
+    port: "PortAccount"
+    progressed_at_ms: float
+    held_bytes: int = CONNECTION_BYTES
+    is_closing: bool = False
+    activity: Callable[[], Activity] = lambda: Activity.IDLE
+    evict: Callable[[Code], None] = lambda code: None
+
+    def hold(self, byte_count: int) -> None:
+        """Add bytes; if the port then holds too much, some of its connections are evicted."""
+        if self.is_closing:
+            return
+        self.held_bytes += byte_count
+        self.port.add(byte_count)
+
+    def release(self, byte_count: int) -> None:
+        """Take off bytes that were held before."""
+        if self.is_closing:
+            return
+        self.held_bytes -= byte_count
+        self.port.subtract(byte_count)
+
+    def record_progress(self) -> None:
+        """Record that the client has just made progress."""
+        self.progressed_at_ms = self.port.clock.now_ms()
+
+    def must_wait(self) -> bool:
+        """Return whether no more of a body may be read now.
+
+        That is so while the port holds more than a share of its budget, for connections that hold
+        more than their fair part of that share.
+        """
+        return self.port.is_pressed() and self.held_bytes > self.port.fair_bytes()
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -1,5 +1,6 @@
 """An instance that forwards requests, by route, to the endpoints that discovery lists."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
 from random import Random
@@ -107,6 +108,7 @@
     in_flight: int = 0
     preferred_names: frozenset[str] = frozenset()
     load_announced_at_ms: float = float("-inf")
+    more_gauges: list[Callable[[], dict[str, float]]] = field(default_factory=list)
 
     def start(self) -> None:
         """Start the control plane and the background tasks."""
@@ -193,7 +195,7 @@
     def gauges(self) -> dict[str, float]:
         """Return the current values of the gauges."""
         view = self.view()
-        return {
+        gauges = {
             "ready": float(self.is_ready()),
             "leaving": float(self.leaving),
             "publication_version": float(view.version),
@@ -205,6 +207,9 @@
             "peer_streams": float(len(self.control.peers.sessions_by_name)),
             "forwarding": float(self.in_flight),
         }
+        for read in self.more_gauges:
+            gauges.update(read())
+        return gauges
 
     def status(self) -> dict[str, Any]:
         """Return the state of the instance in plain values."""
--- a/src/radishmount/platform/_ingress.py
+++ b/src/radishmount/platform/_ingress.py
@@ -14,7 +14,7 @@
 from multidict import CIMultiDict
 from result import Err
 
-from radishmount.border import http_status_of, send_continue
+from radishmount.border import http_status_of, read_request_body, send_continue
 from radishmount.codes import Code, Refusal, RunStatus
 from radishmount.endpoints import ForwardCall, ForwardReply
 from radishmount.forwarding import MergedAnswer
@@ -113,19 +113,9 @@
 
 
 async def _read_body(request: web.BaseRequest) -> bytes | Refusal:
-    if not request.can_read_body:
-        return b""
-    if "Expect" in request.headers:
+    if request.can_read_body and "Expect" in request.headers:
         await send_continue(request)
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            return await request.read()
-    except TimeoutError:
-        return Refusal(Code.BODY_TOO_SLOW)
-    except web.HTTPRequestEntityTooLarge:
-        return Refusal(Code.BODY_TOO_LARGE)
-    except web.RequestPayloadError as error:
-        return Refusal(Code.BAD_HTTP, detail=str(error))
+    return await read_request_body(request, BODY_TIMEOUT_S)
 
 
 def _make_forward_call(request: web.BaseRequest, body: bytes) -> ForwardCall:
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -27,6 +27,7 @@
     serve_low_level,
     serve_peers,
 )
+from radishmount.client_memory import ClientMemory, Port
 from radishmount.clock import Clock, suspend_aware_clock
 from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
@@ -89,6 +90,7 @@
     gateway: Gateway
     servers: list[Server]
     peers: PeerServer
+    client_memory: ClientMemory
 
     def apply_settings(self, settings: DeploymentSettings) -> None:
         """Apply changed settings; the addresses take effect only at the next start."""
@@ -150,10 +152,14 @@
         emit=log_line,
     )
     gateway = make_gateway(dependencies, audit, counters)
-    servers_to_start: list[tuple[web.Server, SocketAddress]] = [
-        (make_caller_server(gateway), settings.caller_listen_address),
-        (make_readiness_server(gateway), settings.readiness_listen_address),
-        (make_directory_server(gateway), settings.directory_listen_address),
+    client_memory = ClientMemory(
+        clock, counters, audit, settings.memory_bytes, settings.max_descriptors
+    )
+    gateway.more_gauges.append(client_memory.gauges)
+    servers_to_start: list[tuple[web.Server, SocketAddress, Port]] = [
+        (make_caller_server(gateway), settings.caller_listen_address, Port.CALLERS),
+        (make_readiness_server(gateway), settings.readiness_listen_address, Port.READINESS),
+        (make_directory_server(gateway), settings.directory_listen_address, Port.DIRECTORY),
     ]
 
     def caller_limits() -> ConnectionLimits:
@@ -162,10 +168,11 @@
         return ConnectionLimits(idle_s, limits.max_header_bytes, limits.header_timeout_ms / 1000.0)
 
     servers = []
-    for manager, address in servers_to_start:
+    for manager, address, port in servers_to_start:
         match await serve_low_level(
             manager,
             address,
+            port_account=client_memory.by_port[port],
             shutdown_timeout_s=CLOSE_TIMEOUT_S,
             limits=caller_limits,
             is_leaving=gateway.is_leaving,
@@ -181,7 +188,7 @@
             return Err(refusal)
         case Ok(peers):
             gateway.start()
-            return Ok(RunningInstance(gateway, servers, peers))
+            return Ok(RunningInstance(gateway, servers, peers, client_memory))
 
 
 @dataclass(slots=True)
@@ -297,7 +304,9 @@
 
     metrics = RequestMetrics()
     instance.gateway.forward_context.observe = metrics.observe
-    match await serve(make_operator_app(instance.gateway, metrics), address):
+    port_account = instance.client_memory.by_port[Port.OPERATORS]
+    app = make_operator_app(instance.gateway, metrics)
+    match await serve(app, address, port_account=port_account):
         case Err(refusal):
             log_state_change("metrics not served", cause=str(refusal))
         case Ok(server):
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -30,6 +30,7 @@
     serve,
     serve_peers,
 )
+from radishmount.client_memory import ClientMemory, Port
 from radishmount.clock import Clock, suspend_aware_clock
 from radishmount.codes import Refusal
 from radishmount.control import LEAVING_GRACE_MS
@@ -123,10 +124,20 @@
     )
     metrics = RequestMetrics()
     caller_app = make_caller_app(node, metrics)
-    callers = await serve(caller_app, settings.caller_listen_address, cancel_on_disconnect=True)
+    client_memory = ClientMemory(clock, counters, audit)
+    callers = await serve(
+        caller_app,
+        settings.caller_listen_address,
+        cancel_on_disconnect=True,
+        port_account=client_memory.by_port[Port.CALLERS],
+    )
     if isinstance(callers, Err):
         return callers
-    operators = await serve(make_operator_app(node, metrics), settings.operator_listen_address)
+    operators = await serve(
+        make_operator_app(node, metrics),
+        settings.operator_listen_address,
+        port_account=client_memory.by_port[Port.OPERATORS],
+    )
     if isinstance(operators, Err):
         await callers.ok_value.stop()
         return operators
