--- a/src/radishmount/border/_client_connection.py
+++ b/src/radishmount/border/_client_connection.py
@@ -330,7 +330,7 @@
         if self.body_timeout is not None:
             return Activity.BODY
         if self._costs:
-            return Activity.QUEUED if self._messages else Activity.RUNNING
+            return Activity.QUEUED if len(self._costs) > 1 else Activity.RUNNING
         return Activity.HEAD if self._guard.pending_bytes else Activity.IDLE
 
     def _check_response(self) -> None:
--- a/src/radishmount/border/_msgpack_reader.py
+++ b/src/radishmount/border/_msgpack_reader.py
@@ -11,6 +11,9 @@
 __all__ = ["MAX_HANDSHAKE_BYTES", "MsgpackReader", "PeerProtocolError"]
 
 MAX_HANDSHAKE_BYTES = 1024
+# The list for an array is made before its items have come, so a few nested heads of long arrays
+# would take any amount of memory. A handshake has pairs of binary values, and a frame is one.
+MAX_ARRAY_ITEMS = 2
 READ_BYTES = 64 * 1024
 
 
@@ -66,5 +69,10 @@
 def _unpacker(max_bytes: int) -> msgpack.Unpacker:
     # One read may return several frames, so the buffer must hold more than the longest frame.
     return msgpack.Unpacker(
-        max_buffer_size=max_bytes + READ_BYTES, max_bin_len=max_bytes, max_str_len=max_bytes
+        max_buffer_size=max_bytes + READ_BYTES,
+        max_bin_len=max_bytes,
+        max_str_len=max_bytes,
+        max_array_len=MAX_ARRAY_ITEMS,
+        max_map_len=0,
+        max_ext_len=0,
     )
--- a/src/radishmount/border/_peer_stream.py
+++ b/src/radishmount/border/_peer_stream.py
@@ -1,7 +1,8 @@
 """Peer streams over TCP: a handshake, then msgpack frames with a MAC each."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import msgpack
@@ -18,6 +19,7 @@
     initiate_handshake,
 )
 from radishmount.border._settings import SocketAddress, parse_address
+from radishmount.client_memory import Activity, PortAccount
 from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
 from radishmount.fleet import Frame, PeerStream
@@ -27,6 +29,22 @@
 
 MAX_UNSENT_BYTES = 1024 * 1024
 MAX_PENDING_HANDSHAKES = 64
+READ_BYTES = 16 * 1024
+# The event loop reads one socket at a time, and each read is copied before the next one.
+READ_BUFFER = memoryview(bytearray(READ_BYTES))
+HANDSHAKE_BYTES = 48 * 1024  # what a stranger can have under way: two reads and the parser's
+
+
+class SmallReadsProtocol(asyncio.StreamReaderProtocol, asyncio.BufferedProtocol):
+    """Reads a few kilobytes at a time, so that a stranger's bytes take little memory."""
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the bytes of a read."""
+        self.data_received(bytes(READ_BUFFER[:nbytes]))
 
 
 class TcpPeerStream:
@@ -158,10 +176,12 @@
     credentials: PeerCredentials,
     counters: Counters,
     accept: Callable[[PeerStream], Awaitable[None]],
+    port_account: PortAccount | None = None,
 ) -> Result[PeerServer, Refusal]:
     """Listen for other instances, and run `accept` for each authenticated stream.
 
-    Connections that fail the handshake are closed and counted.
+    Connections that fail the handshake are closed and counted. `port_account` bounds what is held
+    for those that are not authenticated yet.
     """
     tasks: set[Any] = set()
     pending_handshakes = 0
@@ -175,9 +195,10 @@
             if pending_handshakes < MAX_PENDING_HANDSHAKES:
                 pending_handshakes += 1
                 try:
-                    stream = await _accept_stream(
-                        credentials, MsgpackReader(reader), writer, counters
-                    )
+                    with _hold_for_handshake(port_account, writer):
+                        stream = await _accept_stream(
+                            credentials, MsgpackReader(reader), writer, counters
+                        )
                 finally:
                     pending_handshakes -= 1
             if stream is None:
@@ -190,16 +211,39 @@
             tasks.discard(task)
             writer.close()
 
+    loop = asyncio.get_running_loop()
+
+    def connect() -> asyncio.Protocol:
+        return SmallReadsProtocol(asyncio.StreamReader(READ_BYTES, loop), handle_connection, loop)
+
     try:
-        server = await asyncio.start_server(
-            handle_connection, socket_address.host, socket_address.port
-        )
+        server = await loop.create_server(connect, socket_address.host, socket_address.port)
     except OSError as error:
         return Err(Refusal(Code.ADDRESS_IN_USE, detail=f"{socket_address}: {error}"))
     host, port = server.sockets[0].getsockname()[:2]
     return Ok(PeerServer(server, SocketAddress(host, port), tasks))
 
 
+@contextmanager
+def _hold_for_handshake(
+    port_account: PortAccount | None, writer: asyncio.StreamWriter
+) -> Iterator[None]:
+    """Account for a connection until its handshake has ended; close it if there is no room."""
+    account = port_account.open() if port_account is not None else None
+    if port_account is None or account is None:
+        if port_account is not None:
+            writer.transport.abort()
+        yield
+        return
+    account.activity = lambda: Activity.HEAD
+    account.evict = lambda code: writer.transport.abort()
+    account.hold(HANDSHAKE_BYTES)
+    try:
+        yield
+    finally:
+        port_account.close(account)
+
+
 async def _accept_stream(
     credentials: PeerCredentials,
     msgpack_reader: MsgpackReader,
--- a/src/radishmount/client_memory/_limits.py
+++ b/src/radishmount/client_memory/_limits.py
@@ -38,7 +38,7 @@
     Port.DIRECTORY: 0.1,
     Port.READINESS: 0.02,
     Port.OPERATORS: 0.02,
-    Port.PEERS: 0.04,
+    Port.PEERS: 0.05,
 }
 MIN_CONNECTIONS = 8
 
--- a/src/radishmount/client_memory/_port_account.py
+++ b/src/radishmount/client_memory/_port_account.py
@@ -17,6 +17,7 @@
 PRESSED_SHARE = 0.5  # of the budget; beyond it, reading is limited
 RELIEVED_SHARE = 0.25
 EVICTION_TARGET_SHARE = 0.9  # evictions go on to this share, so that they come in groups
+EVICTION_RETRY_MS = 20.0
 ROOM_CHECK_MS = 100.0
 MAX_WAIT_FOR_ROOM_MS = 1_000.0
 MIN_LINE_INTERVAL_MS = 1_000.0
@@ -42,6 +43,7 @@
     room: asyncio.Event = field(default_factory=asyncio.Event)
     is_reported: bool = False
     reported_at_ms: float = float("-inf")
+    next_eviction_at_ms: float = float("-inf")
     stalls_checked_at_ms: float = float("-inf")
     ended_by_cause: dict[str, int] = field(default_factory=dict)
 
@@ -77,11 +79,8 @@
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
         if self.held_bytes > PRESSED_SHARE * self.limits.budget_bytes:
             self._report_pressed()
-        if self.held_bytes > self.limits.budget_bytes:
-            target_bytes = EVICTION_TARGET_SHARE * self.limits.budget_bytes
-            excess_bytes = int(self.held_bytes - target_bytes)
-            for account in choose_evictions(self.accounts, excess_bytes, self.clock.now_ms()):
-                self._end(account, "budget")
+        if self.is_full():
+            self._evict_excess()
 
     def subtract(self, byte_count: int) -> None:
         """Take off bytes, and wake the connections that wait for room."""
@@ -138,6 +137,20 @@
         self.counters.add("client_connections_ended", f"{self.port.value} {cause}")
         self.ended_by_cause[cause] = self.ended_by_cause.get(cause, 0) + 1
 
+    def _evict_excess(self) -> None:
+        """Evict connections down to a share of the budget.
+
+        Where that frees too little, as the others are handled, the next try waits for a moment.
+        """
+        now_ms = self.clock.now_ms()
+        if now_ms < self.next_eviction_at_ms:
+            return
+        excess_bytes = int(self.held_bytes - EVICTION_TARGET_SHARE * self.limits.budget_bytes)
+        for account in choose_evictions(self.accounts, excess_bytes, now_ms):
+            self._end(account, "budget")
+        if self.is_full():
+            self.next_eviction_at_ms = now_ms + EVICTION_RETRY_MS
+
     def _evict_stalled(self, now_ms: float) -> None:
         """Evict those that hold more than their fair part, so that others get room."""
         if now_ms - self.stalls_checked_at_ms < ROOM_CHECK_MS:
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -183,7 +183,10 @@
                 servers.append(server)
     credentials = PeerCredentials(key, gateway.control.fleet.members, clock.cpu_ms)
     accept = gateway.control.peers.accept
-    match await serve_peers(settings.peer_listen_address, credentials, counters, accept):
+    peers_account = client_memory.by_port[Port.PEERS]
+    match await serve_peers(
+        settings.peer_listen_address, credentials, counters, accept, peers_account
+    ):
         case Err(refusal):
             return Err(refusal)
         case Ok(peers):
--- a/src/radishmount/programs/entry.py
+++ b/src/radishmount/programs/entry.py
@@ -143,7 +143,11 @@
         return operators
     credentials = PeerCredentials(key, node.fleet.members, clock.cpu_ms)
     peers = await serve_peers(
-        settings.peer_listen_address, credentials, node.counters, node.peers.accept
+        settings.peer_listen_address,
+        credentials,
+        node.counters,
+        node.peers.accept,
+        client_memory.by_port[Port.PEERS],
     )
     if isinstance(peers, Err):
         await callers.ok_value.stop()
--- a/tests/hostile/test_crowds.py
+++ b/tests/hostile/test_crowds.py
@@ -5,6 +5,8 @@
 was changed; `hostile_harness` holds the bounds.
 """
 
+import asyncio
+import socket
 from collections.abc import Callable, Iterator
 from itertools import count
 from pathlib import Path
@@ -12,7 +14,9 @@
 import pytest
 
 from hostile_harness import (
+    LARGE_PATH,
     MAX_DESCRIPTORS,
+    SEND_TIMEOUT_S,
     Crowd,
     HostileConnection,
     Send,
@@ -31,6 +35,7 @@
 LARGE_CHUNK_BYTES = 65_536
 MAX_ENDLESS_BYTES = 4_000_000  # on each connection that sends without end
 PIPELINED_REQUESTS = 4_000
+RECEIVE_BUFFER_BYTES = 4_096
 PARSERS = {"C parser": {}, "Python parser": {"AIOHTTP_NO_EXTENSIONS": "1"}}
 numbers = count(1)
 
@@ -87,6 +92,28 @@
     return send
 
 
+def requests_without_reading() -> Send:
+    """Return a sender of a request for a large response, of which it reads nothing."""
+    request = request_head("GET", path=LARGE_PATH).encode()
+
+    async def send(connection: HostileConnection) -> None:
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        await connection.send(request)
+        await asyncio.sleep(SEND_TIMEOUT_S / 2)
+
+    return send
+
+
+def nested_arrays() -> Send:
+    """Return a sender of the heads of long arrays, one inside the other."""
+    heads = b"".join(b"\xdd" + (60_000).to_bytes(4, "big") for _ in range(500))
+
+    async def send(connection: HostileConnection) -> None:
+        await connection.send(heads)
+
+    return send
+
+
 async def send_nothing(connection: HostileConnection) -> None:
     """Only hold the connection open."""
 
@@ -152,5 +179,13 @@
     async def test_bounds_hold_with_pipelined_requests(self, tmp_path: Path) -> None:
         await attack(tmp_path, pipelined_requests(), {})
 
+    async def test_bounds_hold_with_responses_that_are_not_read(self, tmp_path: Path) -> None:
+        await attack(tmp_path, requests_without_reading(), {})
+
+    async def test_bounds_hold_with_nested_arrays_at_the_port_for_peers(
+        self, tmp_path: Path
+    ) -> None:
+        await attack(tmp_path, nested_arrays(), {}, "control")
+
     async def test_bounds_hold_with_connections_beyond_the_limit(self, tmp_path: Path) -> None:
         await attack(tmp_path, send_nothing, {}, crowd=CONNECTIONS_BEYOND_LIMIT)
--- a/tests/hostile_harness.py
+++ b/tests/hostile_harness.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from platform_harness import HOST, backend_entry, make_configuration, single_route
-from radishmount.standins import BackEndStandIn, StoreStandIn, serve_stand_in
+from radishmount.standins import BackEndStandIn, ReceivedRequest, StoreStandIn, serve_stand_in
 
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -29,6 +29,9 @@
 ORDINARY_TIMEOUT_S = 20.0
 ORDINARY_BODY = b"x" * 100_000
 
+LARGE_PATH = "/orders/large"
+LARGE_BODY = b"y" * 1_000_000
+
 Send = Callable[["HostileConnection"], Awaitable[None]]
 
 
@@ -146,6 +149,16 @@
             connection.sock.close()
 
 
+def answer(request: ReceivedRequest, name: str) -> bytes:
+    """Return the back end's response, a large one for `LARGE_PATH`."""
+    body = LARGE_BODY if LARGE_PATH in request.line else b"small"
+    return (
+        f"HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {request.request_id}\r\n"
+        f"Radishmount-Server-Stamp: {name}.{request.request_id}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
 def write_settings(path: Path, ip: str, store_address: str) -> None:
     """Write the settings of one instance, in the format of the users' platform."""
     listen = "\n".join(f'{name} = "{ip}:{port}"' for name, port in PORTS.items())
@@ -161,7 +174,7 @@
     """Run one process of the program with one back end; `number` selects its address."""
     store = StoreStandIn()
     store_server = await serve_stand_in(store.app())
-    back_end = await BackEndStandIn("b1").start()
+    back_end = await BackEndStandIn("b1", answer=answer).start()
     await store.put("servers/b1", backend_entry(back_end, "orders"))
     route = single_route(timeoutMs=20_000, targetLatencyMs=20_000)
     await store.put("op/config", make_configuration(3, [route]))
