--- a/src/radishmount/border/_client_connection.py
+++ b/src/radishmount/border/_client_connection.py
@@ -101,6 +101,7 @@
         "_response_bytes",
         "_response_stalls",
         "_response_timer",
+        "_was_complete",
         "account",
         "body_refusal",
         "body_timeout",
@@ -135,6 +136,7 @@
         self._requests_seen = 0
         self._last_payload: StreamReader = EMPTY_PAYLOAD
         self._last_total_bytes = 0
+        self._was_complete = True
         self._response_bytes = 0
         self._response_stalls = 0
         self._response_timer: asyncio.TimerHandle | None = None
@@ -224,12 +226,17 @@
         self._stop_response_timer()
         super().resume_writing()
 
+    def stop_reading(self) -> None:
+        """Ignore what still comes; the connection closes after the last response."""
+        self._is_refusing = True
+        self._lingering_time = 0.0
+
     def refuse_body(self, refusal: Refusal) -> None:
-        """End the reading of a body; its request is refused, and the connection closes."""
-        if self.body_timeout is None or self.body_refusal is not None:
+        """Refuse the request whose body is not complete, now or once its turn comes."""
+        if self.body_refusal is not None:
             return
         self.body_refusal = refusal
-        if not self.body_timeout.expired():
+        if self.body_timeout is not None and not self.body_timeout.expired():
             self.body_timeout.reschedule(self._loop.time())
 
     def handle_error(
@@ -261,13 +268,15 @@
             has_progressed = True
         else:
             body_bytes = self._last_payload.total_bytes - self._last_total_bytes
-            has_progressed = body_bytes > 0
-            if has_progressed:
+            is_complete = self._last_payload.is_eof()
+            has_progressed = body_bytes > 0 or is_complete is not self._was_complete
+            if body_bytes > 0:
                 self._last_total_bytes += body_bytes
                 cost = int(BODY_FACTOR * body_bytes)
                 if self._costs:
                     self._costs[-1] += cost
                     self.account.hold(cost)
+        self._was_complete = self._last_payload.is_eof()
         before = self._guard.pending_bytes
         self._guard.record(len(data), has_progressed=has_progressed)
         if self._guard.pending_bytes != before:
@@ -282,7 +291,9 @@
         if hasattr(message, "raw_headers"):
             cost += FIELD_BYTES * len(message.raw_headers)
         else:
-            self._is_refusing = True  # invalid HTTP; what follows has no meaning
+            self.stop_reading()  # invalid HTTP; what follows has no meaning
+            if not self._was_complete:
+                self.refuse_body(Refusal(Code.BAD_HTTP))
         self._costs.append(cost)
         self._last_payload, self._last_total_bytes = payload, payload.total_bytes
         self.account.hold(cost)
@@ -290,8 +301,8 @@
     def _refuse_framing(self) -> None:
         """Refuse a head, or what follows one, that is larger than any client needs."""
         self.account.port.counters.add("client_heads_refused", self.account.port.port.value)
-        if self.body_timeout is not None:
-            self._is_refusing = True
+        if self._costs:
+            self.stop_reading()
             self.refuse_body(Refusal(Code.HEADER_TOO_LARGE))
             return
         self._end(LARGE_HEAD_RESPONSE)
@@ -300,8 +311,7 @@
         """End what the connection holds, with a refusal where one can still be sent."""
         match self._activity():
             case Activity.BODY:
-                self._is_refusing = True
-                self._lingering_time = 0.0
+                self.stop_reading()
                 self.refuse_body(Refusal(code, retry_after_ms=1_000.0))
             case Activity.HEAD:
                 self._end(TOO_MUCH_HELD_RESPONSE)
--- a/src/radishmount/border/_request_body.py
+++ b/src/radishmount/border/_request_body.py
@@ -24,6 +24,8 @@
         return Refusal(Code.HEADER_TOO_LARGE)
     if not request.can_read_body:
         return b""
+    if connection.body_refusal is not None and not request.content.is_eof():
+        return connection.body_refusal
     max_bytes = request.client_max_size
     if (request.content_length or 0) > max_bytes:
         return Refusal(Code.BODY_TOO_LARGE)
@@ -34,10 +36,10 @@
     except TimeoutError:
         return connection.body_refusal or Refusal(Code.BODY_TOO_SLOW)
     except web.RequestPayloadError as error:
+        connection.stop_reading()
         return Refusal(Code.BAD_HTTP, detail=str(error))
     finally:
         connection.body_timeout = None
-        connection.body_refusal = None
 
 
 async def _read_within(
--- /dev/null
+++ b/tests/border/test_client_connection.py
@@ -0,0 +1,178 @@
+"""Connections of clients, over a transport from memory, whatever way their bytes are cut."""
+
+import asyncio
+from typing import Any
+from unittest.mock import patch
+
+import aiohttp.http_parser
+import aiohttp.web_protocol
+import pytest
+from aiohttp import web
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishmount.audit import AuditTrail
+from radishmount.border._client_connection import (
+    READ_BUFFER,
+    ClientConnection,
+    ConnectionLimits,
+    OpenConnections,
+)
+from radishmount.border._request_body import read_request_body
+from radishmount.border._serve import HANDLER_OPTIONS
+from radishmount.client_memory import Activity, ClientMemory, Port
+from radishmount.clock import loop_clock
+from radishmount.codes import Refusal
+from radishmount.counters import Counters
+
+
+PARSERS = (aiohttp.http_parser.HttpRequestParser, aiohttp.http_parser.HttpRequestParserPy)
+MAX_HEADER_BYTES = 1_000
+MAX_BODY_BYTES = 5_000
+HEAD = b"POST /a HTTP/1.1\r\nHost: a\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+bodies = st.binary(max_size=MAX_BODY_BYTES)
+cuts = st.lists(st.tuples(st.integers(1, 4_000), st.booleans()), min_size=1, max_size=12)
+ENDLESS = {
+    "request line": (b"GET /", b"a"),
+    "field": (HEAD + b"X-A: ", b"a"),
+    "fields": (HEAD, b"X-A: b\r\n"),
+    "empty lines": (b"", b"\r\n"),
+    "trailers": (CHUNKED + b"1\r\nx\r\n0\r\n", b"X-A: b\r\n"),
+    "chunk extension": (CHUNKED + b"1;a=", b"b"),
+}
+
+
+class MemoryTransport(asyncio.Transport):
+    """Keeps what is written; `is_paused` tells whether the connection wants no more bytes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = bytearray()
+        self.is_paused = False
+        self.is_closed = False
+
+    def write(self, data: Any) -> None:
+        self.written += data
+
+    def writelines(self, parts: Any) -> None:
+        self.written += b"".join(parts)
+
+    def pause_reading(self) -> None:
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        self.is_paused = False
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    abort = close
+
+
+class Session:
+    """One connection whose handler reads bodies and keeps them."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        clock = loop_clock(loop)
+        self.port = ClientMemory(clock, Counters(), AuditTrail(clock)).by_port[Port.CALLERS]
+        self.received: list[Any] = []
+        self.transport = MemoryTransport()
+        account = self.port.open()
+        assert account is not None
+        limits = ConnectionLimits(max_header_bytes=MAX_HEADER_BYTES)
+        self.connection = ClientConnection(
+            web.Server(self._handle), loop, limits, OpenConnections(), account, HANDLER_OPTIONS
+        )
+        self.connection.connection_made(self.transport)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await read_request_body(request, 5.0)
+        self.received.append(body)
+        return web.Response(status=431 if isinstance(body, Refusal) else 200)
+
+    async def feed(self, content: bytes, sizes: list[tuple[int, bool]]) -> int:
+        """Feed bytes in pieces, some with a pause after them; return how many were taken."""
+        position, turn = 0, 0
+        while position < len(content) and not self.transport.is_closed:
+            size, pauses = sizes[turn % len(sizes)]
+            turn += 1
+            piece = content[position : position + size]
+            READ_BUFFER[: len(piece)] = piece
+            self.connection.buffer_updated(len(piece))
+            position += len(piece)
+            while pauses or (self.transport.is_paused and not self.transport.is_closed):
+                pauses = False
+                await asyncio.sleep(0.0)
+        return position
+
+    async def end(self) -> None:
+        """Let the handlers finish, and end the connection."""
+        for _ in range(50):
+            await asyncio.sleep(0.0)
+        self.transport.is_closed = True
+        self.connection.connection_lost(None)
+
+
+def encode(body: bytes, chunk_bytes: int) -> bytes:
+    """Return a request, with a length if `chunk_bytes` is zero, or else in chunks."""
+    if not chunk_bytes:
+        return HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    pieces = [body[at : at + chunk_bytes] for at in range(0, len(body), chunk_bytes)]
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
+    return CHUNKED + chunks + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize("parser", PARSERS)
+class TestClientConnection:
+    """What is accounted for, and what is refused, does not depend on how bytes are cut."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        requests=st.lists(st.tuples(bodies, st.integers(0, 300)), min_size=1, max_size=5),
+        sizes=cuts,
+    )
+    def test_legal_requests_are_handled_and_nothing_stays_held(
+        self, parser: Any, requests: list[tuple[bytes, int]], sizes: list[tuple[int, bool]]
+    ) -> None:
+        async def run() -> None:
+            session = Session()
+            held_before = session.port.held_bytes
+            await session.feed(b"".join(encode(*request) for request in requests), sizes)
+            for _ in range(20 * len(requests)):
+                await asyncio.sleep(0.0)
+
+            assert session.received == [body for body, _ in requests]
+            assert session.connection.account.activity() is Activity.IDLE
+            assert session.port.held_bytes == held_before
+            await session.end()
+            assert session.port.held_bytes == 0
+
+        with patch.object(aiohttp.web_protocol, "HttpRequestParser", parser):
+            asyncio.run(run())
+
+    @settings(max_examples=40, deadline=None)
+    @given(kind=st.sampled_from(sorted(ENDLESS)), sizes=cuts)
+    def test_bytes_without_end_are_refused_within_the_limits(
+        self, parser: Any, kind: str, sizes: list[tuple[int, bool]]
+    ) -> None:
+        async def run() -> None:
+            session = Session()
+            start, part = ENDLESS[kind]
+            await session.feed(start + part * (60_000 // len(part)), sizes)
+            peak_bytes = session.port.peak_bytes
+            await session.end()
+
+            assert session.transport.written.split()[1] in (b"431", b"400")
+            assert peak_bytes < 80_000
+            assert session.port.held_bytes == 0
+
+        with patch.object(aiohttp.web_protocol, "HttpRequestParser", parser):
+            asyncio.run(run())
