--- a/src/radishmount/border/_client_connection.py
+++ b/src/radishmount/border/_client_connection.py
@@ -20,9 +20,10 @@
 
 IDLE_TIMEOUT_S = 60.0
 MAX_HEADER_BYTES = 8_190
-# One read of a socket, and what a body may have before it is read on. Small reads keep the cost of
-# a parse in bounds: tiny fields and chunks take many times their bytes as objects.
-READ_BYTES = 16_384
+# Small reads keep the cost of a parse in bounds: tiny fields and chunks take many times their bytes
+# as objects. Beyond twice the bytes to read ahead, a body that nobody reads stops the connection.
+READ_BYTES = 32_768
+READ_AHEAD_BYTES = 16_384
 WRITE_BUFFER_BYTES = 16_384  # of a response; what exceeds this is accounted for
 MESSAGE_BYTES = 3_072  # the objects of a request without its header fields
 HEAD_FACTOR = 2  # the limit holds for the line, and again for all fields
@@ -101,11 +102,13 @@
         "_response_bytes",
         "_response_stalls",
         "_response_timer",
+        "_tail_bytes",
         "_was_complete",
         "account",
         "body_refusal",
         "body_timeout",
         "max_header_bytes",
+        "may_have_large_head",
     )
 
     def __init__(
@@ -123,10 +126,11 @@
             keepalive_timeout=limits.idle_timeout_s,
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
-            read_bufsize=READ_BYTES,
+            read_bufsize=READ_AHEAD_BYTES,
             **options,
         )
         self.max_header_bytes = limits.max_header_bytes
+        self.may_have_large_head = False
         self._head_timeout_s = limits.head_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
         self._open_connections = open_connections
@@ -137,6 +141,7 @@
         self._last_payload: StreamReader = EMPTY_PAYLOAD
         self._last_total_bytes = 0
         self._was_complete = True
+        self._tail_bytes = 0
         self._response_bytes = 0
         self._response_stalls = 0
         self._response_timer: asyncio.TimerHandle | None = None
@@ -170,7 +175,8 @@
         if (is_last or self._is_refusing) and not self._messages:
             resp.force_close()
         finished = await super().finish_response(request, resp, start_time)
-        self._account_for(b"")  # what followed a declined upgrade is parsed after the response
+        if self._request_count != self._requests_seen:
+            self._account_for(0)  # what followed a declined upgrade is parsed after the response
         if self._costs:
             self.account.release(self._costs.popleft())
         self.account.record_progress()
@@ -196,7 +202,7 @@
             self._end(TOO_MUCH_HELD_RESPONSE)
             return
         super().data_received(data)
-        self._account_for(data)
+        self._account_for(len(data))
         if self._messages or self._request_in_progress:
             self._stop_head_timer()
         elif self._head_timer is None and data and self.transport is not None:
@@ -258,11 +264,13 @@
         response.force_close()
         return response
 
-    def _account_for(self, data: bytes) -> None:
+    def _account_for(self, byte_count: int) -> None:
         """Account for what the parser made of received bytes, and for what it still keeps."""
         new_messages = self._request_count - self._requests_seen
         self._requests_seen = self._request_count
         if new_messages:
+            if byte_count + self._guard.pending_bytes > self.max_header_bytes:
+                self.may_have_large_head = True
             for index in range(-new_messages, 0):
                 self._account_for_message(*self._messages[index])
             has_progressed = True
@@ -278,9 +286,13 @@
                     self.account.hold(cost)
         self._was_complete = self._last_payload.is_eof()
         before = self._guard.pending_bytes
-        self._guard.record(len(data), has_progressed=has_progressed)
-        if self._guard.pending_bytes != before:
-            self.account.hold(self._guard.pending_bytes - before)
+        self._guard.record(byte_count, has_progressed=has_progressed)
+        # A parser that is paused keeps what it has not parsed.
+        tail_bytes = byte_count if self._reading_paused or self._buffer_paused else 0
+        change = self._guard.pending_bytes - before + tail_bytes - self._tail_bytes
+        self._tail_bytes = tail_bytes
+        if change:
+            self.account.hold(change)
         if has_progressed:
             self.account.record_progress()
         if self._guard.is_exceeded():
--- a/src/radishmount/border/_request_body.py
+++ b/src/radishmount/border/_request_body.py
@@ -20,7 +20,7 @@
     """
     connection = request.protocol
     assert isinstance(connection, ClientConnection)
-    if _field_bytes(request) > connection.max_header_bytes:
+    if connection.may_have_large_head and _field_bytes(request) > connection.max_header_bytes:
         return Refusal(Code.HEADER_TOO_LARGE)
     if not request.can_read_body:
         return b""
--- a/src/radishmount/client_memory/_limits.py
+++ b/src/radishmount/client_memory/_limits.py
@@ -11,6 +11,7 @@
 CLIENT_MEMORY_SHARE = 0.25  # of the memory limit; the program itself and responses need the rest
 FILE_DESCRIPTORS = 200  # not available for sockets
 CONNECTION_BYTES = 8_192  # the objects of an idle connection
+PRESSED_SHARE = 0.5  # of a port's budget
 MAX_CONNECTIONS_MEMORY_SHARE = 0.5  # of a port's budget, when all of its connections are idle
 
 
@@ -50,6 +51,11 @@
     budget_bytes: int
     max_connections: int
 
+    @property
+    def pressed_bytes(self) -> int:
+        """Return what a port may hold before reading is limited."""
+        return int(PRESSED_SHARE * self.budget_bytes)
+
 
 def divide_limits(memory_bytes: int, max_descriptors: int) -> dict[Port, PortLimits]:
     """Return the limits of each port of a process with these limits of its own.
--- a/src/radishmount/client_memory/_port_account.py
+++ b/src/radishmount/client_memory/_port_account.py
@@ -14,8 +14,7 @@
 
 __all__ = ["PortAccount"]
 
-PRESSED_SHARE = 0.5  # of the budget; beyond it, reading is limited
-RELIEVED_SHARE = 0.25
+RELIEVED_SHARE = 0.5  # of what makes it pressed
 EVICTION_TARGET_SHARE = 0.9  # evictions go on to this share, so that they come in groups
 EVICTION_RETRY_MS = 20.0
 ROOM_CHECK_MS = 100.0
@@ -27,7 +26,7 @@
 class PortAccount:
     """The connections of one port, and the bytes held for them.
 
-    The port is pressed while it holds more than `PRESSED_SHARE` of its budget. The audit trail gets
+    The port is pressed while it holds more than `pressed_bytes` of its limits. The audit trail gets
     a line when that begins and one when it is over, with what was done meanwhile.
     """
 
@@ -36,6 +35,7 @@
     clock: Clock
     counters: Counters
     audit: AuditTrail
+    pressed_bytes: int = field(init=False)
     held_bytes: int = 0
     peak_bytes: int = 0
     open_count: int = 0
@@ -47,6 +47,9 @@
     stalls_checked_at_ms: float = float("-inf")
     ended_by_cause: dict[str, int] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.pressed_bytes = self.limits.pressed_bytes
+
     def open(self) -> ConnectionAccount | None:
         """Return the account of a new connection, or None if there is no place for one.
 
@@ -76,23 +79,24 @@
     def add(self, byte_count: int) -> None:
         """Add bytes; beyond the budget, evict connections."""
         self.held_bytes += byte_count
-        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
-        if self.held_bytes > PRESSED_SHARE * self.limits.budget_bytes:
+        if self.held_bytes > self.peak_bytes:
+            self.peak_bytes = self.held_bytes
+        if self.held_bytes > self.pressed_bytes:
             self._report_pressed()
-        if self.is_full():
-            self._evict_excess()
+            if self.is_full():
+                self._evict_excess()
 
     def subtract(self, byte_count: int) -> None:
         """Take off bytes, and wake the connections that wait for room."""
         self.held_bytes -= byte_count
-        if not self.is_pressed():
+        if self.is_reported and self.held_bytes <= self.pressed_bytes:
             self.room.set()
-        if self.held_bytes < RELIEVED_SHARE * self.limits.budget_bytes:
-            self._report_relieved()
+            if self.held_bytes < RELIEVED_SHARE * self.pressed_bytes:
+                self._report_relieved()
 
     def is_pressed(self) -> bool:
         """Return whether the port holds so much that reading is limited."""
-        return self.held_bytes > PRESSED_SHARE * self.limits.budget_bytes
+        return self.held_bytes > self.pressed_bytes
 
     def is_full(self) -> bool:
         """Return whether the port holds its whole budget."""
@@ -100,7 +104,7 @@
 
     def fair_bytes(self) -> float:
         """Return the part of one connection, of what the port may hold before it is pressed."""
-        return PRESSED_SHARE * self.limits.budget_bytes / max(1, self.open_count)
+        return self.pressed_bytes / max(1, self.open_count)
 
     async def wait_for_room(self, account: ConnectionAccount) -> bool:
         """Wait until more may be read for a connection; return whether that is so in time.
@@ -185,8 +189,6 @@
         self.audit.record(f"client memory/{self.port.value}", "pressed", cause=cause)
 
     def _report_relieved(self) -> None:
-        if not self.is_reported:
-            return
         self.is_reported = False
         ended = ", ".join(f"{cause} {n}" for cause, n in sorted(self.ended_by_cause.items()))
         cause = f"peak {self.peak_bytes} bytes; ended: {ended or 'none'}"
