--- a/src/radishmount/border/_client_connection.py
+++ b/src/radishmount/border/_client_connection.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from aiohttp import web
+from aiohttp.http import RawRequestMessage
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
@@ -26,6 +27,7 @@
 READ_AHEAD_BYTES = 16_384
 WRITE_BUFFER_BYTES = 16_384  # of a response; what exceeds this is accounted for
 MESSAGE_BYTES = 3_072  # the objects of a request without its header fields
+USUAL_FIELDS = 20  # an account of a connection includes one request with that many fields
 HEAD_FACTOR = 2  # the limit holds for the line, and again for all fields
 FIELD_BYTES = 400  # the objects of one header field
 BODY_FACTOR = 1.5  # a body grows in steps, which leave gaps in the heap
@@ -177,8 +179,9 @@
         finished = await super().finish_response(request, resp, start_time)
         if self._request_count != self._requests_seen:
             self._account_for(0)  # what followed a declined upgrade is parsed after the response
-        if self._costs:
-            self.account.release(self._costs.popleft())
+        cost = self._costs.popleft() if self._costs else 0
+        if cost:
+            self.account.release(cost)
         self.account.record_progress()
         if self._messages:
             async with self._open_connections.turns:
@@ -197,8 +200,9 @@
         """Parse received bytes; the first bytes of a request head start the head timeout."""
         if self._is_refusing:
             return
-        if data and not self._costs and self.account.port.is_full():
-            self.account.port.record_refused("full")
+        port = self.account.port
+        if port.held_bytes > port.limits.budget_bytes and data and not self._costs:
+            port.record_refused("full")
             self._end(TOO_MUCH_HELD_RESPONSE)
             return
         super().data_received(data)
@@ -286,7 +290,8 @@
                     self.account.hold(cost)
         self._was_complete = self._last_payload.is_eof()
         before = self._guard.pending_bytes
-        self._guard.record(byte_count, has_progressed=has_progressed)
+        if before or not has_progressed:
+            self._guard.record(byte_count, has_progressed=has_progressed)
         # A parser that is paused keeps what it has not parsed.
         tail_bytes = byte_count if self._reading_paused or self._buffer_paused else 0
         change = self._guard.pending_bytes - before + tail_bytes - self._tail_bytes
@@ -294,21 +299,25 @@
         if change:
             self.account.hold(change)
         if has_progressed:
-            self.account.record_progress()
-        if self._guard.is_exceeded():
+            if not self._was_complete:
+                self.account.record_progress()
+        elif self._guard.is_exceeded():
             self._refuse_framing()
 
     def _account_for_message(self, message: Any, payload: StreamReader) -> None:
-        cost = MESSAGE_BYTES + int(BODY_FACTOR * payload.total_bytes)
-        if hasattr(message, "raw_headers"):
-            cost += FIELD_BYTES * len(message.raw_headers)
+        cost = int(BODY_FACTOR * payload.total_bytes) if payload.total_bytes else 0
+        if isinstance(message, RawRequestMessage):
+            field_count = len(message.raw_headers)
+            if field_count > USUAL_FIELDS or self._costs:
+                cost += MESSAGE_BYTES + FIELD_BYTES * field_count
         else:
             self.stop_reading()  # invalid HTTP; what follows has no meaning
             if not self._was_complete:
                 self.refuse_body(Refusal(Code.BAD_HTTP))
         self._costs.append(cost)
         self._last_payload, self._last_total_bytes = payload, payload.total_bytes
-        self.account.hold(cost)
+        if cost:
+            self.account.hold(cost)
 
     def _refuse_framing(self) -> None:
         """Refuse a head, or what follows one, that is larger than any client needs."""
--- a/src/radishmount/client_memory/_limits.py
+++ b/src/radishmount/client_memory/_limits.py
@@ -10,7 +10,7 @@
 DEFAULT_DESCRIPTORS = 4_096
 CLIENT_MEMORY_SHARE = 0.25  # of the memory limit; the program itself and responses need the rest
 FILE_DESCRIPTORS = 200  # not available for sockets
-CONNECTION_BYTES = 8_192  # the objects of an idle connection
+CONNECTION_BYTES = 16_384  # the objects of a connection with one usual request
 PRESSED_SHARE = 0.5  # of a port's budget
 MAX_CONNECTIONS_MEMORY_SHARE = 0.5  # of a port's budget, when all of its connections are idle
 
