--- a/src/radishmount/border/_client_connection.py
+++ b/src/radishmount/border/_client_connection.py
@@ -198,8 +198,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; the first bytes of a request head start the head timeout."""
-        if self._is_refusing:
-            return
+        if self._is_refusing or (not data and not self._tail_bytes):
+            return  # without data, this resumes a parser that was paused
         port = self.account.port
         if port.held_bytes > port.limits.budget_bytes and data and not self._costs:
             port.record_refused("full")
@@ -293,7 +293,8 @@
         if before or not has_progressed:
             self._guard.record(byte_count, has_progressed=has_progressed)
         # A parser that is paused keeps what it has not parsed.
-        tail_bytes = byte_count if self._reading_paused or self._buffer_paused else 0
+        is_paused = self._reading_paused or self._buffer_paused
+        tail_bytes = (byte_count or self._tail_bytes or 1) if is_paused else 0
         change = self._guard.pending_bytes - before + tail_bytes - self._tail_bytes
         self._tail_bytes = tail_bytes
         if change:
