Keep room for as many handshakes of peers as before

Cause: with 0.08 of the budget, an instance of 152 MB would have kept fewer than the 64 handshakes that it kept before.

--- a/src/radishmount/client_memory/_limits.py
+++ b/src/radishmount/client_memory/_limits.py
@@ -28,11 +28,11 @@
 # Each port has its own part, so that the other ones serve on while one of them is pressed. The
 # sockets that are left are for endpoints, the store and streams to peers.
 MEMORY_SHARE_BY_PORT = {
-    Port.CALLERS: 0.74,
+    Port.CALLERS: 0.70,
     Port.DIRECTORY: 0.1,
     Port.READINESS: 0.04,
     Port.OPERATORS: 0.04,
-    Port.PEERS: 0.08,
+    Port.PEERS: 0.12,
 }
 SOCKET_SHARE_BY_PORT = {
     Port.CALLERS: 0.5,
@@ -60,7 +60,7 @@
 def divide_limits(memory_bytes: int, max_descriptors: int) -> dict[Port, PortLimits]:
     """Return the limits of each port of a process with these limits of its own.
 
-    divide_limits(200_000_000, 4_096)[Port.CALLERS].budget_bytes  # 37_000_000
+    divide_limits(200_000_000, 4_096)[Port.CALLERS].budget_bytes  # 35_000_000
     """
     sockets = max(0, max_descriptors - FILE_DESCRIPTORS)
     limits_by_port = {}
