--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -1,5 +1,6 @@
 """An instance that forwards requests, by route, to the endpoints that discovery lists."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
 from random import Random
@@ -125,6 +126,7 @@
     in_flight: int = 0
     preferred_names: frozenset[str] = frozenset()
     load_announced_at_ms: float = float("-inf")
+    more_gauges: list[Callable[[], dict[str, float]]] = field(default_factory=list)
 
     def start(self) -> None:
         """Start the control plane and the background tasks."""
@@ -214,7 +216,7 @@
     def gauges(self) -> dict[str, float]:
         """Return the current values of the gauges."""
         view = self.view()
-        return {
+        gauges = {
             "ready": float(self.is_ready()),
             "leaving": float(self.leaving),
             "publication_version": float(view.version),
@@ -239,6 +241,9 @@
             "short_of_room": float(self.room.short_count()),
             "endpoints_held_back": float(len(self.pool.held_back_endpoints())),
         }
+        for read in self.more_gauges:
+            gauges.update(read())
+        return gauges
 
     def status(self) -> dict[str, Any]:
         """Return the state of the instance in plain values."""
