Send the first half of a head half a second before listening ends

Cause: the test failed once in a whole run at a load of 15 on 7 cores (status 0 where 200 was due). It sent the first bytes 50 ms before the end of listening, by the real clock. Traced: on a copy that sends them 50 ms after that end, the idle connection has been closed and the status is 0, as it must be.

Change: the first half is sent 0.5 s before and the second 50 ms after the end of listening, as before.

--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -112,9 +112,9 @@
         connection = await Connection.open(harness)
         request = whole_request("q1")
         stop = asyncio.create_task(harness.instance.leave(GRACE_MS))
-        await asyncio.sleep(LISTENING_ENDS_S - 0.05)
+        await asyncio.sleep(LISTENING_ENDS_S - 0.5)
         connection.send(request[:40])
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(0.55)
         connection.send(request[40:])
         status, _ = await connection.read_response()
         await stop
