--- a/src/radishmount/forwarding/_execution.py
+++ b/src/radishmount/forwarding/_execution.py
@@ -20,7 +20,11 @@
 )
 from radishmount.forwarding._context import ForwardContext
 from radishmount.forwarding._crossing import count_crossing
-from radishmount.forwarding._hedge import has_queued_requests, hedge_delay_ms
+from radishmount.forwarding._hedge import (
+    has_queued_requests,
+    hedge_delay_ms,
+    max_hedge_delay_ms,
+)
 from radishmount.forwarding._plan import ForwardPlan
 from radishmount.forwarding._service_progress import ServiceProgress
 
@@ -141,7 +145,7 @@
             purpose = Purpose.FIRST
             progress.first_sent_at_ms = now_ms
             self.context.retry_budget.deposit(progress.service, now_ms)
-        self._schedule_hedge(progress, now_ms)
+        self._schedule_hedge(progress, endpoint, now_ms)
         self._submit(progress, endpoint, purpose, now_ms)
 
     def _try_reserve_send(self, progress: ServiceProgress, now_ms: float) -> bool:
@@ -163,12 +167,26 @@
             return False
         return True
 
-    def _schedule_hedge(self, progress: ServiceProgress, now_ms: float) -> None:
+    def _schedule_hedge(self, progress: ServiceProgress, endpoint: Endpoint, now_ms: float) -> None:
+        """Schedule a hedge; one that leaves the data centre goes out as late as it still helps."""
         if not self.plan.route.idempotent:
             return
-        progress.hedge_at_ms = now_ms + self._hedge_delay_ms()
+        delay_ms = self._hedge_delay_ms()
+        if self._would_hedge_cross(progress, endpoint):
+            delay_ms = max(delay_ms, max_hedge_delay_ms(self.plan.route.target_latency_ms))
+        progress.hedge_at_ms = now_ms + delay_ms
         heapq.heappush(self.hedge_heap, (progress.hedge_at_ms, progress.service))
 
+    def _would_hedge_cross(self, progress: ServiceProgress, endpoint: Endpoint) -> bool:
+        """Return whether `endpoint` is the only replica of the service in the own data centre."""
+        own_data_centre = self.context.data_centre
+        if endpoint.spec.data_centre != own_data_centre:
+            return False
+        for other in self.context.pool.endpoints_of(progress.service):
+            if other is not endpoint and other.spec.data_centre == own_data_centre:
+                return False
+        return True
+
     def _hedge_delay_ms(self) -> float:
         window = self.context.latency_window(self.plan.route.name)
         return hedge_delay_ms(window, self.plan.route.target_latency_ms)
--- a/src/radishmount/forwarding/_hedge.py
+++ b/src/radishmount/forwarding/_hedge.py
@@ -4,7 +4,7 @@
 from radishmount.queries import LatencyWindow
 
 
-__all__ = ["hedge_delay_ms", "has_queued_requests"]
+__all__ = ["has_queued_requests", "hedge_delay_ms", "max_hedge_delay_ms"]
 
 HEDGE_QUANTILE = 0.9  # hedges a tenth of the attempts, half of the usual retry budget
 HEDGE_FACTOR = 1.1  # above the quantile, so that a small shift of all latencies adds no hedges
@@ -14,11 +14,16 @@
 
 def hedge_delay_ms(window: LatencyWindow, target_latency_ms: float) -> float:
     """Return how long after an attempt a hedge is sent to a second endpoint."""
-    max_delay_ms = MAX_DELAY_TARGET_RATIO * target_latency_ms
+    max_delay_ms = max_hedge_delay_ms(target_latency_ms)
     quantile_ms = window.quantile_ms(HEDGE_QUANTILE)
     return max_delay_ms if quantile_ms is None else min(HEDGE_FACTOR * quantile_ms, max_delay_ms)
 
 
+def max_hedge_delay_ms(target_latency_ms: float) -> float:
+    """Return how long after an attempt a hedge still leads to a reply in time."""
+    return MAX_DELAY_TARGET_RATIO * target_latency_ms
+
+
 def has_queued_requests(endpoint: Endpoint, now_ms: float) -> bool:
     """Return whether an endpoint has recently reported requests that wait for a slot.
 
