Take a new start as cold, and an entry that came before the rate

Cause: an entry counted as unchanged where it stated the same cold time as before, whatever its start; and entries of services without a rate were skipped, so that they counted as unchanged once the rate came. Change: the start is compared too, and entries are recorded whether or not the service states a rate.

Both tests of TestColdEntries in tests/forwarding/test_cold_rate.py failed before.

--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -183,17 +183,18 @@
             connection_pool.set_evacuated(is_evacuated)
 
     def _record_cold_entries(self, before: Publication, publication: Publication) -> None:
-        """Record until when endpoints are cold whose entries are new or state another time."""
+        """Record until when endpoints are cold whose entries are new or state another time.
+
+        Also where the service states no rate, as it may state one while they are still cold.
+        """
         now_ms = self.clock.now_ms()
         until_ms_by_name = {n: t for n, t in self.cold_until_ms_by_name.items() if t > now_ms}
         for service in publication.services_by_name.values():
-            if service.cold_per_s <= 0.0:
-                continue
             for spec in service.endpoints:
                 if spec.cold_for_ms <= 0.0:
                     continue
                 old = before.endpoints_by_name.get(spec.name)
-                if old is None or old.cold_for_ms != spec.cold_for_ms:
+                if old is None or _cold_start(old) != _cold_start(spec):
                     until_ms_by_name[spec.name] = now_ms + spec.cold_for_ms
         self.cold_until_ms_by_name = until_ms_by_name
 
@@ -419,6 +420,11 @@
             wake(self.update_waiters.pop())
 
 
+def _cold_start(spec: EndpointSpec) -> tuple[int, float]:
+    """Return which start is cold and for how long, as its entry states both."""
+    return spec.started_at_ms, spec.cold_for_ms
+
+
 def _is_same_start(spec: EndpointSpec, other: EndpointSpec) -> bool:
     """Return whether both are the same start of an endpoint, at the same address."""
     return (spec.name, spec.address, spec.started_at_ms) == (
--- a/tests/forwarding/test_cold_rate.py
+++ b/tests/forwarding/test_cold_rate.py
@@ -1,12 +1,14 @@
 """Cold endpoints get no more than their rate; what only they could take is refused at once."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from result import Err, Ok
 
 from forward_harness import ForwardHarness, forward_harness
 from radishmount.codes import Code, RunStatus
+from radishmount.publication import Publication
 
 
 pytestmark = pytest.mark.looptime
@@ -24,6 +26,40 @@
     return len(harness.endpoints_by_name[name].received_ids) - before
 
 
+async def publish_entry(harness: ForwardHarness, cold_per_s: float, **fields: float) -> None:
+    """Publish the service with changed fields of the entry of its endpoint."""
+    entry = replace(harness.listed.by_name["s0-a"], **fields)
+    harness.listed.put("s0-a", entry, 0.0)
+    service = replace(harness.pool.publication.services_by_name["s0"], cold_per_s=cold_per_s)
+    publication = Publication(1, "d", services_by_name={"s0": service})
+    await harness.pool.apply_publication(harness.listed.merge_into(publication), ["entry"])
+
+
+class TestColdEntries:
+    """The load is that of calm, while endpoints start and services are configured."""
+
+    async def test_a_new_start_that_states_the_same_time_is_cold(self) -> None:
+        """Guards against a start that looks like the entry of the one before."""
+        async with forward_harness(services=1, replicas="a", cold_per_s=COLD_PER_S) as harness:
+            harness.pool.endpoints_of("s0")
+            await publish_entry(harness, COLD_PER_S, started_at_ms=1, cold_for_ms=5_000.0)
+            await asyncio.sleep(60.0)
+            warm = harness.pool.cold_endpoints()
+            await publish_entry(harness, COLD_PER_S, started_at_ms=2, cold_for_ms=5_000.0)
+
+            assert (warm, harness.pool.cold_endpoints()) == ([], ["s0-a"])
+
+    async def test_a_rate_that_is_stated_after_the_entry_holds(self) -> None:
+        """Guards against an entry that is read before the configuration and then unchanged."""
+        async with forward_harness(services=1, replicas="a") as harness:
+            harness.pool.endpoints_of("s0")
+            await publish_entry(harness, 0.0, started_at_ms=1, cold_for_ms=5_000.0)
+            without_rate = harness.pool.cold_endpoints()
+            await publish_entry(harness, COLD_PER_S)
+
+            assert (without_rate, harness.pool.cold_endpoints()) == ([], ["s0-a"])
+
+
 class TestColdEndpoint:
     """The load is that of calm, for a service of which an endpoint starts or turns cold."""
 
