Keep the rate of a cold endpoint for attempts that wait for a connection

Cause: slots were checked only at the choice of an endpoint. Attempts in the queue of its connection pool were sent when it had turned cold meanwhile. Change: when it turns cold, those that no free slot is left for end as not run, the newest first; the others are checked once more when they are sent.

Two tests of TestColdEndpoint in tests/forwarding/test_cold_rate.py failed before: 30 requests were sent where 9 may be, and 8 where the share had become 3.

--- a/src/radishmount/endpoints/_cold_rate.py
+++ b/src/radishmount/endpoints/_cold_rate.py
@@ -128,6 +128,13 @@
         self._forget_old(now_ms)
         return in_flight + len(self.ended_at_ms) >= self.slots(now_ms)
 
+    def excess(self, in_flight: int, now_ms: float) -> int:
+        """Return how many requests in flight have no slot, as they came while it was warm."""
+        if not self.is_cold(now_ms):
+            return 0
+        self._forget_old(now_ms)
+        return max(0, in_flight + len(self.ended_at_ms) - self.slots(now_ms))
+
     def wait_ms(self, in_flight: int, now_ms: float) -> float:
         """Return in which time a full endpoint may get one more request from here."""
         until_warm_ms = max(0.0, self.cold_until_ms - now_ms)
--- a/src/radishmount/endpoints/_connection_pool.py
+++ b/src/radishmount/endpoints/_connection_pool.py
@@ -107,6 +107,12 @@
         """End the attempts that wait here, as the endpoint takes no more; they may go elsewhere."""
         self._fail_queue("while it waited for a connection", code)
 
+    def refuse_cold_excess(self) -> None:
+        """End the newest attempts that wait here, as many as have no slot of a cold endpoint."""
+        for _ in range(min(len(self.queue), self.endpoint.cold_excess(self.clock.now_ms()))):
+            failure = Failure(Code.ENDPOINT_COLD, detail="while it waited for a connection")
+            self._finish(self.queue.pop(), Err(failure))
+
     def set_evacuated(self, is_evacuated: bool) -> None:
         """Begin or end an evacuation: no connection stays open but for an exchange in flight."""
         self.endpoint.is_evacuated = is_evacuated
@@ -300,6 +306,8 @@
             return Failure(Code.ENDPOINT_LEAVING)
         if self.endpoint.is_paused(now_ms):
             return Failure(Code.ENDPOINT_PAUSED)
+        if not self.endpoint.has_cold_slot(now_ms):
+            return Failure(Code.ENDPOINT_COLD)
         if not self.endpoint.is_health_fresh(now_ms):
             return Failure(Code.NOT_CONNECTED, detail="the endpoint did not answer a probe")
         return None
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -145,6 +145,15 @@
         """Return whether it is cold and may get no more from this instance at present."""
         return self.cold_rate is not None and self.cold_rate.is_full(self.in_flight, now_ms)
 
+    def has_cold_slot(self, now_ms: float) -> bool:
+        """Return whether a request that waited may be sent: it is not cold, or a slot is free."""
+        rate = self.cold_rate
+        return rate is None or not rate.is_full(len(self.sent_at_ms_by_exchange), now_ms)
+
+    def cold_excess(self, now_ms: float) -> int:
+        """Return how many requests handed over are more than it may get while it is cold."""
+        return 0 if self.cold_rate is None else self.cold_rate.excess(self.in_flight, now_ms)
+
     def cold_wait_ms(self, now_ms: float) -> float:
         """Return in which time it may get one more request, if it is held back."""
         return 0.0 if self.cold_rate is None else self.cold_rate.wait_ms(self.in_flight, now_ms)
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -408,6 +408,8 @@
         is_used = connection_pool is not None and connection_pool.endpoint is endpoint
         if change == "paused" and connection_pool is not None and is_used:
             connection_pool.refuse_queue(Code.ENDPOINT_PAUSED)
+        if change == "cold" and connection_pool is not None and is_used:
+            connection_pool.refuse_cold_excess()
         if change != "leaving":
             return
         if endpoint.report.draining or endpoint.has_departed:
--- a/tests/forwarding/test_cold_rate.py
+++ b/tests/forwarding/test_cold_rate.py
@@ -74,6 +74,42 @@
             expected = 9 if cold_per_s else REQUESTS
             assert await received_in_a_second(harness, "s0-a") == expected
 
+    async def test_attempts_that_wait_when_it_turns_cold_keep_its_rate(self) -> None:
+        """Guards against a queue that is sent whatever the slots allow."""
+        async with forward_harness(services=1, replicas="a", cold_per_s=COLD_PER_S) as harness:
+            harness.pool.endpoints_of("s0")
+            await asyncio.sleep(LEARNING_S)
+            connection_pool = harness.pool.connection_pools_by_name["s0-a"]
+            connection_pool.set_connection_limit(4)
+            endpoint = harness.endpoints_by_name["s0-a"]
+            endpoint.service_ms = 40.0
+            route = harness.single_route(max_attempts=1)
+            requests = [asyncio.create_task(harness.send(route)) for _ in range(30)]
+            await asyncio.sleep(0.01)
+            queued = len(connection_pool.queue)
+            now_ms = harness.clock.now_ms()
+            connection_pool.endpoint.record_cold(now_ms + 5_000.0, "a test", now_ms)
+            outcomes = await asyncio.gather(*requests)
+            refusals = [outcome.err_value for outcome in outcomes if isinstance(outcome, Err)]
+
+            assert (queued, len(endpoint.received_ids), len(refusals)) == (26, 9, 21)
+            assert {(r.code, r.ran) for r in refusals} == {(Code.ENDPOINT_COLD, RunStatus.NOT_RUN)}
+
+    async def test_attempts_that_wait_keep_a_share_that_becomes_smaller(self) -> None:
+        """Guards against slots that are counted once, before other instances are known."""
+        async with forward_harness(services=1, replicas="a", cold_per_s=COLD_PER_S) as harness:
+            await asyncio.sleep(LEARNING_S)
+            harness.cold_ms_by_name = {"s0-a": 5_000.0}
+            await harness.publish(harness.services)
+            harness.pool.endpoints_of("s0")
+            harness.pool.connection_pools_by_name["s0-a"].set_connection_limit(1)
+            requests = [asyncio.create_task(harness.send(harness.single_route())) for _ in range(9)]
+            await asyncio.sleep(0.005)
+            harness.pool.known_instances.apply_list(["b", "c"], harness.clock.now_ms())
+            await asyncio.gather(*requests)
+
+            assert len(harness.endpoints_by_name["s0-a"].received_ids) == 3
+
     async def test_the_others_take_what_it_may_not_get(self) -> None:
         async with forward_harness(services=1, replicas="ab", cold_per_s=COLD_PER_S) as harness:
             await asyncio.sleep(LEARNING_S)
