Keep published and listed evacuations of the same name apart

Cause: both stood under their names in one mapping, so a published object named as the data centre of a store key was overwritten, and its own data centre was not evacuated. Change: those of the list have names that published objects cannot have.

TestPublishedObjects in tests/discovery/test_evacuation.py failed before.

--- a/src/radishmount/discovery/_endpoint_list.py
+++ b/src/radishmount/discovery/_endpoint_list.py
@@ -185,9 +185,11 @@
                 slots=slots_by_service.get(name, 0),
                 endpoints=tuple(specs_by_service.get(name, ())),
             )
-        evacuations_by_name = {
-            name: Evacuation(name, name) for name in sorted(self.evacuated_data_centres)
-        }
+        # Names of published objects have no slash, so these are none of them.
+        listed = [
+            Evacuation(f"listed/{name}", name) for name in sorted(self.evacuated_data_centres)
+        ]
+        evacuations_by_name = {evacuation.name: evacuation for evacuation in listed}
         return replace(
             publication,
             services_by_name=services_by_name,
--- a/tests/discovery/test_evacuation.py
+++ b/tests/discovery/test_evacuation.py
@@ -21,6 +21,7 @@
 )
 from radishmount.fleet import Notice
 from radishmount.platform._store_client import ItemModel, _parse_entries
+from radishmount.publication import Evacuation, Publication
 from store_harness import GossipHarness, endpoint_entry
 
 
@@ -100,6 +101,19 @@
         ).is_ok()
 
 
+class TestPublishedObjects:
+    """An evacuation may be published too, under any name."""
+
+    def test_a_published_one_of_the_same_name_counts_beside_the_listed_one(self) -> None:
+        """Guards against one that overwrites the other, so that a data centre gets requests."""
+        endpoints = EndpointList()
+        endpoints.set_evacuated(["milano"])
+        published = {"milano": Evacuation("milano", "torino")}
+        publication = endpoints.merge_into(Publication(1, "d", evacuations_by_name=published))
+
+        assert publication.evacuated_data_centres == {"milano", "torino"}
+
+
 class TestMessages:
     """Messages between instances, also with instances of the version before."""
 
