Expect no probe of an evacuated endpoint

Cause: awaits_probe looked at the age of the health only, but evacuated endpoints are not probed. A search waited for that probe in vain, 95 ms in the test. Change: awaits_probe is false for them.

test_an_evacuated_endpoint_is_not_worth_waiting_for and test_a_search_that_only_evacuated_endpoints_could_answer_ends_at_once failed before.

--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -171,7 +171,12 @@
         return self.ejection.consecutive_failures == 0 and self.is_eligible(now_ms)
 
     def awaits_probe(self, now_ms: float) -> bool:
-        """Return whether its health is only out of date, and no probe has failed since."""
+        """Return whether its health is only out of date, and no probe has failed since.
+
+        An evacuated endpoint gets no probes, so nothing is to be expected of it.
+        """
+        if self.is_evacuated:
+            return False
         return not self.is_health_fresh(now_ms) and self.ejection.consecutive_failures == 0
 
     def oldest_exchange_age_ms(self, now_ms: float) -> float:
--- a/tests/endpoints/test_pool.py
+++ b/tests/endpoints/test_pool.py
@@ -74,6 +74,23 @@
         assert evacuated == before < harness.endpoints_by_name[FIRST_ENDPOINT].probes
         await harness.stop()
 
+    async def test_a_search_that_only_evacuated_endpoints_could_answer_ends_at_once(self) -> None:
+        """Guards against a search that waits for probes which are never sent."""
+        harness = await start_query_harness(replicas=2)
+        objects = objects_for(harness.addresses)
+        endpoints = find_service(objects, "catalogue-0")["endpoints"]
+        evacuations = [
+            {"kind": "evacuation", "name": f"drill-{data_centre}", "data_centre": data_centre}
+            for data_centre in sorted({endpoint["data_centre"] for endpoint in endpoints})
+        ]
+        await publish(harness, [*objects, *evacuations])
+        await asyncio.sleep(5.0)
+        started_at_s = asyncio.get_running_loop().time()
+        await harness.search()
+
+        assert asyncio.get_running_loop().time() - started_at_s < 0.02
+        await harness.stop()
+
     async def test_an_endpoint_that_moved_is_reached_at_its_new_address(self) -> None:
         harness = await start_query_harness(services=1, replicas=1)
         moved = harness.endpoints_by_address["127.0.0.0:80"]
--- a/tests/snapshots/test_snapshot.py
+++ b/tests/snapshots/test_snapshot.py
@@ -105,6 +105,14 @@
 
         assert may_become_complete(SHARDS, lambda s: endpoints[s], NOW_MS)
 
+    def test_an_evacuated_endpoint_is_not_worth_waiting_for(self) -> None:
+        """Guards against searches that wait for a probe which is never sent."""
+        evacuated = replica(1, age_ms=5_000.0)
+        evacuated.is_evacuated = True
+        endpoints = {"low": [evacuated], "high": [replica(1)]}
+
+        assert not may_become_complete(SHARDS, lambda s: endpoints[s], NOW_MS)
+
     def test_a_failed_endpoint_is_not_worth_waiting_for(self) -> None:
         failed = replica(1, age_ms=5_000.0)
         failed.ejection.record_failure(NOW_MS)
