Date a name from when it left the list of instances

Cause: names were stamped when a list was applied. In a calm fleet that was long ago, so that a name was forgotten at the moment at which it left the list. Change: the names of the list before are stamped again when a list is applied.

TestKnownInstances in tests/endpoints/test_cold_rate.py failed before.

--- a/src/radishmount/endpoints/_cold_rate.py
+++ b/src/radishmount/endpoints/_cold_rate.py
@@ -36,13 +36,18 @@
     own_name: str
     started_at_ms: float
     has_seeds: bool = False
+    listed_names: frozenset[str] = frozenset()
     listed_at_ms_by_name: dict[str, float] = field(default_factory=dict)
     version: int = 0
 
     def apply_list(self, names: Iterable[str], now_ms: float) -> None:
-        """Record that instances are listed, and forget those that have not been for long."""
+        """Record that instances are listed, and forget those that have not been for long.
+
+        Those of the list before were listed until now, however long ago that came.
+        """
         count = len(self.listed_at_ms_by_name)
-        self.listed_at_ms_by_name |= dict.fromkeys({*names, self.own_name}, now_ms)
+        before, self.listed_names = self.listed_names, frozenset([*names, self.own_name])
+        self.listed_at_ms_by_name |= dict.fromkeys(before | self.listed_names, now_ms)
         self.version += len(self.listed_at_ms_by_name) - count
         for name, at_ms in list(self.listed_at_ms_by_name.items()):
             if now_ms - at_ms > KEPT_MS:
--- a/tests/endpoints/test_cold_rate.py
+++ b/tests/endpoints/test_cold_rate.py
@@ -6,6 +6,7 @@
 
 from radishmount.endpoints import ColdRateSettings, Endpoint, KnownInstances, LoadReport
 from radishmount.endpoints._cold_rate import (
+    KEPT_MS,
     LEARNING_MS,
     ColdRate,
     cold_slots,
@@ -20,6 +21,20 @@
 BOUND = 20
 
 
+class TestKnownInstances:
+    """Names stay known for a time from when they left the list, also in a calm fleet."""
+
+    def test_a_name_that_was_listed_until_now_stays_known(self) -> None:
+        """Guards against a list that is seldom applied, by which a lost name looks old at once."""
+        known = KnownInstances("a", 0.0)
+        known.apply_list(["a", "b"], 0.0)
+        known.apply_list(["a"], KEPT_MS + 1_000.0)
+        known_at_once = set(known.listed_at_ms_by_name)
+        known.apply_list(["a"], 2.0 * KEPT_MS + 2_000.0)
+
+        assert (known_at_once, set(known.listed_at_ms_by_name)) == ({"a", "b"}, {"a"})
+
+
 class Fleet:
     """Instances that send one endpoint as much as each may; each arrival is noted by its time."""
 
