Give a right cause and time where endpoints are cold and evacuated, or just started

Cause: an endpoint that is both cold and evacuated counted as held back, so the refusal named the cold time. An instance that is still learning has no slots, and told callers to come back after the whole cold time. Change: evacuated endpoints are left out of the cause and the time; while the instance is learning the time is the end of that.

test_a_cold_endpoint_that_is_evacuated_gives_no_time_to_come_back and test_an_instance_that_has_just_started_says_when_it_will_send failed before.

--- a/src/radishmount/endpoints/_cold_rate.py
+++ b/src/radishmount/endpoints/_cold_rate.py
@@ -143,6 +143,9 @@
     def wait_ms(self, in_flight: int, now_ms: float) -> float:
         """Return in which time a full endpoint may get one more request from here."""
         until_warm_ms = max(0.0, self.cold_until_ms - now_ms)
+        learned_in_ms = self.instances.started_at_ms + LEARNING_MS - now_ms
+        if learned_in_ms > 0.0:
+            return min(until_warm_ms, learned_in_ms)
         slots = self.slots(now_ms)
         if not slots:
             return until_warm_ms
--- a/src/radishmount/forwarding/_run.py
+++ b/src/radishmount/forwarding/_run.py
@@ -110,7 +110,7 @@
         return progress.last_failure.code
     now_ms = context.clock.now_ms()
     endpoints = list(context.pool.endpoints_of(progress.service))
-    if any(endpoint.is_held_back(now_ms) for endpoint in endpoints):
+    if any(endpoint.is_held_back(now_ms) for endpoint in endpoints if not endpoint.is_evacuated):
         context.counters.add("cold_refusals", progress.service)
         return Code.ENDPOINT_COLD
     if any(endpoint.is_evacuated for endpoint in endpoints):
@@ -121,6 +121,7 @@
 def _retry_after_ms(execution: ForwardExecution) -> float | None:
     """Return when a service without a reply has an endpoint again, None if it has one now.
 
+    Evacuated endpoints do not count, as nobody knows when the evacuation ends.
     The time is spread, so that callers who were refused together do not come back together.
     """
     context = execution.context
@@ -129,7 +130,7 @@
     for progress in execution.progress_by_service.values():
         if progress.reply is not None:
             continue
-        endpoints = list(context.pool.endpoints_of(progress.service))
+        endpoints = [e for e in context.pool.endpoints_of(progress.service) if not e.is_evacuated]
         pauses_ms = [e.paused_until_ms - now_ms for e in endpoints if e.is_paused(now_ms)]
         pauses_ms += [e.cold_wait_ms(now_ms) for e in endpoints if e.is_held_back(now_ms)]
         if pauses_ms and not any(endpoint.is_available(now_ms) for endpoint in endpoints):
--- a/tests/forwarding/test_cold_rate.py
+++ b/tests/forwarding/test_cold_rate.py
@@ -136,6 +136,31 @@
             assert second.err_value.ran is RunStatus.NOT_RUN
             assert 1_000.0 < (second.err_value.retry_after_ms or 0.0) < 1_600.0
 
+    async def test_an_instance_that_has_just_started_says_when_it_will_send(self) -> None:
+        """Guards against callers that stay away until the endpoint is warm."""
+        async with forward_harness(services=1, replicas="a", cold_per_s=COLD_PER_S) as harness:
+            harness.cold_ms_by_name = {"s0-a": 60_000.0}
+            await harness.publish(harness.services)
+            outcome = await harness.send(harness.single_route())
+
+            assert isinstance(outcome, Err)
+            assert 10_000.0 <= (outcome.err_value.retry_after_ms or 0.0) <= 15_000.0
+
+    async def test_a_cold_endpoint_that_is_evacuated_gives_no_time_to_come_back(self) -> None:
+        """Guards against callers that come back for an endpoint that gets nothing then either."""
+        async with forward_harness(services=1, replicas="a", cold_per_s=1.0) as harness:
+            await asyncio.sleep(LEARNING_S)
+            harness.cold_ms_by_name = {"s0-a": 5_000.0}
+            await harness.publish(harness.services)
+            await harness.send(harness.single_route())
+            harness.listed.set_evacuated(["milano"])
+            await harness.publish(harness.services)
+            outcome = await harness.send(harness.single_route())
+
+            assert isinstance(outcome, Err)
+            assert outcome.err_value.code is Code.DATA_CENTRE_EVACUATED
+            assert outcome.err_value.retry_after_ms is None
+
     async def test_it_is_cold_for_a_time_after_an_evacuation(self) -> None:
         """Guards against a data centre whose endpoints have cooled and get all their load back."""
         async with forward_harness(services=1, replicas="a", cold_per_s=COLD_PER_S) as harness:
