End no evacuation by a page that does not tell of any

Cause: instances of the version before send pages without the field, which read as none and cleared the set here. Change: such a page leaves the set as it is. Where an end was missed, the digests differ and the store is read in full.

--- a/src/radishmount/border/_peer_endpoint_models.py
+++ b/src/radishmount/border/_peer_endpoint_models.py
@@ -60,12 +60,13 @@
     endpoints: Annotated[list[Any], Field(max_length=MAX_PAGE_LENGTH)]
     has_more: bool
     missing: Annotated[list[ListedName], Field(max_length=MAX_PAGE_LENGTH)]
-    evacuated: EvacuatedNames = []
+    evacuated: EvacuatedNames | None = None
 
     def to_data(self) -> EndpointPage:
         """Return the message as a data class."""
         endpoints = tuple(ListedEndpointModel.from_values(e).to_data() for e in self.endpoints)
-        missing, evacuated = tuple(self.missing), tuple(self.evacuated)
+        missing = tuple(self.missing)
+        evacuated = None if self.evacuated is None else tuple(self.evacuated)
         return EndpointPage(self.revision, endpoints, self.has_more, missing, evacuated)
 
 
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -165,14 +165,19 @@
         revision: int,
         endpoints: Iterable[ListedEndpoint],
         missing: Iterable[str] = (),
-        evacuated: Iterable[str] = (),
+        evacuated: Iterable[str] | None = None,
     ) -> None:
-        """Apply all that a peer lists if its revision is newer than the one here."""
+        """Apply all that a peer lists if its revision is newer than the one here.
+
+        Evacuations stay as they are where `evacuated` is none. If the peer has none, the digests
+        then differ, and the store is read again.
+        """
         if not self.is_behind(revision):
             return
         self._advance(revision)
         self.endpoints.apply_peer_state(endpoints, missing, self.clock.now_ms())
-        self.endpoints.set_evacuated(evacuated)
+        if evacuated is not None:
+            self.endpoints.set_evacuated(evacuated)
         self.audit.record("endpoints", "taken", cause=f"peer {peer}", version=revision)
         await self.on_change()
 
--- a/src/radishmount/discovery/_gossip.py
+++ b/src/radishmount/discovery/_gossip.py
@@ -204,7 +204,7 @@
     async def _fetch(self, peer: str) -> None:
         listed: list[ListedEndpoint] = []
         missing: set[str] = set()
-        evacuated: tuple[str, ...] = ()
+        evacuated: tuple[str, ...] | None = None
         revision: int | None = None
         while True:
             after = listed[-1].name if listed else ""
@@ -237,6 +237,6 @@
             tuple(listed),
             has_more,
             tuple(names),
-            tuple(sorted(endpoints.evacuated_data_centres)),
+            tuple(sorted(endpoints.evacuated_data_centres)) or None,
         )
         return Ok(page)
--- a/src/radishmount/discovery/_messages.py
+++ b/src/radishmount/discovery/_messages.py
@@ -54,11 +54,12 @@
     """A page of the endpoints that the sender lists, by name, at a revision of the store.
 
     `missing` names endpoints whose entries are gone but may only have lapsed in an outage.
-    `evacuated` names all data centres that are evacuated.
+    `evacuated` names all data centres that are evacuated, none if the page does not tell: none is
+    evacuated there, or the sender is of a version that does not know of evacuations.
     """
 
     revision: int
     endpoints: tuple[ListedEndpoint, ...]
     has_more: bool
     missing: tuple[str, ...] = ()
-    evacuated: tuple[str, ...] = ()
+    evacuated: tuple[str, ...] | None = None
--- a/tests/discovery/test_evacuation.py
+++ b/tests/discovery/test_evacuation.py
@@ -19,7 +19,7 @@
     StoreFailureKind,
     StoreNews,
 )
-from radishmount.fleet import Notice
+from radishmount.fleet import Notice, is_watcher
 from radishmount.platform._store_client import ItemModel, _parse_entries
 from radishmount.publication import Evacuation, Publication
 from store_harness import GossipHarness, endpoint_entry
@@ -77,6 +77,46 @@
         await harness.stop()
 
 
+@pytest.mark.looptime
+class TestPagesWithoutEvacuations:
+    """Pages of peers that know of no evacuation, or are of a version that does not tell."""
+
+    async def test_such_a_page_ends_no_evacuation(self) -> None:
+        """Guards against requests to an evacuated data centre during a rolling upgrade."""
+        harness = await GossipHarness(entries=[endpoint_entry("a")]).start(COUNT)
+        harness.write(BEGIN)
+        await asyncio.sleep(1.0)
+        instance = harness.by_name["e5"]
+        follower = instance.control_plane.follower
+        page = EndpointPage(follower.known_revision + 1, (endpoint_entry("b").endpoint,), False)
+        register_peer_models(*ENDPOINT_PEER_MODELS)
+        notice = unpack_frame(pack_frame(Notice(page)).unwrap()).unwrap()
+        read = notice.message
+        await follower.apply_peer_state("e1", read.revision, read.endpoints, (), read.evacuated)
+
+        assert set(instance.endpoints.by_name) == {"b"}
+        assert instance.endpoints.evacuated_data_centres == {"milano"}
+        await harness.stop()
+
+    async def test_an_end_that_only_a_page_could_tell_is_read_from_the_store(self) -> None:
+        """Guards against an evacuation that stays in force where the notice of its end was lost."""
+        harness = await GossipHarness(entries=[endpoint_entry("a")]).start(COUNT)
+        harness.write(BEGIN)
+        await asyncio.sleep(1.0)
+        deprived = next(
+            instance
+            for instance in harness.by_name.values()
+            if not is_watcher(instance.control_plane.fleet)
+        )
+        handlers = deprived.control_plane.peers.notice_handlers_by_kind
+        handlers[StoreNews] = lambda session, news: None
+        harness.write(END)
+        await asyncio.sleep(3.0)
+
+        assert harness.instances_evacuating() == set(harness.by_name)
+        await harness.stop()
+
+
 class TestKeys:
     """Keys of the store may be odd; they harm nothing."""
 
