Count an instance whose endpoints are all evacuated as overloaded

Cause: load_of leaves evacuated endpoints out, and returned 0.0 where none was left, although an instance that reaches no endpoint counts as overloaded. Change: it returns 1.0 there, and 0.0 only without any endpoint.

test_an_instance_is_overloaded_while_all_endpoints_are_evacuated failed before.

--- a/src/radishmount/node.py
+++ b/src/radishmount/node.py
@@ -258,7 +258,7 @@
     """Return requests in flight per slot, below 1.0, or 1.0 if most endpoints are not eligible.
 
     An instance that cannot reach most endpoints is treated as overloaded, so that callers are
-    sent to instances that reach them.
+    sent to instances that reach them. Evacuated endpoints do not count, unless all of them are.
     """
     connection_pools = [
         connection_pool
@@ -266,7 +266,7 @@
         if not connection_pool.endpoint.is_evacuated
     ]
     if not connection_pools:
-        return 0.0
+        return 1.0 if pool.connection_pools_by_name else 0.0
     eligible = [
         connection_pool.endpoint
         for connection_pool in connection_pools
--- a/tests/endpoints/test_pool.py
+++ b/tests/endpoints/test_pool.py
@@ -91,6 +91,20 @@
         assert asyncio.get_running_loop().time() - started_at_s < 0.02
         await harness.stop()
 
+    async def test_an_instance_is_overloaded_while_all_endpoints_are_evacuated(self) -> None:
+        """Guards against callers that are sent to an instance that reaches no endpoint."""
+        harness = await start_query_harness(replicas=2)
+        node = harness.nodes_by_name["entry-a"]
+        objects = objects_for(harness.addresses)
+        data_centre = find_service(objects, "catalogue-0")["endpoints"][0]["data_centre"]
+        before = node.load()
+        evacuation = {"kind": "evacuation", "name": "drill", "data_centre": data_centre}
+        await publish(harness, [*objects, evacuation])
+        await asyncio.sleep(5.0)
+
+        assert (before, node.load()) == (0.0, 1.0)
+        await harness.stop()
+
     async def test_an_endpoint_that_moved_is_reached_at_its_new_address(self) -> None:
         harness = await start_query_harness(services=1, replicas=1)
         moved = harness.endpoints_by_address["127.0.0.0:80"]
