--- a/src/radishmount/endpoints/_cold_rate.py
+++ b/src/radishmount/endpoints/_cold_rate.py
@@ -36,13 +36,18 @@
     own_name: str
     started_at_ms: float
     has_seeds: bool = False
+    listed_names: frozenset[str] = frozenset()
     listed_at_ms_by_name: dict[str, float] = field(default_factory=dict)
     version: int = 0
 
     def apply_list(self, names: Iterable[str], now_ms: float) -> None:
-        """Record that instances are listed, and forget those that have not been for long."""
+        """Record that instances are listed, and forget those that have not been for long.
+
+        Those of the list before were listed until now, however long ago that came.
+        """
         count = len(self.listed_at_ms_by_name)
-        self.listed_at_ms_by_name |= dict.fromkeys({*names, self.own_name}, now_ms)
+        before, self.listed_names = self.listed_names, frozenset([*names, self.own_name])
+        self.listed_at_ms_by_name |= dict.fromkeys(before | self.listed_names, now_ms)
         self.version += len(self.listed_at_ms_by_name) - count
         for name, at_ms in list(self.listed_at_ms_by_name.items()):
             if now_ms - at_ms > KEPT_MS:
@@ -128,9 +133,19 @@
         self._forget_old(now_ms)
         return in_flight + len(self.ended_at_ms) >= self.slots(now_ms)
 
+    def excess(self, in_flight: int, now_ms: float) -> int:
+        """Return how many requests in flight have no slot, as they came while it was warm."""
+        if not self.is_cold(now_ms):
+            return 0
+        self._forget_old(now_ms)
+        return max(0, in_flight + len(self.ended_at_ms) - self.slots(now_ms))
+
     def wait_ms(self, in_flight: int, now_ms: float) -> float:
         """Return in which time a full endpoint may get one more request from here."""
         until_warm_ms = max(0.0, self.cold_until_ms - now_ms)
+        learned_in_ms = self.instances.started_at_ms + LEARNING_MS - now_ms
+        if learned_in_ms > 0.0:
+            return min(until_warm_ms, learned_in_ms)
         slots = self.slots(now_ms)
         if not slots:
             return until_warm_ms
