--- a/src/radishmount/admission/_room_admission.py
+++ b/src/radishmount/admission/_room_admission.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from enum import StrEnum
 from math import inf
 from random import Random
 
@@ -29,7 +30,7 @@
 FORGET_UNUSED_AFTER_MS = 60_000.0
 
 
-class RoomCause:
+class RoomCause(StrEnum):
     """Why a request is refused for want of room."""
 
     TIME = "would be late"
@@ -167,7 +168,10 @@
     ) -> Shortage | None:
         """Return why there is no room for a request, or none if there is."""
         wait_ms, service = room.wait_for(demand)
-        time_left_ms = max(0.0, request.deadline_at_ms - now_ms - room.unloaded_ms)
+        if _is_below_least_share(room, demand, now_ms):
+            return None
+        # The work of this kind may be far shorter than that of the others, so only the wait counts.
+        time_left_ms = max(0.0, request.deadline_at_ms - now_ms)
         if wait_ms > time_left_ms:
             return Shortage(RoomCause.TIME, service, wait_ms, time_left_ms)
         if wait_ms > demand.wait_limit_ms(room.unloaded_ms):
@@ -185,8 +189,6 @@
                 other_room.unloaded_ms
             ):
                 return shortage
-        if shortage is not None and _is_below_least_share(room, demand, now_ms):
-            return None
         return shortage
 
     def _refuse(
--- a/src/radishmount/admission/_service_room.py
+++ b/src/radishmount/admission/_service_room.py
@@ -22,6 +22,9 @@
 FULL_KEPT_MS = 10_000.0  # after the last time that an endpoint shed
 # A reported queue counts up to this multiple of the rise in latency that this instance measured.
 EVIDENCE_FACTOR = 3.0
+# Latencies of several kinds of work differ by as much without any queue, so a smaller rise shows
+# nothing.
+MIN_EVIDENCE_RATIO = 2.0
 UNLOADED_MAX_LOAD = 0.5  # of the slots, up to which a latency counts as that of an idle endpoint
 UNLOADED_FALL_WEIGHT = 0.2
 UNLOADED_RISE_WEIGHT = 0.02  # slow, so that the queues of an overload do not pass for the usual
@@ -99,7 +102,9 @@
         wait_ms = latency_ms * max(0.0, waiting) / (load + 1.0)
         if is_shedding:
             return max(wait_ms, self._record_full(endpoint, self.unloaded_ms))
-        return min(wait_ms, EVIDENCE_FACTOR * max(0.0, latency_ms - self.unloaded_ms))
+        if latency_ms < MIN_EVIDENCE_RATIO * self.unloaded_ms:
+            return 0.0
+        return min(wait_ms, EVIDENCE_FACTOR * (latency_ms - self.unloaded_ms))
 
     def _record_full(self, endpoint: Endpoint, unloaded_ms: float) -> float:
         """Return the wait at an endpoint that has just shed, by the queue that it reports."""
--- a/src/radishmount/endpoints/_locality.py
+++ b/src/radishmount/endpoints/_locality.py
@@ -16,6 +16,7 @@
 # costs a retry elsewhere and a part of the retry budget.
 SPILL_BELOW_SUCCESS_RATE = 0.8
 SPILL_ALL_SUCCESS_RATE = 0.5
+REPORT_MAX_AGE_MS = 500.0  # of a queue; a replica that gets no requests reports nothing new
 PROBE_INTERVAL_MS = 5_000.0  # a probe of a replica that is still slow costs a hedge
 LEFT_SHARE = 0.5
 MIN_LEFT_MS = 2_000.0  # bounds the lines about an endpoint that is at the limit of its load
@@ -43,8 +44,10 @@
 
 def steady_ratio(endpoint: Endpoint, fastest_ms: float, now_ms: float) -> float:
     """Return by how much the estimated latency falls if ordinary pauses are left out, at most 1."""
-    if endpoint.steady_latency.value_ms is None or endpoint.report.queued:
-        return 1.0  # known from peers only, or late because of its load
+    if endpoint.steady_latency.value_ms is None:
+        return 1.0  # known from peers only
+    if endpoint.report.queued and endpoint.health_age_ms(now_ms) <= REPORT_MAX_AGE_MS:
+        return 1.0  # late because of its load
     estimated_ms = endpoint.estimated_latency_ms(fastest_ms, now_ms)
     steady_ms = endpoint.steady_latency.decayed_towards(fastest_ms, now_ms)
     open_for_ms = endpoint.oldest_exchange_age_ms(now_ms)
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -75,6 +75,7 @@
     cold_rate_settings: ColdRateSettings = field(default_factory=ColdRateSettings)
     known_instances: KnownInstances = field(init=False)
     cold_until_ms_by_name: dict[str, float] = field(default_factory=dict)
+    kind_latencies_by_service: dict[str, KindLatencies] = field(default_factory=dict)
     update_waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -135,6 +136,8 @@
         }
         used_services = self.endpoints_by_service
         self.endpoints_by_service = {}
+        for name in self.kind_latencies_by_service.keys() - publication.services_by_name.keys():
+            del self.kind_latencies_by_service[name]
         for service in publication.services_by_name.values():
             if self.policy.probes or service.name in used_services:
                 self._update_service(service)
@@ -324,7 +327,7 @@
         endpoints = [
             self.connection_pools_by_name[spec.name].endpoint for spec in service.endpoints
         ]
-        kind_latencies = endpoints[0].kind_latencies if endpoints else KindLatencies()
+        kind_latencies = self.kind_latencies_by_service.setdefault(service.name, KindLatencies())
         for endpoint in endpoints:
             endpoint.kind_latencies = kind_latencies
         self.endpoints_by_service[service.name] = endpoints
--- a/src/radishmount/platform/_ingress.py
+++ b/src/radishmount/platform/_ingress.py
@@ -39,6 +39,7 @@
 REQUEST_ERROR_CODES = range(1000, 2000)  # codes for errors in the request itself
 # About the time until an endpoint stops shedding, or a new version is available.
 MIN_RETRY_AFTER_S = 0.2
+MIN_ROOM_RETRY_S = 0.01  # room is found anew within tens of milliseconds, at a spread time
 
 Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -168,10 +169,9 @@
         status = http_status_of(refusal.code)
     elif refusal.ran is RunStatus.NOT_RUN:
         status = HTTPStatus.SERVICE_UNAVAILABLE
-        retry_after_s = (refusal.retry_after_ms or 0.0) / 1000.0
-        if refusal.code is not Code.NO_ROOM:
-            retry_after_s = max(MIN_RETRY_AFTER_S, retry_after_s)
-        headers[RETRY_AFTER_HEADER] = f"{retry_after_s:.3f}".rstrip("0")
+        least_s = MIN_ROOM_RETRY_S if refusal.code is Code.NO_ROOM else MIN_RETRY_AFTER_S
+        retry_after_s = max(least_s, (refusal.retry_after_ms or 0.0) / 1000.0)
+        headers[RETRY_AFTER_HEADER] = f"{retry_after_s:.3f}".rstrip("0").rstrip(".")
     else:
         status = HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY
     return web.Response(status=status, text=f"{refusal}\n", headers=headers)
--- a/src/radishmount/publication/_replica_placement.py
+++ b/src/radishmount/publication/_replica_placement.py
@@ -113,15 +113,16 @@
 
     def _update(self, host: str, replicas: HostReplicas) -> None:
         count_by_data_centre: dict[str, int] = {}
+        total = 0
         for name in replicas.shards:
             service = self.publication.services_by_name.get(name)
-            if service is None:
-                continue
+            if service is None or not service.endpoints:
+                continue  # shards that have not started yet are nowhere
+            total += 1
             for data_centre in {endpoint.data_centre for endpoint in service.endpoints}:
                 if data_centre not in self.evacuated:
                     count = count_by_data_centre.get(data_centre, 0)
                     count_by_data_centre[data_centre] = count + 1
-        total = len(replicas.shards)
         changed = replicas.update({dc: n / total for dc, n in count_by_data_centre.items()})
         replicas.publication, replicas.evacuated = self.publication, self.evacuated
         if not changed:
--- a/tests/publication/test_replica_placement.py
+++ b/tests/publication/test_replica_placement.py
@@ -76,6 +76,13 @@
 
         assert [placement.data_centres_for(HOST, dc) for dc in centres] == [frozenset()] * 4
 
+    def test_shards_that_have_not_started_do_not_count(self) -> None:
+        """A route may name the next set of shards before its endpoints start."""
+        later = dict.fromkeys((f"later-{n}" for n in range(18)), ())
+        placement = placement_of(publish(dict.fromkeys(SHARDS, DATA_CENTRES) | later))
+
+        assert placement.data_centres_for(HOST, "verona") == set(DATA_CENTRES)
+
     def test_callers_stay_as_long_as_no_endpoint_is_known(self) -> None:
         placement = placement_of(publish(dict.fromkeys(SHARDS, ())))
 
