--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -165,14 +165,19 @@
         revision: int,
         endpoints: Iterable[ListedEndpoint],
         missing: Iterable[str] = (),
-        evacuated: Iterable[str] = (),
+        evacuated: Iterable[str] | None = None,
     ) -> None:
-        """Apply all that a peer lists if its revision is newer than the one here."""
+        """Apply all that a peer lists if its revision is newer than the one here.
+
+        Evacuations stay as they are where `evacuated` is none. If the peer has none, the digests
+        then differ, and the store is read again.
+        """
         if not self.is_behind(revision):
             return
         self._advance(revision)
         self.endpoints.apply_peer_state(endpoints, missing, self.clock.now_ms())
-        self.endpoints.set_evacuated(evacuated)
+        if evacuated is not None:
+            self.endpoints.set_evacuated(evacuated)
         self.audit.record("endpoints", "taken", cause=f"peer {peer}", version=revision)
         await self.on_change()
 
@@ -300,12 +305,11 @@
         self.read_revision = answer.revision
         if answer.revision < self.known_revision:
             return  # a peer has sent newer ones meanwhile
-        # Evacuations go first, as a full read logs the state that it leaves.
-        has_evacuations = self._apply_evacuations(answer, is_full=is_full)
         if is_full:
             changed_names = self._apply_full_read(answer, now_ms)
         else:
             changed_names = self._apply_changes(answer, now_ms)
+        has_evacuations = self._apply_evacuations(answer, is_full=is_full)
         after, self.known_revision = self.known_revision, answer.revision
         changed_at = answer.last_change
         if is_full:
--- a/src/radishmount/endpoints/_choice.py
+++ b/src/radishmount/endpoints/_choice.py
@@ -1,11 +1,18 @@
 """Load balancing: the choice of the endpoint that an attempt goes to."""
 
 from collections.abc import Callable, Collection, Iterable
+from math import inf
 from random import Random
 
 from radishmount.endpoints._endpoint import Endpoint
 from radishmount.endpoints._latency import decay_weight
-from radishmount.endpoints._locality import home_share, needs_probe, steady_ratio
+from radishmount.endpoints._locality import (
+    home_share,
+    needs_probe,
+    record_share,
+    steady_ratio,
+    success_share,
+)
 from radishmount.policy import DEFAULT_POLICY, QueryPolicy
 
 
@@ -85,7 +92,8 @@
         weights = []
         for endpoint in candidates:
             weight = slow_start_weight(endpoint, now_ms) if policy.ramp else 1.0
-            weights.append(weight * cost_ms(endpoint, fastest_ms, now_ms) ** -WEIGHT_EXPONENT)
+            cost = cost_ms(endpoint, fastest_ms, now_ms) * _spread_factor(endpoint, now_ms, policy)
+            weights.append(weight * cost**-WEIGHT_EXPONENT)
         return random.choices(candidates, weights)[0]
 
     def stays_home(
@@ -98,8 +106,10 @@
             for n, endpoint in enumerate(home):
                 costs_ms[n] *= steady_ratio(endpoint, fastest_ms, now_ms)
             share = home_share(min(costs_ms), away_ms)
+        share *= success_share(_best_success_rate(home, now_ms), _best_success_rate(away, now_ms))
         if policy.ramp:
             share *= _relative_weight(home, away, now_ms)
+        record_share(home[costs_ms.index(min(costs_ms))], share, away_ms, now_ms)
         if share >= 1.0 or random.random() < share:
             return True
         return any(needs_probe(endpoint, now_ms) for endpoint in home)
@@ -110,12 +120,12 @@
         candidates = _candidates(replicas, excluded, now_ms)
         if len(candidates) <= 1:
             return candidates[0] if candidates else None
-        fastest_ms = _fastest_ms(candidates)
         home = [e for e in candidates if e.spec.data_centre == own_data_centre]
         if not policy.own_data_centre_first or not 0 < len(home) < len(candidates):
-            return draw(candidates, fastest_ms, now_ms)
-        for endpoint in home:
-            fastest_ms = min(fastest_ms, endpoint.steady_latency.usual_ms)
+            return draw(candidates, _fastest_ms(candidates), now_ms)
+        # Replicas elsewhere get few requests, so what is usual at home stands for the unknown ones.
+        usual_ms = min([endpoint.steady_latency.usual_ms for endpoint in home])
+        fastest_ms = usual_ms if usual_ms < inf else _fastest_ms(candidates)
         away = [e for e in candidates if e.spec.data_centre != own_data_centre]
         stays = stays_home(home, away, fastest_ms, now_ms)
         return draw(home if stays else away, fastest_ms, now_ms)
@@ -134,10 +144,7 @@
 
     `fastest_ms` is the latency of the fastest replica, towards which old estimates decay.
     """
-    load = float(endpoint.in_flight)
-    if policy.reports and endpoint.reported_at_ms is not None:
-        load_of_others = min(endpoint.load_of_others, MAX_REPORTED_ROUNDS * endpoint.slots)
-        load += load_of_others * decay_weight(now_ms - endpoint.reported_at_ms, REPORT_HALF_LIFE_MS)
+    load = endpoint.in_flight + _load_of_others(endpoint, now_ms, policy)
     service_ms = endpoint.estimated_latency_ms(fastest_ms, now_ms)
     expected = service_ms * (1.0 + load / max(1, endpoint.usable_slots))
     expected *= 1.0 + SHED_WEIGHT * decay_weight(now_ms - endpoint.shed_at_ms, SHED_HALF_LIFE_MS)
@@ -147,6 +154,28 @@
     return expected
 
 
+def _load_of_others(endpoint: Endpoint, now_ms: float, policy: QueryPolicy) -> float:
+    """Return the requests of other instances at an endpoint, less with the age of the report."""
+    if not policy.reports or endpoint.reported_at_ms is None:
+        return 0.0
+    load_of_others = min(endpoint.load_of_others, MAX_REPORTED_ROUNDS * endpoint.slots)
+    return load_of_others * decay_weight(now_ms - endpoint.reported_at_ms, REPORT_HALF_LIFE_MS)
+
+
+def _spread_factor(endpoint: Endpoint, now_ms: float, policy: QueryPolicy) -> float:
+    """Return by how much more an endpoint counts as loaded when requests are spread over equals.
+
+    Own requests in flight are certain, while the load of others is known from the past only. So
+    among the replicas of one place the own ones count whole, and those of others as a share of what
+    the endpoint takes well, which may be less than its slots.
+    """
+    own, others = endpoint.in_flight, _load_of_others(endpoint, now_ms, policy)
+    if not own and not others:
+        return 1.0
+    room = max(1.0, endpoint.comfortable_requests(now_ms))
+    return (1.0 + own + others / room) / (1.0 + (own + others) / max(1, endpoint.usable_slots))
+
+
 def slow_start_weight(endpoint: Endpoint, now_ms: float) -> float:
     """Return the share of its usual load that an endpoint gets, rising to 1 in `SLOW_START_MS`.
 
@@ -190,6 +219,10 @@
     return home_weight / max(home_weight, away_weight)
 
 
+def _best_success_rate(endpoints: list[Endpoint], now_ms: float) -> float:
+    return max([endpoint.success_rate.rate_at(now_ms) for endpoint in endpoints])
+
+
 def _fastest_ms(sampled: list[Endpoint]) -> float:
     known = [e.latency.value_ms for e in sampled if e.latency.value_ms is not None]
     return min(known) if known else UNKNOWN_LATENCY_MS
--- a/src/radishmount/endpoints/_endpoint.py
+++ b/src/radishmount/endpoints/_endpoint.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 
 from radishmount.codes import Code
+from radishmount.endpoints._capacity import EndpointCapacity, KindLatencies
+from radishmount.endpoints._cold_rate import ColdRate
 from radishmount.endpoints._ejection import Ejection
 from radishmount.endpoints._exchange import Failure, LoadReport
 from radishmount.endpoints._latency import LatencyEstimate
@@ -48,8 +50,11 @@
     its health then never expires here; each start of it is an endpoint of its own, so once it has
     said that it is leaving, `has_departed` holds for good. `may_connect` tells whether this
     instance may open connections to it, and `is_evacuated` whether the operator wants nothing sent
-    to its data centre. `in_flight` counts the requests handed over, those in the
-    queue included; `active_exchanges` counts those taken by a connection.
+    to its data centre. `cold_rate` bounds what it gets while it is cold, where its service asks for
+    that. `in_flight` counts the requests handed over, those in the queue included;
+    `active_exchanges` counts those taken by a connection. `left_since_ms` tells since when most
+    requests go to other data centres although this endpoint is in the own one. `kind_latencies` is
+    shared by the replicas of a service.
     """
 
     spec: EndpointSpec
@@ -59,12 +64,16 @@
     is_tracked_by_discovery: bool = False
     may_connect: bool = True
     is_evacuated: bool = False
+    cold_rate: ColdRate | None = None
+    is_cold_announced: bool = False
     in_flight: int = 0
     active_exchanges: int = 0
     latency: LatencyEstimate = field(default_factory=LatencyEstimate)
     steady_latency: SteadyLatency = field(default_factory=SteadyLatency)
     success_rate: SuccessRate = field(default_factory=SuccessRate)
     limit: InFlightLimit = field(default_factory=InFlightLimit)
+    capacity: EndpointCapacity = field(default_factory=EndpointCapacity)
+    kind_latencies: KindLatencies = field(default_factory=KindLatencies)
     ejection: Ejection = field(default_factory=Ejection)
     report: LoadReport = field(default_factory=LoadReport)
     reported_at_ms: float | None = None
@@ -72,6 +81,7 @@
     available_since_ms: float = NEVER_MS
     shed_at_ms: float = NEVER_MS
     queued_at_ms: float = NEVER_MS
+    left_since_ms: float | None = None
     listed_as_leaving: bool = False
     seen_leaving_at_ms: float = NEVER_MS
     announced_leaving: bool = False
@@ -98,6 +108,13 @@
             return self.slots
         return min(self.report.slots, self.slots)
 
+    def comfortable_requests(self, now_ms: float) -> float:
+        """Return how many requests, of all instances together, it takes without slowing down.
+
+        That is between 1 and its usable slots, and its slots until replies show otherwise.
+        """
+        return self.capacity.comfortable_requests(self.usable_slots, now_ms)
+
     def holds(self, index_version: int, now_ms: float) -> bool:
         """Return whether it reports a version, and did not refuse that version just before."""
         if index_version not in self.report.versions:
@@ -127,12 +144,31 @@
         """Return whether this instance may send to it now.
 
         That is if it may connect, the data centre is not evacuated, the health is fresh, and the
-        endpoint neither leaves nor pauses.
+        endpoint neither leaves nor pauses, nor is cold and gets as much as it may get from here.
         """
         if not self.may_connect or self.is_evacuated or self.is_paused(now_ms):
             return False
+        if self.is_held_back(now_ms):
+            return False
         return self.is_health_fresh(now_ms) and not self.is_leaving(now_ms)
 
+    def is_held_back(self, now_ms: float) -> bool:
+        """Return whether it is cold and may get no more from this instance at present."""
+        return self.cold_rate is not None and self.cold_rate.is_full(self.in_flight, now_ms)
+
+    def has_cold_slot(self, now_ms: float) -> bool:
+        """Return whether a request that waited may be sent: it is not cold, or a slot is free."""
+        rate = self.cold_rate
+        return rate is None or not rate.is_full(len(self.sent_at_ms_by_exchange), now_ms)
+
+    def cold_excess(self, now_ms: float) -> int:
+        """Return how many requests handed over are more than it may get while it is cold."""
+        return 0 if self.cold_rate is None else self.cold_rate.excess(self.in_flight, now_ms)
+
+    def cold_wait_ms(self, now_ms: float) -> float:
+        """Return in which time it may get one more request, if it is held back."""
+        return 0.0 if self.cold_rate is None else self.cold_rate.wait_ms(self.in_flight, now_ms)
+
     def is_paused(self, now_ms: float) -> bool:
         """Return whether a pause that it has asked for is not over yet."""
         return now_ms < self.paused_until_ms
@@ -146,7 +182,12 @@
         return self.ejection.consecutive_failures == 0 and self.is_eligible(now_ms)
 
     def awaits_probe(self, now_ms: float) -> bool:
-        """Return whether its health is only out of date, and no probe has failed since."""
+        """Return whether its health is only out of date, and no probe has failed since.
+
+        An evacuated endpoint gets no probes, so nothing is to be expected of it.
+        """
+        if self.is_evacuated:
+            return False
         return not self.is_health_fresh(now_ms) and self.ejection.consecutive_failures == 0
 
     def oldest_exchange_age_ms(self, now_ms: float) -> float:
@@ -173,14 +214,22 @@
         """Count a request that was handed to the connection pool."""
         self.in_flight += 1
 
-    def request_ended(self) -> None:
+    def request_ended(self, sent_at_ms: float | None, now_ms: float) -> None:
         """Count the end of a request that was handed to the connection pool."""
         self.in_flight -= 1
+        if self.cold_rate is not None and sent_at_ms is not None:
+            self.cold_rate.record_end(now_ms)
 
     def record_reply(
-        self, report: LoadReport, sent_at_ms: float, now_ms: float, *, is_error: bool = False
+        self,
+        report: LoadReport,
+        sent_at_ms: float,
+        now_ms: float,
+        *,
+        is_error: bool = False,
+        kind: str = "",
     ) -> None:
-        """Record the latency, the success and the load report of a reply.
+        """Record the latency, the success and the load report of a reply to work of one kind.
 
         An endpoint that fails at once must not look like a fast one, so an error reply may raise
         the latency and never sets or lowers it. `record_error_reply` counts the failure.
@@ -193,6 +242,7 @@
         else:
             self.latency.add(latency_ms, now_ms)
             self.steady_latency.add(latency_ms, now_ms)
+            self._record_capacity(latency_ms, report, kind, now_ms)
             self.success_rate.record_success(now_ms)
         is_queueing = report.queued > self.usable_slots
         if is_queueing:
@@ -200,6 +250,22 @@
         self.limit.record_reply(latency_ms, is_queueing, now_ms)
         self.record_report(report, sent_at_ms, now_ms)
 
+    def _record_capacity(
+        self, latency_ms: float, report: LoadReport, kind: str, now_ms: float
+    ) -> None:
+        """Learn from a reply how much the endpoint takes well."""
+        work, slots, capacity = self.kind_latencies, self.usable_slots, self.capacity
+        average_work_ms = work.to_average_work(kind, latency_ms)
+        capacity.record(average_work_ms, work.average_ms, report, slots, now_ms)
+        change = capacity.held_back_change(slots, now_ms)
+        if change is None:
+            return
+        cause = (
+            f"takes {capacity.comfortable_requests(slots, now_ms):.0f} of {slots} requests"
+            f" well, work takes {capacity.slowness:.1f} times as long as at all replicas"
+        )
+        self.on_change(self, change, cause)
+
     def record_report(self, report: LoadReport, sent_at_ms: float, now_ms: float) -> None:
         """Record a load report that answers a request or probe sent at `sent_at_ms`."""
         if not self.is_health_fresh(now_ms):
@@ -207,6 +273,10 @@
         if report.draining and self.is_tracked_by_discovery:
             self.has_departed = True
         self._record_pause(report.pause_ms, now_ms)
+        if report.cold_ms > 0.0:
+            self.record_cold(now_ms + report.cold_ms, "the endpoint itself", now_ms)
+        elif self.is_cold_announced:
+            self.announce_warm(now_ms)
         if self.reported_at_ms is None or sent_at_ms >= self.reported_at_ms:
             self.report = report
             self.reported_at_ms = sent_at_ms
@@ -216,6 +286,24 @@
             self.on_change(self, "recovered", "steady replies")
         self._announce_leaving(now_ms)
 
+    def record_cold(self, until_ms: float, cause: str, now_ms: float) -> None:
+        """Take it as cold until a time or later, where its service bounds what it then gets."""
+        self.announce_warm(now_ms)
+        rate = self.cold_rate
+        if rate is None or not rate.extend(until_ms) or not rate.is_cold(now_ms):
+            return
+        if not self.is_cold_announced:
+            self.is_cold_announced = True
+            share = f"{rate.slots(now_ms)} of {rate.total} a second from here"
+            self.on_change(self, "cold", f"{cause}, for {until_ms - now_ms:.0f} ms, {share}")
+
+    def announce_warm(self, now_ms: float) -> None:
+        """Call `on_change` if it was cold at the last call and no longer is."""
+        rate = self.cold_rate
+        if self.is_cold_announced and (rate is None or not rate.is_cold(now_ms)):
+            self.is_cold_announced = False
+            self.on_change(self, "warm", "the time is over")
+
     def _record_pause(self, pause_ms: float, now_ms: float) -> None:
         """Begin or extend a pause, after which the load returns as after a start."""
         until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
--- a/src/radishmount/endpoints/_forward_exchange.py
+++ b/src/radishmount/endpoints/_forward_exchange.py
@@ -25,12 +25,16 @@
     body: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ForwardRequest:
     """One attempt at `call`. Any endpoint other than `expected_endpoint` refuses to run it.
 
+    The channel sets `sent_bytes` when the request is written, and `received_bytes` with the
+    complete response.
+
     A request that is not `idempotent` must not run twice, so it is best sent over a connection
-    that is known to work. `needs_headers` is false where only the body and the signature of the
+    that is known to work. `kind` names the kind of work, so that latencies are compared within it;
+    the route is one. `needs_headers` is false where only the body and the signature of the
     reply are used, as for a shard.
     """
 
@@ -41,6 +45,9 @@
     idempotent: bool = True
     needs_headers: bool = True
     index_version: int | None = None
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    kind: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/radishmount/endpoints/_pool.py
+++ b/src/radishmount/endpoints/_pool.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 from result import Err
 
@@ -12,7 +13,14 @@
 from radishmount.codes import Code
 from radishmount.counters import Counters
 from radishmount.endpoints._any_attempt import AnyAttempt
+from radishmount.endpoints._capacity import KindLatencies
 from radishmount.endpoints._choice import SLOW_START_MS
+from radishmount.endpoints._cold_rate import (
+    ColdRate,
+    ColdRateSettings,
+    KnownInstances,
+    total_cold_slots,
+)
 from radishmount.endpoints._connection_pool import ConnectionPool
 from radishmount.endpoints._ejection import Ejection, max_ejected
 from radishmount.endpoints._endpoint import Endpoint
@@ -42,6 +50,8 @@
     it is leaving. `paused_until_ms_by_start` has the pauses of endpoints that were removed, by name
     and start time, as they may return meanwhile. `evacuation_ended_at_ms_by_data_centre` tells
     when the last evacuation of a data centre ended, as its endpoints may be cold after it.
+    `known_instances` share what cold endpoints may get, and `cold_until_ms_by_name` tells until
+    when endpoints are cold by their entries.
     """
 
     own_name: str
@@ -62,8 +72,15 @@
     paused_until_ms_by_start: dict[tuple[str, int], float] = field(default_factory=dict)
     evacuated_data_centres: frozenset[str] = frozenset()
     evacuation_ended_at_ms_by_data_centre: dict[str, float] = field(default_factory=dict)
+    cold_rate_settings: ColdRateSettings = field(default_factory=ColdRateSettings)
+    known_instances: KnownInstances = field(init=False)
+    cold_until_ms_by_name: dict[str, float] = field(default_factory=dict)
+    kind_latencies_by_service: dict[str, KindLatencies] = field(default_factory=dict)
     update_waiters: list[asyncio.Future[None]] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        self.known_instances = KnownInstances(self.own_name, self.clock.now_ms())
+
     def endpoints_of(self, service: str) -> Iterable[Endpoint]:
         """Return the endpoints of `service`."""
         endpoints = self.endpoints_by_service.get(service)
@@ -99,6 +116,7 @@
         preferred instances, to which callers are sent and for which a part of each connection cap
         is reserved. It is None where no part is reserved for this instance.
         """
+        self._record_cold_entries(self.publication, publication)
         self.publication = publication
         self._apply_evacuations(publication.evacuated_data_centres)
         self.preferred_count = preferred_count
@@ -118,6 +136,8 @@
         }
         used_services = self.endpoints_by_service
         self.endpoints_by_service = {}
+        for name in self.kind_latencies_by_service.keys() - publication.services_by_name.keys():
+            del self.kind_latencies_by_service[name]
         for service in publication.services_by_name.values():
             if self.policy.probes or service.name in used_services:
                 self._update_service(service)
@@ -167,6 +187,49 @@
         if is_evacuated != endpoint.is_evacuated:
             connection_pool.set_evacuated(is_evacuated)
 
+    def _record_cold_entries(self, before: Publication, publication: Publication) -> None:
+        """Record until when endpoints are cold whose entries are new or state another time.
+
+        Also where the service states no rate, as it may state one while they are still cold.
+        """
+        now_ms = self.clock.now_ms()
+        until_ms_by_name = {n: t for n, t in self.cold_until_ms_by_name.items() if t > now_ms}
+        for service in publication.services_by_name.values():
+            for spec in service.endpoints:
+                if spec.cold_for_ms <= 0.0:
+                    continue
+                old = before.endpoints_by_name.get(spec.name)
+                if old is None or _cold_start(old) != _cold_start(spec):
+                    until_ms_by_name[spec.name] = now_ms + spec.cold_for_ms
+        self.cold_until_ms_by_name = until_ms_by_name
+
+    def _update_cold_rate(self, endpoint: Endpoint, service: Service) -> None:
+        """Bound what an endpoint gets while it is cold, as its service asks for."""
+        now_ms = self.clock.now_ms()
+        if service.cold_per_s <= 0.0:
+            endpoint.cold_rate = None
+            endpoint.announce_warm(now_ms)
+            return
+        total = total_cold_slots(service.cold_per_s, self.cold_rate_settings)
+        if endpoint.cold_rate is None:
+            endpoint.cold_rate = ColdRate(endpoint.name, total, self.known_instances)
+        endpoint.cold_rate.total = total
+        endpoint.announce_warm(now_ms)
+        until_ms = self.cold_until_ms_by_name.get(endpoint.name)
+        if until_ms is not None:
+            endpoint.record_cold(until_ms, "its entry", now_ms)
+        data_centre = endpoint.spec.data_centre
+        ended_at_ms = self.evacuation_ended_at_ms_by_data_centre.get(data_centre)
+        if ended_at_ms is not None:
+            until_ms = ended_at_ms + service.cold_start_ms
+            endpoint.record_cold(until_ms, "its data centre was evacuated", now_ms)
+
+    def cold_endpoints(self) -> list[str]:
+        """Return the endpoints that are cold and get less than they could for that reason."""
+        now_ms = self.clock.now_ms()
+        endpoints = [pool.endpoint for pool in self.connection_pools_by_name.values()]
+        return [e.name for e in endpoints if e.cold_rate and e.cold_rate.is_cold(now_ms)]
+
     def apply_leaving_list(self, names: frozenset[str]) -> None:
         """Mark the endpoints that the instance list names as leaving, and no others."""
         self.leaving_names = names
@@ -183,6 +246,27 @@
                 connection_pool.endpoint.apply_leaving_hint(now_ms)
                 connection_pool.probe_now()
 
+    def held_back_endpoints(self) -> list[dict[str, Any]]:
+        """Return the endpoints found to take less than others, those held back longest first."""
+        now_ms = self.clock.now_ms()
+        rows = []
+        for service, endpoints in self.endpoints_by_service.items():
+            for endpoint in endpoints:
+                since_ms = endpoint.capacity.held_back_since_ms
+                if since_ms is None:
+                    continue
+                rows.append(
+                    {
+                        "endpoint": endpoint.name,
+                        "service": service,
+                        "held_back_for_ms": round(now_ms - since_ms),
+                        "comfortable_requests": round(endpoint.comfortable_requests(now_ms), 1),
+                        "slots": endpoint.usable_slots,
+                        "slowness": round(endpoint.capacity.slowness, 2),
+                    }
+                )
+        return sorted(rows, key=lambda row: -row["held_back_for_ms"])
+
     def slow_endpoints(self) -> list[SlowEndpointHint]:
         """Return the endpoints that are far slower than the other replicas of their service."""
         now_ms = self.clock.now_ms()
@@ -243,6 +327,9 @@
         endpoints = [
             self.connection_pools_by_name[spec.name].endpoint for spec in service.endpoints
         ]
+        kind_latencies = self.kind_latencies_by_service.setdefault(service.name, KindLatencies())
+        for endpoint in endpoints:
+            endpoint.kind_latencies = kind_latencies
         self.endpoints_by_service[service.name] = endpoints
         return endpoints
 
@@ -263,6 +350,7 @@
         endpoint.set_listed_as_leaving(name in self.leaving_names, self.clock.now_ms())
         self.connection_pools_by_name[name] = connection_pool
         self._update_evacuation(connection_pool)
+        self._update_cold_rate(endpoint, service)
         connection_pool.set_connection_limit(limit)
 
     def _connection_limit(self, subset: Sequence[str], cap: int) -> int:
@@ -349,6 +437,8 @@
         is_used = connection_pool is not None and connection_pool.endpoint is endpoint
         if change == "paused" and connection_pool is not None and is_used:
             connection_pool.refuse_queue(Code.ENDPOINT_PAUSED)
+        if change == "cold" and connection_pool is not None and is_used:
+            connection_pool.refuse_cold_excess()
         if change != "leaving":
             return
         if endpoint.report.draining or endpoint.has_departed:
@@ -361,6 +451,11 @@
             wake(self.update_waiters.pop())
 
 
+def _cold_start(spec: EndpointSpec) -> tuple[int, float]:
+    """Return which start is cold and for how long, as its entry states both."""
+    return spec.started_at_ms, spec.cold_for_ms
+
+
 def _is_same_start(spec: EndpointSpec, other: EndpointSpec) -> bool:
     """Return whether both are the same start of an endpoint, at the same address."""
     return (spec.name, spec.address, spec.started_at_ms) == (
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -1,5 +1,6 @@
 """An instance that forwards requests, by route, to the endpoints that discovery lists."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
 from random import Random
@@ -7,6 +8,7 @@
 
 from result import Err
 
+from radishmount.admission import RoomAdmission, RoomRequest
 from radishmount.audit import AuditTrail
 from radishmount.clock import Clock
 from radishmount.codes import Code, Refusal, RunStatus
@@ -18,7 +20,13 @@
 )
 from radishmount.counters import Counters
 from radishmount.discovery import EndpointList, Store, StoreFollower
-from radishmount.endpoints import EndpointPool, ForwardCall, OpenChannel, make_weighted_choice
+from radishmount.endpoints import (
+    ColdRateSettings,
+    EndpointPool,
+    ForwardCall,
+    OpenChannel,
+    make_weighted_choice,
+)
 from radishmount.fleet import (
     Instance,
     MemberState,
@@ -31,6 +39,7 @@
 from radishmount.forwarding import (
     ForwardContext,
     ForwardOutcome,
+    ForwardPlan,
     ForwardRecord,
     ForwardRetryBudget,
     ForwardVerdict,
@@ -52,11 +61,12 @@
 from radishmount.tasks import TaskSupervisor
 
 
-__all__ = ["Gateway", "GatewayDependencies", "make_gateway"]
+__all__ = ["Gateway", "GatewayDependencies", "make_gateway", "make_room_request"]
 
 FORWARD_POLICY = QueryPolicy(probes=False, adaptive_limits=False)
 ASSUMED_INSTANCES = 8  # usual size of a fleet, for connection shares until the roster is known
 MAX_ADDRESSES_VALID_FOR_MS = 2_000.0  # within this time, callers stop using a lost instance
+MAX_HELD_BACK_ROWS = 50  # in the status of an instance
 MAX_ADDRESSES = 64  # callers read at most this many addresses
 PREFERRED_CHECK_INTERVAL_MS = 250.0  # a fraction of the time for which callers keep addresses
 ROSTER_CHECK_INTERVAL_MS = 100.0  # a fraction of the time that peers need to find each other
@@ -81,6 +91,7 @@
     retry_budget_settings: RetryBudgetSettings
     addresses_valid_for_ms: float
     max_propagation_ms: float
+    cold_rate_settings: ColdRateSettings = ColdRateSettings()
     emit: Emit = lambda change, fields: None
 
 
@@ -103,6 +114,7 @@
     follower: StoreFollower
     pool: EndpointPool
     forward_context: ForwardContext
+    room: RoomAdmission
     slow_endpoint_gossip: SlowEndpointGossip
     replica_placement: ReplicaPlacement
     audit: AuditTrail
@@ -114,6 +126,7 @@
     in_flight: int = 0
     preferred_names: frozenset[str] = frozenset()
     load_announced_at_ms: float = float("-inf")
+    more_gauges: list[Callable[[], dict[str, float]]] = field(default_factory=list)
 
     def start(self) -> None:
         """Start the control plane and the background tasks."""
@@ -172,6 +185,9 @@
         lag_ms = context.event_loop_lag.reply_margin_ms()
         time_left_ms = self.planned_stop.bound_time_left(time_left_ms, arrived_at_ms)
         plan = make_plan(call, route, arrived_at_ms, time_left_ms, context.random, lag_ms)
+        refusal = self.room.admit(make_room_request(plan))
+        if refusal is not None:
+            return self._refuse(call, refusal, plan)
         self.in_flight += 1
         try:
             async with self.planned_stop.limit():
@@ -200,7 +216,7 @@
     def gauges(self) -> dict[str, float]:
         """Return the current values of the gauges."""
         view = self.view()
-        return {
+        gauges = {
             "ready": float(self.is_ready()),
             "leaving": float(self.leaving),
             "publication_version": float(view.version),
@@ -208,14 +224,26 @@
             "endpoints_age_ms": view.endpoints_age_ms,
             "endpoints_known": float(len(self.pool.first_seen_ms_by_name)),
             "evacuated_data_centres": float(len(self.pool.evacuated_data_centres)),
+            "cold_endpoints": float(len(self.pool.cold_endpoints())),
             "store_reached": float(self.follower.is_store_reachable),
             "instances_listed": float(len(self.control.fleet.listed_names)),
             "peer_streams": float(len(self.control.peers.sessions_by_name)),
             "forwarding": float(self.in_flight),
+            "endpoints_left": float(
+                sum(
+                    connection_pool.endpoint.left_since_ms is not None
+                    for connection_pool in self.pool.connection_pools_by_name.values()
+                )
+            ),
             "hosts_served_elsewhere": float(
                 self.replica_placement.count_sent_away(self.dependencies.own.data_centre)
             ),
+            "short_of_room": float(self.room.short_count()),
+            "endpoints_held_back": float(len(self.pool.held_back_endpoints())),
         }
+        for read in self.more_gauges:
+            gauges.update(read())
+        return gauges
 
     def status(self) -> dict[str, Any]:
         """Return the state of the instance in plain values."""
@@ -224,18 +252,22 @@
             "data_centre": self.dependencies.own.data_centre,
             "instances": self.control.fleet.listed_names,
             **self.gauges(),
+            "held_back": self.pool.held_back_endpoints()[:MAX_HELD_BACK_ROWS],
         }
 
-    def _refuse(self, call: ForwardCall, refusal: Refusal) -> ForwardOutcome:
-        """Refuse a request before it has a plan, and record the refusal."""
+    def _refuse(
+        self, call: ForwardCall, refusal: Refusal, plan: ForwardPlan | None = None
+    ) -> ForwardOutcome:
+        """Refuse a request before it is sent anywhere, and record the refusal."""
         view = self.view()
+        now_ms = self.dependencies.clock.now_ms()
         record = ForwardRecord(
             request_id=call.request_id,
-            route="",
+            route="" if plan is None else plan.route.name,
             verdict=ForwardVerdict.REFUSED,
-            took_ms=0.0,
-            allowed_ms=0.0,
-            parts=0,
+            took_ms=0.0 if plan is None else now_ms - plan.arrived_at_ms,
+            allowed_ms=0.0 if plan is None else plan.deadline_at_ms - plan.arrived_at_ms,
+            parts=0 if plan is None else len(plan.services),
             missing=(),
             attempts=(),
             version=view.version,
@@ -243,6 +275,8 @@
             refusal=refusal,
         )
         self.counters.add("requests", ForwardVerdict.REFUSED.value)
+        if plan is not None:
+            self.forward_context.observe(record.route, record.verdict.value, record.took_ms)
         self.forward_context.on_record(record)
         return Err(refusal)
 
@@ -273,6 +307,9 @@
         preferred_count = (
             len(self.preferred_names) if is_preferred and self.control.roster.is_settled() else None
         )
+        self.pool.known_instances.apply_list(
+            self.control.fleet.listed_names, self.dependencies.clock.now_ms()
+        )
         await self.pool.apply_publication(publication, self._sharing_instances(), preferred_count)
         self.pool.apply_leaving_list(self.endpoints.draining_names)
 
@@ -313,6 +350,7 @@
                 max(0.0, self.dependencies.clock.now_ms() - due_at_ms)
             )
             self._announce_load()
+            self.room.update()
             if preferred_names(self.control.fleet) != self.preferred_names:
                 await self.apply_roster()
 
@@ -334,6 +372,18 @@
             self.load_announced_at_ms = now_ms
 
 
+def make_room_request(plan: ForwardPlan) -> RoomRequest:
+    """Return what admission needs to know of a request."""
+    route = plan.route
+    return RoomRequest(
+        services=plan.services,
+        allowed_missing=len(plan.services) - plan.min_replies,
+        priority=route.priority,
+        target_ms=route.target_latency_ms,
+        deadline_at_ms=plan.deadline_at_ms,
+    )
+
+
 def make_gateway(
     dependencies: GatewayDependencies, audit: AuditTrail, counters: Counters | None = None
 ) -> Gateway:
@@ -343,6 +393,8 @@
     own = dependencies.own
     pool = EndpointPool(own.name, dependencies.open_channel, clock, counters, audit, FORWARD_POLICY)
     pool.subsets.connections_per_instance = 1
+    pool.cold_rate_settings = dependencies.cold_rate_settings
+    pool.known_instances.has_seeds = any(seed != own.peer_address for seed in dependencies.seeds)
     active_publication = ActivePublication(dependencies.read_bundle, audit, counters, clock)
     endpoints = EndpointList()
     choose = make_weighted_choice(own.data_centre, Random(random.random()), FORWARD_POLICY)
@@ -353,6 +405,12 @@
         choose,
         counters,
         ForwardRetryBudget(dependencies.retry_budget_settings),
+        data_centre=own.data_centre,
+    )
+
+    room = RoomAdmission(pool.endpoints_of, clock, random, counters, audit)
+    forward_context.withholds_repeat = lambda plan, service: room.withholds_repeat(
+        make_room_request(plan), service
     )
 
     async def update_endpoints() -> None:
@@ -394,6 +452,7 @@
         follower=follower,
         pool=pool,
         forward_context=forward_context,
+        room=room,
         slow_endpoint_gossip=slow_endpoint_gossip,
         replica_placement=ReplicaPlacement(audit),
         audit=audit,
--- a/src/radishmount/platform/_ingress.py
+++ b/src/radishmount/platform/_ingress.py
@@ -14,7 +14,7 @@
 from multidict import CIMultiDict
 from result import Err
 
-from radishmount.border import http_status_of, send_continue
+from radishmount.border import http_status_of, read_request_body, send_continue
 from radishmount.codes import Code, Refusal, RunStatus
 from radishmount.endpoints import ForwardCall, ForwardReply
 from radishmount.forwarding import MergedAnswer
@@ -39,6 +39,7 @@
 REQUEST_ERROR_CODES = range(1000, 2000)  # codes for errors in the request itself
 # About the time until an endpoint stops shedding, or a new version is available.
 MIN_RETRY_AFTER_S = 0.2
+MIN_ROOM_RETRY_S = 0.01  # room is found anew within tens of milliseconds, at a spread time
 
 Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -114,19 +115,9 @@
 
 
 async def _read_body(request: web.BaseRequest) -> bytes | Refusal:
-    if not request.can_read_body:
-        return b""
-    if "Expect" in request.headers:
+    if request.can_read_body and "Expect" in request.headers:
         await send_continue(request)
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            return await request.read()
-    except TimeoutError:
-        return Refusal(Code.BODY_TOO_SLOW)
-    except web.HTTPRequestEntityTooLarge:
-        return Refusal(Code.BODY_TOO_LARGE)
-    except web.RequestPayloadError as error:
-        return Refusal(Code.BAD_HTTP, detail=str(error))
+    return await read_request_body(request, BODY_TIMEOUT_S)
 
 
 def _make_forward_call(request: web.BaseRequest, body: bytes) -> ForwardCall:
@@ -178,8 +169,9 @@
         status = http_status_of(refusal.code)
     elif refusal.ran is RunStatus.NOT_RUN:
         status = HTTPStatus.SERVICE_UNAVAILABLE
-        retry_after_s = max(MIN_RETRY_AFTER_S, (refusal.retry_after_ms or 0.0) / 1000.0)
-        headers[RETRY_AFTER_HEADER] = f"{retry_after_s:.3f}".rstrip("0")
+        least_s = MIN_ROOM_RETRY_S if refusal.code is Code.NO_ROOM else MIN_RETRY_AFTER_S
+        retry_after_s = max(least_s, (refusal.retry_after_ms or 0.0) / 1000.0)
+        headers[RETRY_AFTER_HEADER] = f"{retry_after_s:.3f}".rstrip("0").rstrip(".")
     else:
         status = HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY
     return web.Response(status=status, text=f"{refusal}\n", headers=headers)
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -27,9 +27,11 @@
     serve_low_level,
     serve_peers,
 )
+from radishmount.client_memory import ClientMemory, Port
 from radishmount.clock import Clock, suspend_aware_clock
 from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
+from radishmount.endpoints import ColdRateSettings
 from radishmount.fleet import Instance
 from radishmount.gateway import Gateway, GatewayDependencies, make_gateway
 from radishmount.platform._backend_channel import make_backend_channel_opener
@@ -89,11 +91,13 @@
     gateway: Gateway
     servers: list[Server]
     peers: PeerServer
+    client_memory: ClientMemory
 
     def apply_settings(self, settings: DeploymentSettings) -> None:
         """Apply changed settings; the addresses take effect only at the next start."""
         self.gateway.control.roster.seeds = settings.seeds
         self.gateway.forward_context.retry_budget.update_settings(settings.retry_budget_settings)
+        self.gateway.pool.cold_rate_settings = _cold_rate_settings(settings)
         self.gateway.follower.max_propagation_ms = settings.max_propagation_ms
 
     async def leave(self, grace_ms: float) -> None:
@@ -147,13 +151,18 @@
         retry_budget_settings=settings.retry_budget_settings,
         addresses_valid_for_ms=settings.addresses_valid_for_ms,
         max_propagation_ms=settings.max_propagation_ms,
+        cold_rate_settings=_cold_rate_settings(settings),
         emit=log_line,
     )
     gateway = make_gateway(dependencies, audit, counters)
-    servers_to_start: list[tuple[web.Server, SocketAddress]] = [
-        (make_caller_server(gateway), settings.caller_listen_address),
-        (make_readiness_server(gateway), settings.readiness_listen_address),
-        (make_directory_server(gateway), settings.directory_listen_address),
+    client_memory = ClientMemory(
+        clock, counters, audit, settings.memory_bytes, settings.max_descriptors
+    )
+    gateway.more_gauges.append(client_memory.gauges)
+    servers_to_start: list[tuple[web.Server, SocketAddress, Port]] = [
+        (make_caller_server(gateway), settings.caller_listen_address, Port.CALLERS),
+        (make_readiness_server(gateway), settings.readiness_listen_address, Port.READINESS),
+        (make_directory_server(gateway), settings.directory_listen_address, Port.DIRECTORY),
     ]
 
     def caller_limits() -> ConnectionLimits:
@@ -162,10 +171,11 @@
         return ConnectionLimits(idle_s, limits.max_header_bytes, limits.header_timeout_ms / 1000.0)
 
     servers = []
-    for manager, address in servers_to_start:
+    for manager, address, port in servers_to_start:
         match await serve_low_level(
             manager,
             address,
+            port_account=client_memory.by_port[port],
             shutdown_timeout_s=CLOSE_TIMEOUT_S,
             limits=caller_limits,
             is_leaving=gateway.is_leaving,
@@ -176,12 +186,15 @@
                 servers.append(server)
     credentials = PeerCredentials(key, gateway.control.fleet.members, clock.cpu_ms)
     accept = gateway.control.peers.accept
-    match await serve_peers(settings.peer_listen_address, credentials, counters, accept):
+    peers_account = client_memory.by_port[Port.PEERS]
+    match await serve_peers(
+        settings.peer_listen_address, credentials, counters, accept, peers_account
+    ):
         case Err(refusal):
             return Err(refusal)
         case Ok(peers):
             gateway.start()
-            return Ok(RunningInstance(gateway, servers, peers))
+            return Ok(RunningInstance(gateway, servers, peers, client_memory))
 
 
 @dataclass(slots=True)
@@ -297,7 +310,9 @@
 
     metrics = RequestMetrics()
     instance.gateway.forward_context.observe = metrics.observe
-    match await serve(make_operator_app(instance.gateway, metrics), address):
+    port_account = instance.client_memory.by_port[Port.OPERATORS]
+    app = make_operator_app(instance.gateway, metrics)
+    match await serve(app, address, port_account=port_account):
         case Err(refusal):
             log_state_change("metrics not served", cause=str(refusal))
         case Ok(server):
@@ -347,3 +362,7 @@
 def main() -> None:
     """Run the program."""
     raise SystemExit(run_program(PROGRAM, [RunCommand()]))
+
+
+def _cold_rate_settings(settings: DeploymentSettings) -> ColdRateSettings:
+    return ColdRateSettings(settings.cold_ratio, settings.cold_slack)
--- a/tests/discovery/test_evacuation.py
+++ b/tests/discovery/test_evacuation.py
@@ -12,9 +12,16 @@
     register_peer_models,
     unpack_frame,
 )
-from radishmount.discovery import EndpointPage, EvacuationEntry, StoreFailureKind, StoreNews
-from radishmount.fleet import Notice
+from radishmount.discovery import (
+    EndpointList,
+    EndpointPage,
+    EvacuationEntry,
+    StoreFailureKind,
+    StoreNews,
+)
+from radishmount.fleet import Notice, is_watcher
 from radishmount.platform._store_client import ItemModel, _parse_entries
+from radishmount.publication import Evacuation, Publication
 from store_harness import GossipHarness, endpoint_entry
 
 
@@ -70,6 +77,46 @@
         await harness.stop()
 
 
+@pytest.mark.looptime
+class TestPagesWithoutEvacuations:
+    """Pages of peers that know of no evacuation, or are of a version that does not tell."""
+
+    async def test_such_a_page_ends_no_evacuation(self) -> None:
+        """Guards against requests to an evacuated data centre during a rolling upgrade."""
+        harness = await GossipHarness(entries=[endpoint_entry("a")]).start(COUNT)
+        harness.write(BEGIN)
+        await asyncio.sleep(1.0)
+        instance = harness.by_name["e5"]
+        follower = instance.control_plane.follower
+        page = EndpointPage(follower.known_revision + 1, (endpoint_entry("b").endpoint,), False)
+        register_peer_models(*ENDPOINT_PEER_MODELS)
+        notice = unpack_frame(pack_frame(Notice(page)).unwrap()).unwrap()
+        read = notice.message
+        await follower.apply_peer_state("e1", read.revision, read.endpoints, (), read.evacuated)
+
+        assert set(instance.endpoints.by_name) == {"b"}
+        assert instance.endpoints.evacuated_data_centres == {"milano"}
+        await harness.stop()
+
+    async def test_an_end_that_only_a_page_could_tell_is_read_from_the_store(self) -> None:
+        """Guards against an evacuation that stays in force where the notice of its end was lost."""
+        harness = await GossipHarness(entries=[endpoint_entry("a")]).start(COUNT)
+        harness.write(BEGIN)
+        await asyncio.sleep(1.0)
+        deprived = next(
+            instance
+            for instance in harness.by_name.values()
+            if not is_watcher(instance.control_plane.fleet)
+        )
+        handlers = deprived.control_plane.peers.notice_handlers_by_kind
+        handlers[StoreNews] = lambda session, news: None
+        harness.write(END)
+        await asyncio.sleep(3.0)
+
+        assert harness.instances_evacuating() == set(harness.by_name)
+        await harness.stop()
+
+
 class TestKeys:
     """Keys of the store may be odd; they harm nothing."""
 
@@ -80,6 +127,32 @@
 
         assert _parse_entries(items) == [BEGIN, END]
 
+    def test_many_names_leave_room_for_those_with_endpoints(self) -> None:
+        """Guards against pages for peers that are too long to be sent."""
+        endpoints = EndpointList()
+        endpoints.put("a", endpoint_entry("a").endpoint, 0.0)
+        endpoints.set_evacuated(["milano", *(f"a{number}" for number in range(1_000))])
+        evacuated = tuple(endpoints.evacuated_data_centres)
+        register_peer_models(*ENDPOINT_PEER_MODELS)
+
+        assert "milano" in evacuated
+        assert unpack_frame(
+            pack_frame(Notice(StoreNews(1, 2, evacuated=evacuated))).unwrap()
+        ).is_ok()
+
+
+class TestPublishedObjects:
+    """An evacuation may be published too, under any name."""
+
+    def test_a_published_one_of_the_same_name_counts_beside_the_listed_one(self) -> None:
+        """Guards against one that overwrites the other, so that a data centre gets requests."""
+        endpoints = EndpointList()
+        endpoints.set_evacuated(["milano"])
+        published = {"milano": Evacuation("milano", "torino")}
+        publication = endpoints.merge_into(Publication(1, "d", evacuations_by_name=published))
+
+        assert publication.evacuated_data_centres == {"milano", "torino"}
+
 
 class TestMessages:
     """Messages between instances, also with instances of the version before."""
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -3,7 +3,8 @@
 import asyncio
 import re
 from collections.abc import AsyncIterator
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from typing import Any
 
 import aiohttp
 import orjson
@@ -18,7 +19,10 @@
     single_route,
     start_platform_harness,
 )
+from radishmount.admission import RoomRequest
+from radishmount.codes import Code, Refusal
 from radishmount.fleet import InstanceList
+from radishmount.forwarding import ForwardRecord
 from radishmount.standins import ReceivedRequest
 
 
@@ -44,6 +48,20 @@
     return answer
 
 
+@dataclass(frozen=True)
+class FullRoom:
+    """An admission that refuses every request."""
+
+    refusal: Refusal
+
+    def admit(self, request: RoomRequest) -> Refusal:
+        """Refuse."""
+        return self.refusal
+
+    def update(self) -> None:
+        """Do nothing."""
+
+
 def never_respond(request: ReceivedRequest, name: str) -> None:
     """Send no response."""
 
@@ -87,6 +105,23 @@
         assert status == 503
         assert "Retry-After" in headers
 
+    async def test_a_request_without_room_is_503_and_is_not_sent(
+        self, harness: PlatformHarness
+    ) -> None:
+        back_end = await harness.add_back_end("orders", "b1")
+        await harness.publish(3, single_route())
+        gateway = harness.instance.gateway
+        refusal = Refusal(Code.NO_ROOM, detail="reserved", retry_after_ms=62.0)
+        gateway.room = FullRoom(refusal)  # type: ignore[assignment]
+
+        status, headers, _ = await harness.send_request("/orders/7")
+
+        assert (status, headers["Retry-After"]) == (503, "0.062")
+        assert back_end.received == []
+        record = gateway.explain("q1")
+        assert isinstance(record, ForwardRecord)
+        assert (record.route, record.refusal) == ("r-single", refusal)
+
     async def test_an_unsafe_request_with_a_truncated_response_is_502(
         self, harness: PlatformHarness
     ) -> None:
@@ -206,6 +241,25 @@
         assert addresses_by_zone == dict.fromkeys(("z1", "z2"), {"front-1:80", "front-2:80"})
         assert "front-3:80" in orjson.loads(body)["addrs"]
 
+    async def test_bytes_to_and_from_other_data_centres_are_counted(
+        self, harness: PlatformHarness
+    ) -> None:
+        answer: Any = one_record("a")
+        for shard, zone in (("s1", "z1"), ("s2", "z2")):
+            back_end = await harness.add_back_end(shard, f"{shard}-b", answer=answer)
+            entry = backend_entry(back_end, shard, zone=zone, seq=2)
+            await harness.store.put(f"servers/{shard}-b", entry)
+        await harness.publish(3, fan_out_route(["s1", "s2"]))
+
+        status, _, _ = await harness.send_request("/stock/x")
+
+        counters = harness.instance.gateway.counters
+        assert status == 200
+        assert counters.value("crossing_sub_requests", "first") == 1
+        assert counters.value("crossing_bytes_sent", "first") > 60
+        sent = answer(back_end.received[0], "s2-b")
+        assert counters.value("crossing_bytes_received", "first") == len(sent)
+
     async def test_a_leaving_instance_is_not_ready_but_still_serves_requests(
         self, harness: PlatformHarness
     ) -> None:
