--- a/src/radishmount/endpoints/_steady_latency.py
+++ b/src/radishmount/endpoints/_steady_latency.py
@@ -8,9 +8,7 @@
 
 __all__ = ["USUAL_PAUSE_MS", "SteadyLatency"]
 
-USUAL_PAUSE_MS = (
-    200.0  # endpoints pause for up to 150 ms; requests sent within it are late together
-)
+USUAL_PAUSE_MS = 200.0  # ordinary pauses are shorter; requests sent within one are late together
 MAX_CONFIRM_GAP_MS = 2_000.0  # less than the usual time between two pauses
 # A latency above the average times the ratio plus the margin is an outlier: above the differences
 # between the kinds of requests that an endpoint gets.
