--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -8,7 +8,7 @@
 import base64
 import json
 import os
-import signal
+import random
 import socket
 import sys
 import time
@@ -18,6 +18,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+PORTS = (10_000, 30_000)  # below those that the system gives to clients
 BOUNDS = {
     "seedLagS": 3, "addrReuseS": 2, "contactMs": 4000, "ackMs": 5000, "catchUpS": 4,
     "drainMs": 3000, "graceS": 6, "lossSlackMs": 200, "configApplyMs": 3000,
@@ -28,10 +29,16 @@
 
 
 def free_ports(count):
-    """Return ports that are free now on all addresses; all are held until the last one is found."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("0.0.0.0", 0))  # nothing listens there
+    """Return ports that are free now on all addresses, none of which is given to a client."""
+    sockets = []
+    while len(sockets) < count:
+        sock = socket.socket()
+        try:
+            sock.bind(("0.0.0.0", random.randrange(*PORTS)))  # nothing listens there
+        except OSError:
+            sock.close()
+            continue
+        sockets.append(sock)
     ports = [sock.getsockname()[1] for sock in sockets]
     for sock in sockets:
         sock.close()
@@ -457,6 +464,7 @@
         print(f"could not run: {error!r}")
         sys.exit(2)
     if broken is None:
+        print("could not run: an instance did not become ready, or calm requests failed")
         sys.exit(2)
     print("the rule was broken" if broken else "the rule held")
     sys.exit(1 if broken else 0)
