--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,7 @@
-"""LOST in a planned stop after the settings file has changed `graceS`."""
+"""DRAIN after the store came back from a copy some seconds old."""
 
 import asyncio
-import signal
+import os
 import sys
 import tempfile
 from pathlib import Path
@@ -13,47 +13,49 @@
     BOUNDS, Backend, Instance, Record, Store, ask, configuration, free_ports, route, run,
 )
 
-GRACE_S = BOUNDS["graceS"]  # 6, as on the sheets
-OLD_GRACE_S = 12
-WORK_S = 2.0  # of one order
-TIME_LEFT_S = 5.0
-INTERVAL_S = 0.1
-EXCUSED_UNTIL_S = 3.0  # the rule excuses requests sent sooner after the SIGTERM
+AWAY_S = 1.0  # "away for a moment"
+COPY_AGE_S = 6.0  # "a copy some seconds old"
+BATCH = 24  # requests of a scheduled job
+DRAIN_S = BOUNDS["drainMs"] / 1000.0
+CONTACT_S = BOUNDS["contactMs"] / 1000.0
 
 
 async def main(trouble):
     record = Record(FOLDER)
     with tempfile.TemporaryDirectory() as folder:
-        ports = free_ports(4)
+        ports = free_ports(5)
         store = Store(record, ports[0])
+        store.counts_heartbeats = os.environ.get("COUNT_HEARTBEATS") == "1"
         await store.start()
         backends = [
-            Backend(record, store, f"i-{n}", "orders", ports[1 + n], work_s=WORK_S, slots=40)
-            for n in range(3)
+            Backend(record, store, f"i-{n}", "catalogue", ports[1 + n]) for n in range(3)
         ]
         own_ports = free_ports(5)
-        bounds = {"graceS": OLD_GRACE_S if trouble else GRACE_S}
-        instances = [
-            Instance(record, folder, n, own_ports, store.port, bounds=bounds) for n in (1, 2)
-        ]
+        instances = [Instance(record, folder, n, own_ports, store.port) for n in range(1, 4)]
         seeds = [instance.control_address for instance in instances]
-        routes = [route("order", "orders", kind="unsafe", timeout_ms=5000, attempts=1)]
-        store.put("op/config", configuration(2, routes, ["orders"]))
-        outcomes = []  # (seconds after the SIGTERM, request id, status)
+        version = 1
 
-        async def send(number, stopped_at):
-            sent_at = record.now()
-            request_id = f"order-{number}"
-            record.line(f"client sends {request_id} to {instances[0].name}")
-            status, _, body = await ask(
-                instances[0].front_address, "/order/1", request_id, TIME_LEFT_S, method="POST",
-                body=b"one bale",
-            )
-            detail = "" if status else f": {body.decode()}"
-            record.line(f"client gets {status} for {request_id}{detail}")
-            outcomes.append((sent_at - stopped_at, request_id, status))
+        def publish():
+            nonlocal version
+            version += 1
+            routes = [route("query", "catalogue", timeout_ms=4000 + version)]
+            store.put("op/config", configuration(version, routes, ["catalogue"]))
+            record.line(f"store acknowledges: version {version} (revision {store.revision})")
+
+        async def send_batch(label):
+            async def send(n):
+                request_id = f"{label}-{n}"
+                instance = instances[n % len(instances)]
+                record.line(f"client sends {request_id} to {instance.name}")
+                sent_at = record.now()
+                status, _, _ = await ask(instance.front_address, "/query/1", request_id, 2.0)
+                record.line(f"client gets {status} for {request_id}")
+                return request_id, sent_at, status
+
+            return await asyncio.gather(*(send(n) for n in range(BATCH)))
 
         try:
+            publish()
             for backend in backends:
                 await backend.start()
             for instance in instances:
@@ -62,45 +64,53 @@
             for instance in instances:
                 if not await instance.wait_until_ready():
                     return None
-            await asyncio.sleep(4.0)
+            await asyncio.sleep(6.0)
+            if not all(status == 200 for _, _, status in await send_batch("first")):
+                return None
+
+            # The operator changes a time-out some times in a few seconds.
+            await asyncio.sleep(COPY_AGE_S)
+            for _ in range(8):
+                publish()
+                await asyncio.sleep(0.4)
             if trouble:
-                for instance in instances:
-                    instance.bounds["graceS"] = GRACE_S
-                    instance.write_settings(seeds)
-                    instance.send(signal.SIGHUP)
-                record.line(f"the settings files now say graceS = {GRACE_S}; SIGHUP to both")
-            await asyncio.sleep(6.0)  # more than contactMs and configApplyMs
+                record.line(f"store goes away for {AWAY_S} s")
+                lost = await store.restore_copy(COPY_AGE_S, AWAY_S)
+                record.line(
+                    f"store is back in era {store.era}, revision {store.revision}, {lost} lost"
+                )
+                routes = [route("query", "catalogue", timeout_ms=4000 + version)]
+                store.put("op/config", configuration(version, routes, ["catalogue"]))
+                record.line(
+                    f"store acknowledges: version {version} again (revision {store.revision})"
+                )
+            else:
+                await asyncio.sleep(AWAY_S)
 
-            stopped_at = record.now()
-            instances[0].send(signal.SIGTERM)
-            record.line(f"SIGTERM to {instances[0].name}, SIGKILL follows after graceS")
-            # A client that keeps the answer of the directory for ttl_max_s.
-            sending = []
-            number = 0
-            while record.now() - stopped_at < BOUNDS["ttl_max_s"]:
-                number += 1
-                sending.append(asyncio.create_task(send(number, stopped_at)))
-                await asyncio.sleep(INTERVAL_S)
-            await asyncio.sleep(max(0.0, stopped_at + GRACE_S - record.now()))
-            ended = instances[0].process.returncode is not None
-            instances[0].send(signal.SIGKILL)
-            record.line(
-                f"{instances[0].name} " + ("has ended" if ended else "is still there: SIGKILL")
-            )
-            await asyncio.gather(*sending)
-            ran_ids = {request_id for backend in backends for _, request_id in backend.runs}
-            lost = [
+            await asyncio.sleep(CONTACT_S - 1.5)
+            if not all(status == 200 for _, _, status in await send_batch("second")):
+                return None
+            # From contactMs after the drill on, the store is stable and all machines are in touch.
+            await asyncio.sleep(2.0)
+            leaving = backends[0]
+            leaving.drain()
+            await asyncio.sleep(DRAIN_S + 1.0)
+            sent = await send_batch("third")
+            late = [
                 (at, request_id)
-                for at, request_id, status in outcomes
-                if status == 0 and at > EXCUSED_UNTIL_S and request_id in ran_ids
+                for at, request_id in leaving.runs
+                if at > leaving.draining_since + DRAIN_S and request_id.startswith("third")
             ]
-            for at, request_id in lost:
+            for at, request_id in late:
                 record.line(
-                    f"BROKEN: {request_id}, sent {at:.1f} s after the SIGTERM, was passed on and "
-                    "its connection ended without an answer"
+                    f"BROKEN: {request_id} reached {leaving.name} {at - leaving.draining_since:.3f}"
+                    f" s after the acknowledgement of draining, drainMs is {DRAIN_S:.1f} s"
                 )
-            record.line(f"{len(lost)} of {len(outcomes)} requests were passed on and not answered")
-            return bool(lost)
+            record.line(
+                f"{len(late)} of {len(sent)} requests reached the draining backend too late"
+            )
+            leaving.leave()
+            return bool(late)
         finally:
             for instance in instances:
                 await instance.end()
