--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -18,6 +18,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+MACHINES = tuple(f"127.0.0.{10 + number}" for number in range(1, 10))
 PORTS = (10_000, 30_000)  # below those that the system gives to clients
 BOUNDS = {
     "seedLagS": 3, "addrReuseS": 2, "contactMs": 4000, "ackMs": 5000, "catchUpS": 4,
@@ -30,19 +31,22 @@
 
 def free_ports(count):
     """Return ports that are free now on all addresses, none of which is given to a client."""
-    sockets = []
-    while len(sockets) < count:
-        sock = socket.socket()
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        if port not in ports and all(is_free(host, port) for host in (HOST, *MACHINES)):
+            ports.append(port)
+    return ports
+
+
+def is_free(host, port):
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            sock.bind(("0.0.0.0", random.randrange(*PORTS)))  # nothing listens there
+            sock.bind((host, port))  # nothing listens there
         except OSError:
-            sock.close()
-            continue
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+            return False
+    return True
 
 
 class Record:
@@ -325,7 +329,7 @@
         self, record, folder, number, ports, store_port, *, zone="zone-a", bounds=None, limits=None
     ):
         self.record, self.folder, self.zone = record, Path(folder), zone
-        self.name, self.host = f"front-{number}", f"127.0.0.{10 + number}"
+        self.name, self.host = f"front-{number}", MACHINES[number - 1]
         self.front, self.ready, self.control, self.directory, self.metrics = ports
         self.store_port = store_port
         self.bounds, self.limits = {**BOUNDS, **(bounds or {})}, limits or {}
