Count what an evicted or lost connection holds until its handler has ended

What callers saw: crowds of uploads that stop short took far more memory than the budget of their port.

Cause: an evicted connection was taken off the account at once, and a lost one before its handler had ended, while body and transport lived on. New connections read into that room. A handler that ended after its connection was lost released its bytes a second time, so the sum fell below zero with clients that leave during their request.

Change: a connection counts until it is lost and its handler has ended; evictions take into account what is about to be free. An evicted client that does not take its refusal within 1 s is aborted, so that it counts no longer than that.

--- a/src/radishmount/border/_client_connection.py
+++ b/src/radishmount/border/_client_connection.py
@@ -35,6 +35,7 @@
 RESPONSE_FACTOR = 2  # a response is held by its handler and by the transport
 RESPONSE_CHECK_S = 1.0
 RESPONSE_STALL_CHECKS = 10  # without progress; then the client is taken to be gone
+EVICTION_TIMEOUT_S = 1.0  # for a client to take the refusal
 STARTS_IN_A_TURN = 4  # of requests that were sent behind another one, in a turn of the event loop
 HEAD_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -101,6 +102,7 @@
         "_last_payload",
         "_last_total_bytes",
         "_open_connections",
+        "_open_transport",
         "_requests_seen",
         "_response_bytes",
         "_response_stalls",
@@ -137,6 +139,7 @@
         self._head_timeout_s = limits.head_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
         self._open_connections = open_connections
+        self._open_transport: asyncio.Transport | None = None
         self._guard = FramingGuard(HEAD_FACTOR * limits.max_header_bytes)
         self._is_refusing = False
         self._costs: deque[int] = deque()
@@ -158,6 +161,7 @@
         """Add the connection to those of the server."""
         super().connection_made(transport)
         assert self.transport is not None
+        self._open_transport = self.transport
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._open_connections.connections.add(self)
 
@@ -223,10 +227,15 @@
         self._stop_response_timer()
         self._open_connections.connections.discard(self)
         self._open_connections.changed.set()
+        handler = self._task_handler if self._request_in_progress else None
         super().connection_lost(exc)
         self._messages.clear()
         self._last_payload = EMPTY_PAYLOAD
-        self.account.close()
+        self._open_transport = None
+        if handler is None:
+            self.account.close()
+        else:
+            handler.add_done_callback(lambda _: self.account.close())
 
     def pause_writing(self) -> None:
         """Account for a response that the client does not take as fast as it is written."""
@@ -338,7 +347,17 @@
         self._end(LARGE_HEAD_RESPONSE)
 
     def _evict(self, code: Code) -> None:
-        """End what the connection holds, with a refusal where one can still be sent."""
+        """End what the connection holds, with a refusal where one can still be sent.
+
+        Where the client does not take what was written before, the connection is aborted.
+        """
+        transport = self._open_transport
+        if transport is None:
+            return
+        if transport.is_closing():
+            transport.abort()
+            return
+        self._loop.call_later(EVICTION_TIMEOUT_S, transport.abort)
         match self._activity():
             case Activity.BODY:
                 self.stop_reading()
--- a/src/radishmount/client_memory/_account.py
+++ b/src/radishmount/client_memory/_account.py
@@ -44,26 +44,28 @@
 
     `progressed_at_ms` is when the client last completed a head, sent a part of a body or took a
     part of a response. `activity` and `evict` are set by the connection; `evict` ends what the
-    connection holds, with a refusal for the given reason where one can still be sent.
+    connection holds, with a refusal for the given reason where one can still be sent. A connection
+    that was evicted is `is_closing`, and counts until it is closed.
     """
 
     port: "PortAccount"
     progressed_at_ms: float
     held_bytes: int = CONNECTION_BYTES
     is_closing: bool = False
+    is_closed: bool = False
     activity: Callable[[], Activity] = _is_idle
     evict: Callable[[Code], None] = _end_nothing
 
     def hold(self, byte_count: int) -> None:
         """Add bytes; if the port then holds too much, some of its connections are evicted."""
-        if self.is_closing:
+        if self.is_closed:
             return
         self.held_bytes += byte_count
         self.port.add(byte_count)
 
     def release(self, byte_count: int) -> None:
         """Take off bytes that were held before."""
-        if self.is_closing:
+        if self.is_closed:
             return
         self.held_bytes -= byte_count
         self.port.subtract(byte_count)
@@ -71,8 +73,9 @@
     def close(self) -> None:
         """Release all that the connection held, and forget the connection itself.
 
-        The account and its connection refer to each other. Until one of them lets go, both would
-        keep their memory until the next run of the cyclic garbage collector.
+        This is due once its handler has ended, which refers to what was received. The account and
+        its connection refer to each other, so both would otherwise keep their memory until the
+        cyclic garbage collector has run.
         """
         self.port.close(self)
         self.activity, self.evict = _is_idle, _end_nothing
--- a/src/radishmount/client_memory/_eviction.py
+++ b/src/radishmount/client_memory/_eviction.py
@@ -1,6 +1,6 @@
 """Chooses which connections of clients have to go."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from radishmount.client_memory._account import Activity, ConnectionAccount
 from radishmount.client_memory._limits import CONNECTION_BYTES
@@ -13,13 +13,15 @@
 
 
 def choose_evictions(
-    accounts: Iterable[ConnectionAccount], excess_bytes: int, now_ms: float
+    accounts: Collection[ConnectionAccount], excess_bytes: int, now_ms: float
 ) -> list[ConnectionAccount]:
     """Return the connections to evict until `excess_bytes` are free.
 
     First go those that hold most for longest without progress. A request that is handled goes only
-    if others wait behind it, as it is bounded by its deadline and may have run.
+    if others wait behind it, as it is bounded by its deadline and may have run. What connections
+    hold that were evicted before will be free as well.
     """
+    excess_bytes -= sum(account.held_bytes for account in accounts if account.is_closing)
     candidates = [a for a in accounts if _can_be_evicted(a)]
     candidates.sort(key=lambda account: _score(account, now_ms), reverse=True)
     chosen = []
--- a/src/radishmount/client_memory/_port_account.py
+++ b/src/radishmount/client_memory/_port_account.py
@@ -70,11 +70,13 @@
 
     def close(self, account: ConnectionAccount) -> None:
         """Forget a connection, and release all that it holds."""
-        if self.accounts.pop(account, self) is self:
+        if account.is_closed:
             return
+        account.is_closed = True
+        del self.accounts[account]
         if not account.is_closing:
             self.open_count -= 1
-            self.subtract(account.held_bytes)
+        self.subtract(account.held_bytes)
 
     def add(self, byte_count: int) -> None:
         """Add bytes; beyond the budget, evict connections."""
@@ -144,15 +146,16 @@
     def _evict_excess(self) -> None:
         """Evict connections down to a share of the budget.
 
-        Where that frees too little, as the others are handled, the next try waits for a moment.
+        Where nothing can go, as all requests are handled, the next try waits for a moment.
         """
         now_ms = self.clock.now_ms()
         if now_ms < self.next_eviction_at_ms:
             return
         excess_bytes = int(self.held_bytes - EVICTION_TARGET_SHARE * self.limits.budget_bytes)
-        for account in choose_evictions(self.accounts, excess_bytes, now_ms):
+        chosen = choose_evictions(self.accounts, excess_bytes, now_ms)
+        for account in chosen:
             self._end(account, "budget")
-        if self.is_full():
+        if not chosen:
             self.next_eviction_at_ms = now_ms + EVICTION_RETRY_MS
 
     def _evict_stalled(self, now_ms: float) -> None:
@@ -164,12 +167,11 @@
             self._end(account, "stalled")
 
     def _end(self, account: ConnectionAccount, cause: str) -> None:
-        """Evict a connection; from now on it counts as closed, although its task ends later."""
+        """Evict a connection, whose bytes count until its handler has ended."""
         activity = account.activity()
         self.record_refused(f"{cause} {activity.value}")
         account.is_closing = True
         self.open_count -= 1
-        self.subtract(account.held_bytes)
         account.evict(Code.TOO_MUCH_HELD)
 
     def _report_pressed(self) -> None:
--- a/tests/client_memory/test_port_account.py
+++ b/tests/client_memory/test_port_account.py
@@ -79,6 +79,35 @@
 
         assert set(handled) <= open_connections(port)
 
+    async def test_what_was_evicted_counts_until_it_is_closed(self) -> None:
+        """Guards against reading new bodies into room that is not free yet."""
+        port = make_port()
+        accounts = [connect(port, Activity.BODY, BODY_BYTES) for _ in range(30)]
+        for account in accounts:
+            account.evict = lambda code: None  # its handler has not ended
+        held_bytes = port.held_bytes
+        await asyncio.sleep(1.0)
+        connect(port, Activity.BODY, 5_000_000)
+        evicted = [account for account in accounts if account.is_closing]
+
+        assert evicted
+        assert port.held_bytes >= held_bytes + 5_000_000
+        assert sum(account.held_bytes for account in evicted) < 7_000_000  # and no more than needed
+        for account in accounts:
+            account.close()
+        assert port.held_bytes < 6_000_000
+
+    async def test_nothing_is_released_twice(self) -> None:
+        """Guards against a sum that falls with each client that leaves during its request."""
+        port = make_port()
+        account = connect(port, Activity.RUNNING, BODY_BYTES)
+        account.close()
+        account.release(BODY_BYTES)
+        account.close()
+
+        assert port.held_bytes == 0
+        assert port.open_count == 0
+
     async def test_one_line_tells_of_the_pressure_and_one_of_its_end(self) -> None:
         port = make_port()
         accounts = [connect(port, Activity.BODY, BODY_BYTES) for _ in range(100)]
