Free the memory of a response's reader at once

What callers saw: crowds that ask for large responses ended a process of 152 MB.

Cause: a reader and its parser refer to each other, so each complete response left its bytes in memory a second time until the cyclic garbage collector had run.

Change: the connection closes the reader at the end of the exchange.

--- a/src/radishmount/platform/_backend_connection.py
+++ b/src/radishmount/platform/_backend_connection.py
@@ -142,6 +142,8 @@
         """Forget the bytes of the response; any that follow belong to none."""
         self._limits.pending_bytes -= self._received_bytes
         self._received_bytes = 0
+        if self._reader is not None:
+            self._reader.close()
         self._reader = None
         self._waiter = None
 
--- a/src/radishmount/platform/_backend_response.py
+++ b/src/radishmount/platform/_backend_response.py
@@ -112,15 +112,23 @@
         self._surplus = False
         self.response: CompleteResponse | None = None
         self.rejection: str | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
 
     @property
     def is_reusable(self) -> bool:
         """Return whether the response ended with its last byte and the connection stays open."""
         return self.response is not None and self._keeps_alive and not self._surplus
 
+    def close(self) -> None:
+        """Let go of the parser, which refers to the reader; no more bytes may be fed.
+
+        Until then both would keep the body until the cyclic garbage collector has run.
+        """
+        self._parser = None
+
     def feed(self, data: bytes) -> None:
         """Parse the next bytes of the connection."""
+        assert self._parser is not None
         self._received_bytes += len(data)
         if not self._is_head_complete:
             self._head_bytes += len(data)
@@ -157,6 +165,7 @@
         """Take the end of a head."""
         if self._is_head_complete:
             return
+        assert self._parser is not None
         status = self._parser.get_status_code()
         if status not in STATUS_CODES:
             self._reject(f"the status is {status:03}")
@@ -198,6 +207,7 @@
     def _complete(self) -> None:
         if self.rejection is not None:
             return
+        assert self._parser is not None
         self._keeps_alive = self._parser.should_keep_alive()
         status = self._parser.get_status_code()
         self.response = CompleteResponse(
