Press one process with whole bodies, crowds in series, and more kinds of responses

What callers saw: crowds that the tests did not have ended processes of 152 MB: whole bodies before one that stops short, one crowd after the other, responses that are read at once on connections that stay open.

Change: these crowds, against one process at a time.

--- a/tests/hostile_harness.py
+++ b/tests/hostile_harness.py
@@ -24,6 +24,7 @@
 MEMORY_MB = 50
 HELD_MEMORY_SHARE = 0.4
 MAX_DESCRIPTORS = 400
+READ_BYTES = 262_144
 SEND_TIMEOUT_S = 4.0  # ends the sending of crowds that are read slowly or without end
 ORDINARY_TRIES = 5  # callers repeat a request a few times
 ORDINARY_TIMEOUT_S = 20.0
@@ -31,6 +32,8 @@
 
 LARGE_PATH = "/orders/large"
 LARGE_BODY = b"y" * 1_000_000
+MEDIUM_PATH = "/orders/medium"
+MEDIUM_BODY = b"y" * 250_000
 
 Send = Callable[["HostileConnection"], Awaitable[None]]
 
@@ -103,6 +106,14 @@
         for content in contents:
             await self.send(content)
 
+    async def read(self, byte_count: int) -> None:
+        """Read and drop bytes until `byte_count` have come; raises OSError if fewer come."""
+        while byte_count > 0:
+            content = await asyncio.get_running_loop().sock_recv(self.sock, READ_BYTES)
+            if not content:
+                raise ConnectionResetError("the response is not complete")
+            byte_count -= len(content)
+
 
 @dataclass
 class Crowd:
@@ -150,8 +161,12 @@
 
 
 def answer(request: ReceivedRequest, name: str) -> bytes:
-    """Return the back end's response, a large one for `LARGE_PATH`."""
-    body = LARGE_BODY if LARGE_PATH in request.line else b"small"
+    """Return the back end's response, a larger one for `LARGE_PATH` and `MEDIUM_PATH`."""
+    body = b"small"
+    if LARGE_PATH in request.line:
+        body = LARGE_BODY
+    elif MEDIUM_PATH in request.line:
+        body = MEDIUM_BODY
     return (
         f"HTTP/1.1 200 OK\r\nRadishmount-Request-Id: {request.request_id}\r\n"
         f"Radishmount-Server-Stamp: {name}.{request.request_id}\r\n"
@@ -170,11 +185,16 @@
 
 
 @asynccontextmanager
-async def run_instance(folder: Path, number: int, **env: str) -> AsyncIterator[InstanceProcess]:
-    """Run one process of the program with one back end; `number` selects its address."""
+async def run_instance(
+    folder: Path, number: int, work_ms: float = 0.0, **env: str
+) -> AsyncIterator[InstanceProcess]:
+    """Run one process of the program with one back end; `number` selects its address.
+
+    The back end answers after `work_ms`.
+    """
     store = StoreStandIn()
     store_server = await serve_stand_in(store.app())
-    back_end = await BackEndStandIn("b1", answer=answer).start()
+    back_end = await BackEndStandIn("b1", answer=answer, work_ms=work_ms).start()
     await store.put("servers/b1", backend_entry(back_end, "orders"))
     route = single_route(timeoutMs=20_000, targetLatencyMs=20_000)
     await store.put("op/config", make_configuration(3, [route]))
