Free the memory of a forwarded request once it has ended

What callers saw: each request left its body and all replies in the process until the cyclic garbage collector had run; responses of 1 MB, read at once one after the other, took 1 MB each.

Cause: an execution refers to its attempts, they to the execution that takes their outcome, and so did the mailbox; and the task of an idle connection referred to the last attempt, so to the body of its request.

Change: an attempt forgets whom it has delivered its outcome to; the mailbox decides by a plain function; the connection's task drops the attempt before it waits for the next one.

--- a/src/radishmount/endpoints/_attempt.py
+++ b/src/radishmount/endpoints/_attempt.py
@@ -25,11 +25,17 @@
     HEDGE = "hedge"
 
 
+def _deliver_nothing(attempt: "Attempt", outcome: Result[Any, Failure]) -> None:
+    """Do nothing, as the outcome has been delivered."""
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One attempt to have one endpoint answer a sub-request or a forwarded request.
 
-    `deliver` is called exactly once, with the outcome. An exchange that takes longer than
+    `deliver` is called exactly once, with the outcome, and then forgotten: the request to which it
+    belongs refers to its attempts, so both would stay until the cyclic garbage collector has run.
+    An exchange that takes longer than
     `exchange_timeout_ms` is aborted. The connection pool that holds the attempt sets `interrupt`,
     which removes it from the queue or aborts its exchange. `result` is the name of the failure's
     code, or OK.
@@ -78,4 +84,5 @@
         self.ended_at_ms = now_ms
         self.interrupt = None
         self.result = outcome.err_value.code.name if isinstance(outcome, Err) else RESULT_OK
-        self.deliver(self, outcome)
+        deliver, self.deliver = self.deliver, _deliver_nothing
+        deliver(self, outcome)
--- a/src/radishmount/endpoints/_connection_pool.py
+++ b/src/radishmount/endpoints/_connection_pool.py
@@ -178,6 +178,7 @@
                         await self._probe(channel)
                     case attempt:
                         await self._run_attempt(channel, attempt)
+                        del attempt  # the wait for the next one would keep the body of its request
         finally:
             await self._close(channel)
 
--- a/src/radishmount/forwarding/_execution.py
+++ b/src/radishmount/forwarding/_execution.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 from dataclasses import dataclass, field
+from functools import partial
 from math import inf
 from typing import Any
 
@@ -55,7 +56,9 @@
     hedge_heap: list[tuple[float, str]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self.mailbox = Mailbox(is_urgent=lambda outcome: not self._is_usable(outcome))
+        # No closure over the execution, which would then stay in memory with all of its replies
+        # until the cyclic garbage collector has run.
+        self.mailbox = Mailbox(is_urgent=partial(_is_failed, self.plan.is_fan_out))
 
     async def run(self) -> None:
         """Send to every service, then handle outcomes until the request is finished."""
@@ -252,7 +255,7 @@
     def _handle_reply(
         self, progress: ServiceProgress, attempt: Attempt, reply: ForwardReply, now_ms: float
     ) -> None:
-        is_usable = self._is_usable_reply(reply)
+        is_usable = _is_usable(self.plan.is_fan_out, reply)
         if not is_usable:
             attempt.endpoint.record_error_reply(now_ms)
         if progress.reply is not None:
@@ -270,13 +273,6 @@
             window = self.context.latency_window(self.plan.route.name)
             window.add(now_ms - progress.first_sent_at_ms)
 
-    def _is_usable(self, outcome: Result[Any, Failure]) -> bool:
-        return isinstance(outcome, Ok) and self._is_usable_reply(outcome.ok_value)
-
-    def _is_usable_reply(self, reply: ForwardReply) -> bool:
-        """Return whether a reply may be part of the answer to the caller."""
-        return reply.is_success if self.plan.is_fan_out else not reply.is_server_error
-
     def _handle_failure(self, progress: ServiceProgress, failure: Failure, now_ms: float) -> None:
         """Retry elsewhere, unless an attempt is open or a retry might run the request twice."""
         if progress.reply is not None:
@@ -315,3 +311,13 @@
             for attempt in list(progress.open_attempts):
                 if attempt.sent_at_ms is None or now_ms - attempt.sent_at_ms > longer_than_ms:
                     attempt.cancel()
+
+
+def _is_usable(is_fan_out: bool, reply: ForwardReply) -> bool:
+    """Return whether a reply may be part of the answer to the caller."""
+    return reply.is_success if is_fan_out else not reply.is_server_error
+
+
+def _is_failed(is_fan_out: bool, outcome: Result[Any, Failure]) -> bool:
+    """Return whether an attempt brought no reply that may be part of the answer."""
+    return isinstance(outcome, Err) or not _is_usable(is_fan_out, outcome.ok_value)
