Do not hold a response after a kept connection has sent it

Cause: aiohttp's task of a connection refers to the last response until the next request on it has been handled; the connection counted as idle, with 16 KB.

Change: the body is taken from the response once it has been sent.

--- a/src/radishmount/border/_client_connection.py
+++ b/src/radishmount/border/_client_connection.py
@@ -182,6 +182,8 @@
         if (is_last or self._is_refusing) and not self._messages:
             resp.force_close()
         finished = await super().finish_response(request, resp, start_time)
+        if isinstance(resp, web.Response):
+            resp.body = None  # aiohttp keeps the response until the next request has been handled
         if self._request_count != self._requests_seen:
             self._account_for(0)  # what followed a declined upgrade is parsed after the response
         cost = self._costs.popleft() if self._costs else 0
--- a/tests/border/test_client_connection.py
+++ b/tests/border/test_client_connection.py
@@ -65,9 +65,16 @@
         self.written = bytearray()
         self.is_paused = False
         self.is_closed = False
+        self.takes_nothing = False
+        self.connection: Any = None
 
     def write(self, data: Any) -> None:
         self.written += data
+        if self.takes_nothing:
+            self.connection.pause_writing()
+
+    def get_write_buffer_size(self) -> int:
+        return len(self.written)
 
     def writelines(self, parts: Any) -> None:
         self.written += b"".join(parts)
@@ -91,9 +98,9 @@
 
 
 class Session:
-    """One connection whose handler reads bodies and keeps them."""
+    """One connection whose handler reads bodies, keeps them, and answers first with `body`."""
 
-    def __init__(self, *, handler_cancellation: bool = False) -> None:
+    def __init__(self, *, handler_cancellation: bool = False, body: bytes = b"") -> None:
         loop = asyncio.get_running_loop()
         clock = loop_clock(loop)
         self.port = ClientMemory(clock, Counters(), AuditTrail(clock)).by_port[Port.CALLERS]
@@ -103,16 +110,19 @@
         assert account is not None
         limits = ConnectionLimits(max_header_bytes=MAX_HEADER_BYTES)
         received = self.received
+        bodies = [body]
 
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
-            body = await read_request_body(request, 5.0)
-            received.append(body)
-            return web.Response(status=431 if isinstance(body, Refusal) else 200)
+            content = await read_request_body(request, 5.0)
+            received.append(content)
+            status = 431 if isinstance(content, Refusal) else 200
+            return web.Response(status=status, body=bodies.pop() if bodies else b"")
 
         server = web.Server(handle, handler_cancellation=handler_cancellation)
         self.connection = ClientConnection(
             server, loop, limits, OpenConnections(), account, HANDLER_OPTIONS
         )
+        self.transport.connection = self.connection
         self.connection.connection_made(self.transport)
 
     async def feed(self, content: bytes, sizes: list[tuple[int, bool]]) -> int:
@@ -200,6 +210,35 @@
             asyncio.run(run())
 
 
+class TrackedBody(bytes):
+    """A body that counts those of its kind that are in memory."""
+
+    count = 0
+
+    def __init__(self, content: bytes) -> None:
+        TrackedBody.count += 1
+
+    def __del__(self) -> None:
+        TrackedBody.count -= 1
+
+
+class TestKeptConnection:
+    """Load: clients that read large responses and keep their connections for the next request.
+
+    Each connection held its last response until then, 1 MB each, and counted 16 KB.
+    """
+
+    async def test_it_does_not_hold_its_last_response(self) -> None:
+        session = Session(body=TrackedBody(b"x" * 100_000))
+        await session.feed(HEAD + b"Content-Length: 3\r\n\r\nabc", [(MAX_BODY_BYTES, True)])
+        for _ in range(50):
+            await asyncio.sleep(0.0)
+
+        assert session.transport.written.endswith(b"x" * 100_000)
+        assert session.connection.account.activity() is Activity.IDLE
+        assert TrackedBody.count == 0
+
+
 @pytest.mark.parametrize("parser", PARSERS)
 class TestEndedConnection:
     """Load: many uploads that stop short, whose connections end one after the other.
