Count the response of an endpoint until the client has taken it

Cause: a response counted while it was received and again from the first write that blocked, but not in between; and what a client does not take was held twice, as aiohttp writes a body as a whole.

Change: the body of a response counts against the bound on responses until nothing refers to it, or until the client's connection takes it over and counts it against the budget of its port. It is written in pieces of 64 KB, so the transport holds one of them.

Tests: the bytes of a response over its whole way, with connections from memory; each failed before.

--- a/src/radishmount/border/_client_connection.py
+++ b/src/radishmount/border/_client_connection.py
@@ -13,8 +13,14 @@
 
 from radishmount.border._error_frames import forget_frames
 from radishmount.border._framing_guard import FramingGuard
+from radishmount.border._piecewise_body import PiecewiseBody
 from radishmount.border._responses import refusal_response
-from radishmount.client_memory import Activity, ConnectionAccount
+from radishmount.client_memory import (
+    MIN_COUNTED_BYTES,
+    Activity,
+    ConnectionAccount,
+    ResponseBody,
+)
 from radishmount.codes import Code, Refusal, RunStatus
 
 
@@ -32,7 +38,6 @@
 HEAD_FACTOR = 2  # the limit holds for the line, and again for all fields
 FIELD_BYTES = 400  # the objects of one header field
 BODY_FACTOR = 1.5  # a body grows in steps, which leave gaps in the heap
-RESPONSE_FACTOR = 2  # a response is held by its handler and by the transport
 RESPONSE_CHECK_S = 1.0
 RESPONSE_STALL_CHECKS = 10  # without progress; then the client is taken to be gone
 EVICTION_TIMEOUT_S = 1.0  # for a client to take the refusal
@@ -181,9 +186,11 @@
         is_last = self._open_connections.is_draining or self._open_connections.is_leaving()
         if (is_last or self._is_refusing) and not self._messages:
             resp.force_close()
+        body_bytes = self._take_over_body(resp)
         finished = await super().finish_response(request, resp, start_time)
         if isinstance(resp, web.Response):
             resp.body = None  # aiohttp keeps the response until the next request has been handled
+            self.account.release(body_bytes)
         if self._request_count != self._requests_seen:
             self._account_for(0)  # what followed a declined upgrade is parsed after the response
         cost = self._costs.popleft() if self._costs else 0
@@ -240,18 +247,19 @@
             handler.add_done_callback(lambda _: self.account.close())
 
     def pause_writing(self) -> None:
-        """Account for a response that the client does not take as fast as it is written."""
+        """Account for what the transport holds of a response that the client takes slowly."""
         super().pause_writing()
         if self.transport is None:
             return
         self._response_bytes = self.transport.get_write_buffer_size()
         self._response_stalls = 0
         self._response_timer = self._loop.call_later(RESPONSE_CHECK_S, self._check_response)
-        self.account.hold(RESPONSE_FACTOR * self._response_bytes)
+        self.account.hold(self._response_bytes)
 
     def resume_writing(self) -> None:
-        """Account for a response that the client has taken, but for a rest."""
+        """Account for a part of a response that the client has taken, but for a rest."""
         self._stop_response_timer()
+        self.account.record_progress()
         super().resume_writing()
 
     def stop_reading(self) -> None:
@@ -286,6 +294,19 @@
         response.force_close()
         return response
 
+    def _take_over_body(self, response: web.StreamResponse) -> int:
+        """Account for the body of a large response until it is written; return its bytes."""
+        if not isinstance(response, web.Response):
+            return 0
+        body = response.body
+        if not isinstance(body, bytes) or len(body) < MIN_COUNTED_BYTES:
+            return 0
+        self.account.hold(len(body))
+        if isinstance(body, ResponseBody):
+            body.take_over()
+        response.body = PiecewiseBody(body)
+        return len(body)
+
     def _account_for(self, byte_count: int) -> None:
         """Account for what the parser made of received bytes, and for what it still keeps."""
         new_messages = self._request_count - self._requests_seen
@@ -401,7 +422,7 @@
         left_bytes = self.transport.get_write_buffer_size()
         self._response_stalls += 1
         if left_bytes < self._response_bytes:
-            self.account.release(RESPONSE_FACTOR * (self._response_bytes - left_bytes))
+            self.account.release(self._response_bytes - left_bytes)
             self.account.record_progress()
             self._response_bytes, self._response_stalls = left_bytes, 0
         if self._response_stalls >= RESPONSE_STALL_CHECKS:
@@ -414,7 +435,7 @@
         if self._response_timer is not None:
             self._response_timer.cancel()
             self._response_timer = None
-            self.account.release(RESPONSE_FACTOR * self._response_bytes)
+            self.account.release(self._response_bytes)
             self._response_bytes = 0
 
     def _start_head_timer(self) -> None:
--- a/src/radishmount/client_memory/__init__.py
+++ b/src/radishmount/client_memory/__init__.py
@@ -11,6 +11,7 @@
 )
 from radishmount.client_memory._memory import ClientMemory
 from radishmount.client_memory._port_account import PortAccount
+from radishmount.client_memory._response_body import MIN_COUNTED_BYTES, ResponseBody
 
 
 __all__ = [
@@ -19,9 +20,11 @@
     "ConnectionAccount",
     "DEFAULT_DESCRIPTORS",
     "DEFAULT_MEMORY_BYTES",
+    "MIN_COUNTED_BYTES",
     "Port",
     "PortAccount",
     "PortLimits",
+    "ResponseBody",
     "choose_evictions",
     "choose_for_new",
     "choose_stalled",
--- a/src/radishmount/platform/_backend_connection.py
+++ b/src/radishmount/platform/_backend_connection.py
@@ -101,7 +101,9 @@
         self.is_busy = True
         if self._transport is None:
             raise ConnectionResetError("the connection ended before the request was sent")
-        self._reader = ResponseReader(self._limits.max_response_bytes, has_body=has_body)
+        self._reader = ResponseReader(
+            self._limits.max_response_bytes, has_body=has_body, make_body=self._limits.count_body
+        )
         self._waiter = self._loop.create_future()
         try:
             self._transport.write(content)
--- a/src/radishmount/platform/_backend_response.py
+++ b/src/radishmount/platform/_backend_response.py
@@ -1,10 +1,14 @@
 """Reads one HTTP/1.1 response of a back end, within bounds on its bytes."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 
 import httptools
 
+from radishmount.client_memory import MIN_COUNTED_BYTES, ResponseBody
+
 
 __all__ = [
     "CompleteResponse",
@@ -32,10 +36,10 @@
 
 @dataclass(slots=True)
 class ResponseLimits:
-    """Bounds the bytes of one response, and of all that are being received at the same time.
+    """Bounds the bytes of one response, and of all that no client's connection has taken over yet.
 
     A back end in trouble may send a head or a body without end. The connections of an instance
-    share one object; `pending_bytes` is what they hold at present.
+    share one object; `pending_bytes` is what is held of responses at present.
     """
 
     max_response_bytes: int = DEFAULT_MAX_RESPONSE_BYTES
@@ -48,6 +52,16 @@
             return False
         return self.pending_bytes <= self.max_total_bytes
 
+    def count_body(self, content: bytearray) -> bytes:
+        """Return a copy of a complete body, which is pending until it is taken over or dropped."""
+        if len(content) < MIN_COUNTED_BYTES:
+            return bytes(content)
+        self.pending_bytes += len(content)
+        return ResponseBody.counted(content, partial(self._release, len(content)))
+
+    def _release(self, byte_count: int) -> None:
+        self.pending_bytes -= byte_count
+
 
 @dataclass(slots=True)
 class CompleteResponse:
@@ -67,7 +81,8 @@
 class ResponseReader:
     """Takes the bytes of a connection until one response is complete.
 
-    The body is kept in one piece, so its memory does not depend on how it is chunked.
+    The body is kept in one piece, so its memory does not depend on how it is chunked; `make_body`
+    copies it once it is complete.
 
     Interim responses (100 to 199) before it are skipped; a status that HTTP does not define is
     rejected. After each call of `feed` or `end`,
@@ -89,6 +104,7 @@
         "_is_framed",
         "_is_head_complete",
         "_keeps_alive",
+        "_make_body",
         "_max_body_bytes",
         "_parser",
         "_received_bytes",
@@ -97,7 +113,14 @@
         "response",
     )
 
-    def __init__(self, max_body_bytes: int, *, has_body: bool) -> None:
+    def __init__(
+        self,
+        max_body_bytes: int,
+        *,
+        has_body: bool,
+        make_body: Callable[[bytearray], bytes] = bytes,
+    ) -> None:
+        self._make_body = make_body
         self._max_body_bytes = max_body_bytes
         self._expects_body = has_body
         self._headers: RawHeaders = []
@@ -211,7 +234,11 @@
         self._keeps_alive = self._parser.should_keep_alive()
         status = self._parser.get_status_code()
         self.response = CompleteResponse(
-            status, self._headers, self._by_name, bytes(self._body), self._received_bytes
+            status,
+            self._headers,
+            self._by_name,
+            self._make_body(self._body),
+            self._received_bytes,
         )
 
     def _reject(self, reason: str) -> None:
--- a/tests/border/test_client_connection.py
+++ b/tests/border/test_client_connection.py
@@ -238,6 +238,28 @@
         assert session.connection.account.activity() is Activity.IDLE
         assert TrackedBody.count == 0
 
+    async def test_a_response_counts_until_the_client_has_taken_it(self) -> None:
+        """Guards against responses that are held for clients which read nothing."""
+        session = Session(body=b"x" * 1_000_000)
+        session.transport.takes_nothing = True
+        held_before_bytes = session.port.held_bytes
+        await session.feed(HEAD + b"Content-Length: 3\r\n\r\nabc", [(MAX_BODY_BYTES, True)])
+        for _ in range(50):
+            await asyncio.sleep(0.0)
+        held_bytes = session.port.held_bytes - held_before_bytes
+        activity = session.connection.account.activity()
+        in_transport_bytes = len(session.transport.written)
+        session.transport.takes_nothing = False
+        session.connection.resume_writing()
+        for _ in range(50):
+            await asyncio.sleep(0.0)
+
+        assert activity is Activity.RESPONSE
+        assert in_transport_bytes < 100_000  # and the rest only once, in the body itself
+        assert held_bytes >= 1_000_000 + in_transport_bytes
+        assert session.transport.written.endswith(b"x" * 1_000_000)
+        assert session.port.held_bytes == held_before_bytes
+
 
 @pytest.mark.parametrize("parser", PARSERS)
 class TestEndedConnection:
--- a/tests/platform/test_backend_connection.py
+++ b/tests/platform/test_backend_connection.py
@@ -4,11 +4,20 @@
 import gc
 from typing import Any
 
+import pytest
+
+from radishmount.client_memory import ResponseBody
 from radishmount.platform._backend_connection import BackendConnection
-from radishmount.platform._backend_response import ResponseLimits, ResponseReader
+from radishmount.platform._backend_response import (
+    ResponseLimits,
+    ResponseReader,
+    ResponseRejectedError,
+)
 
 
-RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+RESPONSE = HEAD % 5 + b"hello"
+LARGE_BODY = b"x" * 100_000
 
 
 class MemoryTransport(asyncio.Transport):
@@ -16,10 +25,10 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.written: list[bytes] = []
+        self.written: list[Any] = []
 
     def write(self, data: Any) -> None:
-        self.written.append(bytes(data))
+        self.written.append(data)
 
     def is_closing(self) -> bool:
         return False
@@ -81,3 +90,53 @@
 
         assert isinstance(result, ConnectionResetError)
         assert readers == readers_before
+
+
+class TestBytesOfAResponse:
+    """Load: many large responses at once, which nobody counted between their end and the client."""
+
+    async def receive(self, limits: ResponseLimits, body: bytes) -> bytes:
+        """Return the body of a response as its sender gets it."""
+        connection, _ = connect(limits)
+        sending = asyncio.create_task(connection.send_request(b"GET", has_body=True))
+        await asyncio.sleep(0.0)
+        connection.data_received(HEAD % len(body) + body)
+        return (await sending).body
+
+    async def test_they_count_until_nothing_refers_to_the_body(self) -> None:
+        limits = ResponseLimits()
+        body = await self.receive(limits, LARGE_BODY)
+        is_whole = body == LARGE_BODY
+        pending_bytes = limits.pending_bytes
+        del body
+        await asyncio.sleep(0.0)  # the handle that woke this task refers to the response
+
+        assert is_whole
+        assert pending_bytes == len(LARGE_BODY)
+        assert limits.pending_bytes == 0
+
+    async def test_they_count_until_a_connection_takes_the_body_over(self) -> None:
+        limits = ResponseLimits()
+        body = await self.receive(limits, LARGE_BODY)
+        assert isinstance(body, ResponseBody)
+        body.take_over()
+
+        assert limits.pending_bytes == 0
+        del body
+        assert limits.pending_bytes == 0
+
+    async def test_others_are_rejected_while_too_much_is_pending(self) -> None:
+        """Guards against callers that read nothing, for whom responses come without a bound."""
+        limits = ResponseLimits(max_total_bytes=len(LARGE_BODY) + 1_000)
+        body = await self.receive(limits, LARGE_BODY)
+        is_accepted_beside_it = limits.accepts(1)
+        connection, _ = connect(limits)
+        sending = asyncio.create_task(connection.send_request(b"GET", has_body=True))
+        await asyncio.sleep(0.0)
+        connection.data_received(HEAD % 2_000 + b"x" * 1_500)
+
+        assert is_accepted_beside_it
+        with pytest.raises(ResponseRejectedError):
+            await sending
+        del body
+        assert limits.pending_bytes == 0
