Do not copy a large body for each attempt

What callers saw: whole bodies took more memory than the account says while they are forwarded.

Cause: an attempt joined head and body, and the transport copied what the endpoint did not take at once: up to three times the body, counted 1.5 times, which was meant for the way in which it grows.

Change: beyond 16 KB the body is written by itself, without a copy. It counts twice: once for the request, once for what an endpoint may leave in the transport.

Test: the transport gets the body itself; before, it got a copy joined with the head.

--- a/src/radishmount/border/_client_connection.py
+++ b/src/radishmount/border/_client_connection.py
@@ -37,7 +37,7 @@
 USUAL_FIELDS = 20  # an account of a connection includes one request with that many fields
 HEAD_FACTOR = 2  # the limit holds for the line, and again for all fields
 FIELD_BYTES = 400  # the objects of one header field
-BODY_FACTOR = 1.5  # a body grows in steps, which leave gaps in the heap
+BODY_FACTOR = 2  # a body is held by its request, and by the connection to a slow endpoint
 RESPONSE_CHECK_S = 1.0
 RESPONSE_STALL_CHECKS = 10  # without progress; then the client is taken to be gone
 EVICTION_TIMEOUT_S = 1.0  # for a client to take the refusal
@@ -323,7 +323,7 @@
             has_progressed = body_bytes > 0 or is_complete is not self._was_complete
             if body_bytes > 0:
                 self._last_total_bytes += body_bytes
-                cost = int(BODY_FACTOR * body_bytes)
+                cost = BODY_FACTOR * body_bytes
                 if self._costs:
                     self._costs[-1] += cost
                     self.account.hold(cost)
@@ -345,7 +345,7 @@
             self._refuse_framing()
 
     def _account_for_message(self, message: Any, payload: StreamReader) -> None:
-        cost = int(BODY_FACTOR * payload.total_bytes) if payload.total_bytes else 0
+        cost = BODY_FACTOR * payload.total_bytes
         if isinstance(message, RawRequestMessage):
             field_count = len(message.raw_headers)
             if field_count > USUAL_FIELDS or self._costs:
--- a/src/radishmount/platform/_backend_channel.py
+++ b/src/radishmount/platform/_backend_channel.py
@@ -78,7 +78,7 @@
     head: bytes = b""
 
     def encode(self, request: ForwardRequest, remaining_ms: float) -> bytes:
-        """Return the bytes of `request`, whose sender waits for another `remaining_ms`."""
+        """Return the head of `request`, whose sender waits for another `remaining_ms`."""
         call = request.call
         if call is not self.call:
             self.head = _encode_head(call)
@@ -87,7 +87,7 @@
             f"{TIME_LEFT_HEADER}: {int(remaining_ms)}\r\n"
             f"{EXPECTED_ENDPOINT_HEADER}: {request.expected_endpoint}\r\n\r\n"
         )
-        return self.head + own_lines.encode(*HEADER_ENCODING) + call.body
+        return self.head + own_lines.encode(*HEADER_ENCODING)
 
 
 class BackendChannel:
@@ -113,11 +113,11 @@
             connection = await self._get_connection(max_idle_s)
         except CONNECT_ERRORS as error:
             return Err(Failure(Code.NOT_CONNECTED, detail=repr(error)))
-        content = self._encoder.encode(request, remaining_ms)
-        request.sent_bytes = len(content)
+        head = self._encoder.encode(request, remaining_ms)
+        request.sent_bytes = len(head) + len(request.call.body)
         try:
             response = await connection.send_request(
-                content, has_body=request.call.method != "HEAD"
+                head, request.call.body, has_body=request.call.method != "HEAD"
             )
         except ResponseRejectedError as error:
             return Err(Failure(Code.BAD_REPLY, RunStatus.UNKNOWN, detail=repr(error)))
--- a/src/radishmount/platform/_backend_connection.py
+++ b/src/radishmount/platform/_backend_connection.py
@@ -18,6 +18,7 @@
 __all__ = ["BackendConnection", "connect_backend"]
 
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d{1,9})")
+MAX_JOINED_BYTES = 16_384  # of a body that is sent with its head in one call of the kernel
 KEEP_ALIVE_MARGIN_S = 0.5  # a request must arrive before the back end's keep-alive timer expires
 
 
@@ -92,11 +93,14 @@
         now_s = self._loop.time()
         return now_s < self._usable_until_s and now_s - self.last_used_at_s <= max_idle_s
 
-    async def send_request(self, content: bytes, *, has_body: bool) -> CompleteResponse:
+    async def send_request(
+        self, head: bytes, body: bytes = b"", *, has_body: bool
+    ) -> CompleteResponse:
         """Send an encoded request and return the complete response to it.
 
-        Raises OSError if the connection ends before that, and ResponseRejectedError if the bytes
-        that come are no response or beyond the limits. `has_body` is false for responses to HEAD.
+        A large body is not copied, but for what the back end does not take at once. Raises OSError
+        if the connection ends before that, and ResponseRejectedError if the bytes that come are no
+        response or beyond the limits. `has_body` is false for responses to HEAD.
         """
         self.is_busy = True
         if self._transport is None:
@@ -106,7 +110,11 @@
         )
         self._waiter = self._loop.create_future()
         try:
-            self._transport.write(content)
+            if len(body) <= MAX_JOINED_BYTES:
+                self._transport.write(head + body)
+            else:
+                self._transport.write(head)
+                self._transport.write(memoryview(body))
             response = await self._waiter
         finally:
             self._release_reader()
--- a/tests/platform/test_backend_connection.py
+++ b/tests/platform/test_backend_connection.py
@@ -140,3 +140,17 @@
             await sending
         del body
         assert limits.pending_bytes == 0
+
+
+class TestBodyOfARequest:
+    """Load: many large bodies at once, of which each was held up to three times."""
+
+    async def test_a_large_body_is_not_copied(self) -> None:
+        connection, transport = connect()
+        sending = asyncio.create_task(connection.send_request(b"head", LARGE_BODY, has_body=True))
+        await asyncio.sleep(0.0)
+        connection.data_received(RESPONSE)
+        await sending
+
+        assert b"".join(transport.written) == b"head" + LARGE_BODY
+        assert transport.written[-1].obj is LARGE_BODY
