Let go of bodies whose handlers have not begun to read

What callers saw: a crowd of bodies that comes at once took memory beyond the budget of the port.

Cause: until its handler reads, a connection with a part of a body counted as one whose request is handled, which is never evicted; and when nothing could go, the next try waited 20 ms.

Change: a request whose body is not whole has not been passed on, so its connection may be evicted; it is refused with 503 once its turn comes.

Test: the activity and the refusal of such a connection; it was "running" before.

--- a/src/radishmount/border/_client_connection.py
+++ b/src/radishmount/border/_client_connection.py
@@ -411,8 +411,11 @@
             return Activity.RESPONSE
         if self.body_timeout is not None:
             return Activity.BODY
+        if len(self._costs) > 1:
+            return Activity.QUEUED
         if self._costs:
-            return Activity.QUEUED if len(self._costs) > 1 else Activity.RUNNING
+            # Without its whole body, a request has not been passed on by its handler.
+            return Activity.RUNNING if self._last_payload.is_eof() else Activity.BODY
         return Activity.HEAD if self._guard.pending_bytes else Activity.IDLE
 
     def _check_response(self) -> None:
--- a/tests/border/test_client_connection.py
+++ b/tests/border/test_client_connection.py
@@ -23,7 +23,7 @@
 from radishmount.border._serve import HANDLER_OPTIONS
 from radishmount.client_memory import Activity, ClientMemory, Port
 from radishmount.clock import loop_clock
-from radishmount.codes import Refusal
+from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
 
 
@@ -222,6 +222,23 @@
         TrackedBody.count -= 1
 
 
+class TestActivity:
+    """What a connection does decides whether it may be evicted."""
+
+    async def test_a_body_that_is_not_whole_is_no_handled_request(self) -> None:
+        """Guards against crowds of bodies that come before their handlers have begun to read.
+
+        Such a connection counted as one whose request is handled, which is never evicted.
+        """
+        session = Session()
+        await session.feed(HEAD + b"Content-Length: 5000\r\n\r\nx", [(MAX_BODY_BYTES, False)])
+
+        assert session.connection.account.activity() is Activity.BODY
+        session.connection.account.evict(Code.TOO_MUCH_HELD)
+        await session.end()
+        assert session.received == [Refusal(Code.TOO_MUCH_HELD, retry_after_ms=1_000.0)]
+
+
 class TestKeptConnection:
     """Load: clients that read large responses and keep their connections for the next request.
 
