Close idle connections where a body waits for room

What callers saw: while the port had as many connections as it may have, all idle, each request with a body of more than 16 KB was refused with 503 after 1 s.

Cause: idle connections may hold half of the port's budget, which is where reading is limited, and nothing closed them for a body that waits.

Change: the connections that have been idle for longest, and for 500 ms, are closed until there is room.

Test: an upload at a port full of idle connections, on virtual time; it got no room before.

--- a/src/radishmount/client_memory/__init__.py
+++ b/src/radishmount/client_memory/__init__.py
@@ -1,7 +1,12 @@
 """How much an instance holds for its clients, and who has to go when that is too much."""
 
 from radishmount.client_memory._account import Activity, ConnectionAccount
-from radishmount.client_memory._eviction import choose_evictions, choose_for_new, choose_stalled
+from radishmount.client_memory._eviction import (
+    choose_evictions,
+    choose_for_new,
+    choose_idle,
+    choose_stalled,
+)
 from radishmount.client_memory._limits import (
     DEFAULT_DESCRIPTORS,
     DEFAULT_MEMORY_BYTES,
@@ -27,6 +32,7 @@
     "ResponseBody",
     "choose_evictions",
     "choose_for_new",
+    "choose_idle",
     "choose_stalled",
     "divide_limits",
 ]
--- a/src/radishmount/client_memory/_eviction.py
+++ b/src/radishmount/client_memory/_eviction.py
@@ -6,7 +6,7 @@
 from radishmount.client_memory._limits import CONNECTION_BYTES
 
 
-__all__ = ["choose_evictions", "choose_for_new", "choose_stalled"]
+__all__ = ["choose_evictions", "choose_for_new", "choose_idle", "choose_stalled"]
 
 STALL_MS = 500.0  # several round trips; a client that is sending makes progress within that time
 MIN_SCORED_STALL_MS = 1.0  # so that the bytes decide between connections that have just progressed
@@ -50,6 +50,30 @@
     return chosen
 
 
+def choose_idle(
+    accounts: Collection[ConnectionAccount], excess_bytes: float, now_ms: float
+) -> list[ConnectionAccount]:
+    """Return the idle connections to close until `excess_bytes` are free, the longest idle first.
+
+    Those that have just been used stay, as their next request may be on its way.
+    """
+    excess_bytes -= sum(account.held_bytes for account in accounts if account.is_closing)
+    idle = []
+    for account in accounts:
+        if account.is_closing or now_ms - account.progressed_at_ms < STALL_MS:
+            continue
+        if account.activity() is Activity.IDLE:
+            idle.append(account)
+    idle.sort(key=lambda account: account.progressed_at_ms)
+    chosen = []
+    for account in idle:
+        if excess_bytes <= 0:
+            break
+        chosen.append(account)
+        excess_bytes -= account.held_bytes
+    return chosen
+
+
 def choose_for_new(
     accounts: Iterable[ConnectionAccount], now_ms: float
 ) -> ConnectionAccount | None:
--- a/src/radishmount/client_memory/_port_account.py
+++ b/src/radishmount/client_memory/_port_account.py
@@ -5,7 +5,12 @@
 
 from radishmount.audit import AuditTrail
 from radishmount.client_memory._account import Activity, ConnectionAccount
-from radishmount.client_memory._eviction import choose_evictions, choose_for_new, choose_stalled
+from radishmount.client_memory._eviction import (
+    choose_evictions,
+    choose_for_new,
+    choose_idle,
+    choose_stalled,
+)
 from radishmount.client_memory._limits import CONNECTION_BYTES, Port, PortLimits
 from radishmount.clock import Clock
 from radishmount.codes import Code
@@ -15,6 +20,7 @@
 __all__ = ["PortAccount"]
 
 RELIEVED_SHARE = 0.5  # of what makes it pressed
+ROOM_SHARE = 0.9  # of what makes it pressed; the rest is room for bodies that wait
 EVICTION_TARGET_SHARE = 0.9  # evictions go on to this share, so that they come in groups
 EVICTION_RETRY_MS = 20.0
 ROOM_CHECK_MS = 100.0
@@ -159,12 +165,18 @@
             self.next_eviction_at_ms = now_ms + EVICTION_RETRY_MS
 
     def _evict_stalled(self, now_ms: float) -> None:
-        """Evict those that hold more than their fair part, so that others get room."""
+        """Evict those that hold more than their fair part, so that others get room.
+
+        Where that frees too little, connections are closed that are idle.
+        """
         if now_ms - self.stalls_checked_at_ms < ROOM_CHECK_MS:
             return
         self.stalls_checked_at_ms = now_ms
         for account in choose_stalled(self.accounts, self.fair_bytes(), now_ms):
             self._end(account, "stalled")
+        excess_bytes = self.held_bytes - ROOM_SHARE * self.pressed_bytes
+        for account in choose_idle(self.accounts, excess_bytes, now_ms):
+            self._end(account, "idle")
 
     def _end(self, account: ConnectionAccount, cause: str) -> None:
         """Evict a connection, whose bytes count until its handler has ended."""
--- a/tests/client_memory/test_port_account.py
+++ b/tests/client_memory/test_port_account.py
@@ -134,6 +134,22 @@
         assert newest in open_connections(port)
         assert port.open_count == port.limits.max_connections
 
+    async def test_an_upload_gets_room_where_idle_ones_hold_it(self) -> None:
+        """Guards against a port that is pressed by idle connections, and refuses each body."""
+        port = make_port()
+        for _ in range(port.limits.max_connections - 1):
+            connect(port, Activity.IDLE)
+        await asyncio.sleep(1.0)
+        just_used = next(iter(port.accounts))
+        just_used.record_progress()
+        ordinary = connect(port, Activity.BODY, BODY_BYTES)
+        must_wait = ordinary.must_wait()
+        has_room = await port.wait_for_room(ordinary)
+
+        assert must_wait
+        assert has_room
+        assert {just_used, ordinary} <= open_connections(port)
+
     async def test_a_new_one_is_rejected_while_all_are_in_use(self) -> None:
         port = make_port()
         for _ in range(port.limits.max_connections):
