Tell a store that is not reached from one whose answers are not used

The record of the incident leaves four hypotheses open, as no line names the address of the store that is called, a forgotten history and a return from an older copy write the same line (6003), an answer that is dropped for its position leaves no trace, and the version and the age of the view stand behind the cut of a request's line.

store lost and history lost name the address, the era and the revision asked for; a forgotten history has a code of its own (6004); an answer older than what was known is counted, with one line for an episode; settings reloaded names the address in the settings and the one in use; the line of a request begins with version, age and route. Gauges: store_revision, store_answer_age_ms. No decision changes.

--- a/src/radishmount/codes.py
+++ b/src/radishmount/codes.py
@@ -93,6 +93,7 @@
     PLATFORM_DOWN = 6001
     PLATFORM_RUBBISH = 6002
     PLATFORM_WENT_BACK = 6003
+    PLATFORM_FORGOT = 6004
 
     BAD_FRAME = 7001
     FRAME_TOO_LARGE = 7002
@@ -180,6 +181,7 @@
     Code.PLATFORM_DOWN: "the platform does not answer",
     Code.PLATFORM_RUBBISH: "the platform's answer cannot be read",
     Code.PLATFORM_WENT_BACK: "the platform answered an older version than before",
+    Code.PLATFORM_FORGOT: "the platform no longer has the changes since a revision",
     Code.BAD_FRAME: "the frame cannot be read",
     Code.FRAME_TOO_LARGE: "the frame is larger than allowed",
     Code.STRANGER: "the peer is not known or not authenticated",
--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -92,6 +92,9 @@
     is_store_reachable: bool = True
     peers_were_ahead: bool = False
     confirmed_at_ms: float = 0.0
+    answered_at_ms: float = 0.0
+    known_at_call: StorePosition = NO_POSITION
+    has_unused_answer: bool = False
     unreachable_since_ms: float = 0.0
     read_again_at_ms: float = float("-inf")
     call_task: asyncio.Task[Result[StoreAnswer, StoreFailure]] | None = None
@@ -249,6 +252,10 @@
         """Return the time since the endpoints here were last known to be the newest."""
         return self.clock.now_ms() - self.confirmed_at_ms
 
+    def answer_age_ms(self) -> float:
+        """Return the time since an answer of the store was last used here."""
+        return self.clock.now_ms() - self.answered_at_ms
+
     def _should_call(self) -> bool:
         """Return whether to call the store now: as a watcher, to refresh, or if unconfirmed."""
         if self.needs_full_read or not self.refreshed.is_set() or self.is_watcher():
@@ -261,6 +268,7 @@
 
     async def _call(self, *, is_full: bool) -> Result[StoreAnswer, StoreFailure] | None:
         """Call the store and return its answer, none if the call was cancelled for a new one."""
+        self.known_at_call = self.known_position
         self.call_task = asyncio.create_task(self._call_store(is_full=is_full), name="call store")
         try:
             return await self.call_task
@@ -365,7 +373,10 @@
                 await self.active_publication.apply(entry.body, source="store")
         self.read_position = answer.position
         if answer.position < self.known_position:
+            self._record_unused(answer)
             return  # a peer has sent newer ones meanwhile
+        self.answered_at_ms = now_ms
+        self.has_unused_answer = False
         is_new_era = answer.position.era > self.known_position.era
         self._begin_era(answer.position.era, "read from the store")
         if is_full:
@@ -393,6 +404,21 @@
             )
         await self.on_change()
 
+    def _record_unused(self, answer: StoreAnswer) -> None:
+        """Record that an answer is not used; those of one episode get a single line.
+
+        An answer that was overtaken by a peer during the call is only counted.
+        """
+        self.counters.add("store_answers_unused")
+        if self.has_unused_answer or answer.position >= self.known_at_call:
+            return
+        self.has_unused_answer = True
+        told, known = answer.position, self.known_at_call
+        cause = (
+            f"era {told.era}, revision {told.revision}, known before: {known.era}, {known.revision}"
+        )
+        self.audit.record("store", "answer not used", cause=cause, version=told.revision)
+
     def _apply_evacuations(self, answer: StoreAnswer, *, is_full: bool) -> bool:
         """Apply the evacuations of an answer; return whether news of it must tell of them.
 
--- a/src/radishmount/discovery/_store.py
+++ b/src/radishmount/discovery/_store.py
@@ -93,7 +93,9 @@
 
 
 class Store(Protocol):
-    """The store. Instances only read and watch it."""
+    """The store at an address. Instances only read and watch it."""
+
+    address: str
 
     async def read_all(self) -> Result[StoreAnswer, StoreFailure]:
         """Return every entry. The position is the one before the first page was read."""
--- a/src/radishmount/forwarding/_request_record.py
+++ b/src/radishmount/forwarding/_request_record.py
@@ -94,16 +94,19 @@
         return None if self.refusal is None else self.refusal.code
 
     def fields(self) -> dict[str, Any]:
-        """Return the fields of its log line, without the first attempts that succeeded."""
+        """Return the fields of its log line, without the first attempts that succeeded.
+
+        What the instance believed comes first, as readers may cut long lines.
+        """
         fields: dict[str, Any] = {
             "request_id": self.request_id,
+            "version": self.version,
+            "endpoints_age_ms": round(self.endpoints_age_ms),
             "route": self.route,
             "took_ms": round(self.took_ms, 1),
             "allowed_ms": round(self.allowed_ms),
             "parts": self.parts,
             "attempts": len(self.attempts),
-            "version": self.version,
-            "endpoints_age_ms": round(self.endpoints_age_ms),
         }
         if self.missing:
             fields["missing"] = list(self.missing)
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -227,6 +227,8 @@
             "cold_endpoints": float(len(self.pool.cold_endpoints())),
             "store_reached": float(self.follower.is_store_reachable),
             "store_era": float(self.follower.known_position.era),
+            "store_revision": float(self.follower.known_position.revision),
+            "store_answer_age_ms": self.follower.answer_age_ms(),
             "instances_listed": float(len(self.control.fleet.listed_names)),
             "peer_streams": float(len(self.control.peers.sessions_by_name)),
             "forwarding": float(self.in_flight),
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -292,7 +292,12 @@
                 log_state_change("settings refused", cause=str(refusal))
             case Ok(settings):
                 instance.apply_settings(settings)
-                log_state_change("settings reloaded", seeds=",".join(settings.seeds))
+                log_state_change(
+                    "settings reloaded",
+                    store=settings.store_address,
+                    store_in_use=instance.gateway.dependencies.store.address,
+                    seeds=",".join(settings.seeds),
+                )
 
 
 def _fingerprint_of(path: Path) -> tuple[int, int]:
--- a/src/radishmount/platform/_store_client.py
+++ b/src/radishmount/platform/_store_client.py
@@ -108,6 +108,7 @@
     """Reads and watches the store over HTTP."""
 
     def __init__(self, address: str) -> None:
+        self.address = address
         self._url = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
 
@@ -125,12 +126,12 @@
             try:
                 page = RangeModel.model_validate(answer.ok_value.content)
             except ValidationError as error:
-                return _unreadable(error)
+                return self._unreadable(error)
             era = answer.ok_value.era
             if position is None:
                 position = StorePosition(era, page.store_revision)
             if era != position.era:
-                return _unavailable(f"era {era} within a read of era {position.era}")
+                return self._unavailable(f"era {era} within a read of era {position.era}")
             entries.extend(_parse_entries(page.items))
             last_change = max([last_change, *(item.revision for item in page.items)])
             if not page.more_pages or not page.items:
@@ -144,13 +145,11 @@
         if isinstance(answer, Err):
             return answer
         if answer.ok_value.content is None:
-            is_restored = answer.ok_value.era != after.era
-            kind = StoreFailureKind.RESTORED if is_restored else StoreFailureKind.COMPACTED
-            return Err(StoreFailure(kind, Refusal(Code.PLATFORM_WENT_BACK)))
+            return self._history_gone(after, answer.ok_value.era)
         try:
             change = WatchModel.model_validate(answer.ok_value.content)
         except ValidationError as error:
-            return _unreadable(error)
+            return self._unreadable(error)
         last_change = max((event.revision for event in change.events), default=0)
         entries = tuple(_parse_entries(change.events))
         position = StorePosition(answer.ok_value.era, change.store_revision)
@@ -173,17 +172,37 @@
                 era_headers = response.headers.getall(ERA_HEADER, [])
                 content = await read_bounded(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return _unavailable(repr(error))
+            return self._unavailable(repr(error))
         if content is None:
-            return _unavailable(f"more than {MAX_ANSWER_BYTES} bytes")
+            return self._unavailable(f"more than {MAX_ANSWER_BYTES} bytes")
         if status not in (HTTPStatus.OK, HTTPStatus.GONE):
-            return _unavailable(f"status {status}")
+            return self._unavailable(f"status {status}")
         try:
             era = _parse_era(era_headers)
             is_gone = status == HTTPStatus.GONE
             return Ok(StoreResponse(era, None if is_gone else orjson.loads(content)))
         except ValueError as error:
-            return _unreadable(error)
+            return self._unreadable(error)
+
+    def _history_gone(self, after: StorePosition, era: int) -> Err[StoreFailure]:
+        """Return the failure of a watch that the store answered with 410."""
+        detail = (
+            f"{self.address} in era {era}, asked for era {after.era}, revision {after.revision}"
+        )
+        if era != after.era:
+            refusal = Refusal(Code.PLATFORM_WENT_BACK, detail=detail)
+            return Err(StoreFailure(StoreFailureKind.RESTORED, refusal))
+        refusal = Refusal(Code.PLATFORM_FORGOT, detail=detail)
+        return Err(StoreFailure(StoreFailureKind.COMPACTED, refusal))
+
+    def _unavailable(self, detail: str) -> Err[StoreFailure]:
+        refusal = Refusal(Code.PLATFORM_DOWN, detail=f"{self.address}: {detail}")
+        return Err(StoreFailure(StoreFailureKind.UNAVAILABLE, refusal))
+
+    def _unreadable(self, error: Exception) -> Err[StoreFailure]:
+        detail = f"{self.address}: {str(error)[:MAX_FAULT_LENGTH]}"
+        refusal = Refusal(Code.PLATFORM_RUBBISH, detail=detail)
+        return Err(StoreFailure(StoreFailureKind.UNAVAILABLE, refusal))
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -274,13 +293,3 @@
         return base64.b64decode(value, validate=True)
     except ValueError:
         return value.encode("utf-8", "surrogatepass")  # the configuration that fails is reported
-
-
-def _unavailable(detail: str) -> Err[StoreFailure]:
-    refusal = Refusal(Code.PLATFORM_DOWN, detail=detail)
-    return Err(StoreFailure(StoreFailureKind.UNAVAILABLE, refusal))
-
-
-def _unreadable(error: Exception) -> Err[StoreFailure]:
-    refusal = Refusal(Code.PLATFORM_RUBBISH, detail=str(error)[:200])
-    return Err(StoreFailure(StoreFailureKind.UNAVAILABLE, refusal))
--- a/tests/store_harness.py
+++ b/tests/store_harness.py
@@ -72,6 +72,7 @@
     events: list[tuple[int, StoreEntry]] = field(default_factory=list)
     revision: int = 1
     era: int = 1
+    address: str = "store:1"
     unrelated_writes: int = 0
     lost_revision: int = 0
     failure_kind: StoreFailureKind | None = None
