Follow the store at the address that the settings name now

What callers saw: after the settings files had named a new address of the store, routes that had been added were answered 404, others were run by the service of the old version, and requests reached draining endpoints, at every instance and until it was restarted.

Cause: the address was read once, at the start, and the store client was part of what an instance depends on.

StoreFollower.follow replaces the store: the call in progress and a wait between two attempts are given up, an answer that still arrives from the store before is not used, and what is known stays until the new store has been read in full. An address that cannot be parsed refuses the settings.

--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -68,6 +68,9 @@
     A full read does not tell when an entry was removed, so what it finds changed counts as changed
     at the position of the read.
 
+    `follow` replaces the store. What the one before still answers is then of no interest, and all
+    that is known stays until the new one has been read in full.
+
     A store that has come back from an older copy is in a new era. What was known before is then
     replaced by a full read here, or by the whole list of a peer that has made one. Answers of an
     older era than one that is known are not used.
@@ -97,11 +100,13 @@
     has_unused_answer: bool = False
     unreachable_since_ms: float = 0.0
     read_again_at_ms: float = float("-inf")
+    next_store: Store | None = None
     call_task: asyncio.Task[Result[StoreAnswer, StoreFailure]] | None = None
     is_restarting_watch: bool = False
     wait_ratio: float = 1.0
     refreshed: asyncio.Event = field(default_factory=asyncio.Event)
     wake_up: asyncio.Event = field(default_factory=asyncio.Event)
+    next_store_given: asyncio.Event = field(default_factory=asyncio.Event)
     news_received: asyncio.Event = field(default_factory=asyncio.Event)
     news_sender: str = ""
     backoff: Backoff = field(init=False)
@@ -116,13 +121,15 @@
     async def run(self) -> None:
         """Follow the store until the task is cancelled."""
         while True:
+            if self.next_store is not None:
+                await self._change_store(self.next_store)
             if not self._should_call():
                 self.wake_up.clear()
                 await _wait_for(self.wake_up, WATCHER_CHECK_INTERVAL_MS)
                 continue
             is_full_read = self._must_read_in_full()
             answer = await self._call(is_full=is_full_read)
-            if answer is None:
+            if answer is None or self.next_store is not None:
                 continue
             if isinstance(answer, Ok):
                 watched_era = None if is_full_read else self.read_position.era
@@ -148,6 +155,14 @@
             if self.endpoints.expire(self.clock.now_ms()) or had_news:
                 await self.on_change()
 
+    def follow(self, store: Store) -> None:
+        """Follow another store in place of the present one, whose call in progress is given up."""
+        self.next_store = store
+        self.next_store_given.set()
+        self.wake_up.set()
+        if self.call_task is not None:
+            self.call_task.cancel()
+
     def is_behind(self, position: StorePosition) -> bool:
         """Return whether this instance lacks the change at `position`, which a peer has."""
         return position > self.known_position
@@ -256,6 +271,20 @@
         """Return the time since an answer of the store was last used here."""
         return self.clock.now_ms() - self.answered_at_ms
 
+    async def _change_store(self, store: Store) -> None:
+        before, self.store = self.store, store
+        self.next_store = None
+        self.next_store_given.clear()
+        self.needs_full_read = True
+        self.backoff.reset()
+        cause = f"the settings name {store.address}, {before.address} before"
+        self.audit.record("store", "address changed", cause=cause)
+        await before.close()
+
+    async def _wait_to_retry(self, limit_ms: float) -> None:
+        """Wait for at most `limit_ms`, and no longer than until another store is to be followed."""
+        await _wait_for(self.next_store_given, limit_ms)
+
     def _should_call(self) -> bool:
         """Return whether to call the store now: as a watcher, to refresh, or if unconfirmed."""
         if self.needs_full_read or not self.refreshed.is_set() or self.is_watcher():
@@ -309,7 +338,7 @@
             self.needs_full_read = True
             if self.refreshed.is_set() and not self.is_watcher():
                 # The watchers read the store now, and peers that have the list tell of the era.
-                await self.clock.sleep_ms(self.random.uniform(0.5, 1.0) * WAIT_FOR_PEERS_MS)
+                await self._wait_to_retry(self.random.uniform(0.5, 1.0) * WAIT_FOR_PEERS_MS)
             return
         if self.is_store_reachable:
             self.is_store_reachable = False
@@ -320,7 +349,7 @@
                 self.clock.now_ms() if self.is_watcher() else self.confirmed_at_ms
             )
             self.audit.record("store", "lost", cause=str(failure.refusal))
-        await self.clock.sleep_ms(self.backoff.next_ms())
+        await self._wait_to_retry(self.backoff.next_ms())
 
     def _record_success(self) -> None:
         self.backoff.reset()
--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -143,7 +143,7 @@
         await self.tasks.stop()
         await self.control.stop()
         await self.pool.stop()
-        await self.dependencies.store.close()
+        await self.follower.store.close()
 
     @property
     def publication(self) -> Publication:
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -96,9 +96,13 @@
     servers: list[Server]
     peers: PeerServer
     client_memory: ClientMemory
+    settings: DeploymentSettings
 
     def apply_settings(self, settings: DeploymentSettings) -> None:
-        """Apply changed settings; the addresses take effect only at the next start."""
+        """Apply changed settings; the listen addresses take effect only at the next start."""
+        if settings.store_address != self.settings.store_address:
+            self.gateway.follower.follow(HttpStoreClient(settings.store_address))
+        self.settings = settings
         self.gateway.control.roster.seeds = settings.seeds
         self.gateway.forward_context.retry_budget.update_settings(settings.retry_budget_settings)
         self.gateway.pool.cold_rate_settings = _cold_rate_settings(settings)
@@ -198,7 +202,7 @@
             return Err(refusal)
         case Ok(peers):
             gateway.start()
-            return Ok(RunningInstance(gateway, servers, peers, client_memory))
+            return Ok(RunningInstance(gateway, servers, peers, client_memory, settings))
 
 
 @dataclass(slots=True)
@@ -295,7 +299,6 @@
                 log_state_change(
                     "settings reloaded",
                     store=settings.store_address,
-                    store_in_use=instance.gateway.dependencies.store.address,
                     seeds=",".join(settings.seeds),
                 )
 
--- a/src/radishmount/platform/_settings.py
+++ b/src/radishmount/platform/_settings.py
@@ -125,7 +125,7 @@
             readiness_listen_address=parse_address(self.listen.ready),
             peer_listen_address=parse_address(self.listen.control),
             directory_listen_address=parse_address(self.listen.directory),
-            store_address=self.platform.address,
+            store_address=str(parse_address(self.platform.address)),
             seeds=tuple(self.seeds),
             stop_grace_ms=bounds.grace_s * MS_PER_S,
             addresses_valid_for_ms=bounds.ttl_max_s * MS_PER_S,
