--- a/tests/store_harness.py
+++ b/tests/store_harness.py
@@ -197,8 +197,11 @@
         """Return the revision of a copy of the store that is made now."""
         return self.revision
 
-    async def restore(self, copy: int, away_ms: float = 1_000.0) -> None:
-        """Have the store be away, and come back from the copy without what was written since."""
+    async def restore(self, copy: int, away_ms: float = 1_000.0, *, tells_era: bool = True) -> None:
+        """Have the store be away, and come back from the copy without what was written since.
+
+        A store that does not tell of it stays in the era in which it was.
+        """
         reachable = [i for i in self.by_name.values() if i.store.failure_kind is None]
         for instance in reachable:
             instance.store.failure_kind = StoreFailureKind.UNAVAILABLE
@@ -206,7 +209,7 @@
         await asyncio.sleep(away_ms / 1000.0)
         self.events[:] = [(revision, entry) for revision, entry in self.events if revision <= copy]
         self.revision = copy
-        self.era += 1
+        self.era += int(tells_era)
         for instance in reachable:
             instance.store.failure_kind = None
         self._update_stores()
