Take over all settings that can change while an instance runs

Cause: a reload copied some fields of the settings, and the rest kept the values of the start without a word: the grace period, the time for which addresses are valid, and whether other instances are to be expected. An error in a reload also ended the task that follows the file, for good.

One table says for each key whether it takes effect at once or at the next start; a test holds it to the settings and to the page of operations, and each reload logs the changed keys by it. RunningInstance keeps the newest settings, and a stop reads its grace period there. The task that follows the file is restarted after an error.

The tests of the grace period, of the addresses and of the first seed failed before (the first one as a stop took its grace period from the start).

--- a/src/radishmount/gateway.py
+++ b/src/radishmount/gateway.py
@@ -121,6 +121,7 @@
     counters: Counters
     tasks: TaskSupervisor
     planned_stop: PlannedStop
+    addresses_valid_for_ms: float
     leaving: bool = False
     explain_log: ExplainLog = field(default_factory=ExplainLog)
     in_flight: int = 0
@@ -150,6 +151,12 @@
         """Return the active publication."""
         return self.active_publication.current
 
+    def apply_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Look for peers at these addresses from now on."""
+        self.control.roster.seeds = seeds
+        own_address = self.dependencies.own.peer_address
+        self.pool.known_instances.has_seeds = any(seed != own_address for seed in seeds)
+
     def leave(self, accept_for_ms: float = inf, answer_within_ms: float = inf) -> None:
         """Begin a graceful stop: callers are sent elsewhere; requests in flight are finished.
 
@@ -301,7 +308,7 @@
         return CallerAddresses(addresses, self._addresses_valid_for_ms())
 
     def _addresses_valid_for_ms(self) -> float:
-        return min(MAX_ADDRESSES_VALID_FOR_MS, self.dependencies.addresses_valid_for_ms)
+        return min(MAX_ADDRESSES_VALID_FOR_MS, self.addresses_valid_for_ms)
 
     async def update_endpoints(self) -> None:
         """Update the connection pools to the publication, the endpoints and the instances."""
@@ -398,7 +405,6 @@
     pool = EndpointPool(own.name, dependencies.open_channel, clock, counters, audit, FORWARD_POLICY)
     pool.subsets.connections_per_instance = 1
     pool.cold_rate_settings = dependencies.cold_rate_settings
-    pool.known_instances.has_seeds = any(seed != own.peer_address for seed in dependencies.seeds)
     active_publication = ActivePublication(dependencies.read_bundle, audit, counters, clock)
     endpoints = EndpointList()
     choose = make_weighted_choice(own.data_centre, Random(random.random()), FORWARD_POLICY)
@@ -463,7 +469,9 @@
         counters=counters,
         tasks=TaskSupervisor(clock, audit, counters),
         planned_stop=PlannedStop(clock),
+        addresses_valid_for_ms=dependencies.addresses_valid_for_ms,
     )
+    gateway.apply_seeds(dependencies.seeds)
 
     def record_departure(name: str) -> None:
         endpoints.record_departure(name, clock.now_ms())
--- a/src/radishmount/platform/__init__.py
+++ b/src/radishmount/platform/__init__.py
@@ -11,6 +11,7 @@
 from radishmount.platform._backend_connection import BackendConnection
 from radishmount.platform._configuration import read_configuration
 from radishmount.platform._program import RunningInstance, main, start_instance
+from radishmount.platform._setting_effects import SETTING_EFFECTS, Effect, changed_keys
 from radishmount.platform._settings import DeploymentSettings, read_deployment_settings
 from radishmount.platform._store_client import read_listed_endpoint
 
@@ -20,7 +21,10 @@
     "BackendConnection",
     "Connect",
     "DeploymentSettings",
+    "Effect",
     "RunningInstance",
+    "SETTING_EFFECTS",
+    "changed_keys",
     "main",
     "make_backend_channel_opener",
     "read_configuration",
--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -5,7 +5,7 @@
 import os
 import signal
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
@@ -47,6 +47,7 @@
     make_readiness_server,
 )
 from radishmount.platform._protocol_names import BOOT_VARIABLE
+from radishmount.platform._setting_effects import Effect, changed_keys
 from radishmount.platform._settings import DeploymentSettings, read_deployment_settings
 from radishmount.platform._store_client import HttpStoreClient
 from radishmount.programs import (
@@ -89,32 +90,40 @@
     """A running instance with its servers.
 
     `servers` are those for callers, readiness and the directory, in this order, then that for
-    operators once it is started.
+    operators once it is started. `settings` are the newest ones, `started_settings` those of which
+    some hold until the next start.
     """
 
     gateway: Gateway
     servers: list[Server]
     peers: PeerServer
     client_memory: ClientMemory
-    settings: DeploymentSettings
+    started_settings: DeploymentSettings
+    settings: DeploymentSettings = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin with the settings of the start."""
+        self.settings = self.started_settings
 
     def apply_settings(self, settings: DeploymentSettings) -> None:
-        """Apply changed settings; the listen addresses take effect only at the next start."""
+        """Apply the changed settings that take effect at once by `SETTING_EFFECTS`."""
         if settings.store_address != self.settings.store_address:
             self.gateway.follower.follow(HttpStoreClient(settings.store_address))
         self.settings = settings
-        self.gateway.control.roster.seeds = settings.seeds
+        self.gateway.apply_seeds(settings.seeds)
+        self.gateway.addresses_valid_for_ms = settings.addresses_valid_for_ms
         self.gateway.forward_context.retry_budget.update_settings(settings.retry_budget_settings)
         self.gateway.pool.cold_rate_settings = _cold_rate_settings(settings)
         self.gateway.follower.max_propagation_ms = settings.max_propagation_ms
 
-    async def leave(self, grace_ms: float) -> None:
-        """Shut down gracefully within `grace_ms`.
+    async def leave(self) -> None:
+        """Shut down gracefully within the grace period of the settings.
 
         The instance is no longer handed out to callers. Each response closes its connection, and
         callers may still connect while they move elsewhere. Then idle connections are closed, and
         the requests that have been taken, or are still being read, are answered.
         """
+        grace_ms = self.settings.stop_grace_ms
         callers = self.servers[0]
         self.gateway.leave(ACCEPT_SHARE * grace_ms, ANSWER_SHARE * grace_ms)
         await self.gateway.dependencies.clock.sleep_ms(CALLER_MIGRATION_SHARE * grace_ms)
@@ -290,17 +299,26 @@
             if _fingerprint_of(file.path) == file.fingerprint:
                 continue
         reload.clear()
-        file.fingerprint = _fingerprint_of(file.path)
+        fingerprint = _fingerprint_of(file.path)
         match read_deployment_settings(file.path):
             case Err(refusal):
                 log_state_change("settings refused", cause=str(refusal))
             case Ok(settings):
+                _log_reload(instance, settings)
                 instance.apply_settings(settings)
-                log_state_change(
-                    "settings reloaded",
-                    store=settings.store_address,
-                    seeds=",".join(settings.seeds),
-                )
+        file.fingerprint = fingerprint
+
+
+def _log_reload(instance: RunningInstance, settings: DeploymentSettings) -> None:
+    """Log which keys have changed and take effect now, and which wait for the next start."""
+    at_next_start = changed_keys(Effect.AT_NEXT_START, instance.started_settings, settings)
+    log_state_change(
+        "settings reloaded",
+        at_once=", ".join(changed_keys(Effect.AT_ONCE, instance.settings, settings)),
+        at_next_start=", ".join(at_next_start),
+        store=settings.store_address,
+        seeds=",".join(settings.seeds),
+    )
 
 
 def _fingerprint_of(path: Path) -> tuple[int, int]:
@@ -359,11 +377,12 @@
         address = SocketAddress(settings.caller_listen_address.host, metrics_port)
         serving = _serve_operators(instance, address)
         tasks.append(asyncio.create_task(serving, name="serve operators"))
-    reloading = _reload_settings_on_change(file, reload, instance)
-    tasks.append(asyncio.create_task(reloading, name="follow settings"))
+    instance.gateway.tasks.start(
+        "follow settings", lambda: _reload_settings_on_change(file, reload, instance)
+    )
     await stop.wait()
-    log_state_change("leaving")
-    await instance.leave(settings.stop_grace_ms)
+    log_state_change("leaving", grace_ms=f"{instance.settings.stop_grace_ms:.0f}")
+    await instance.leave()
     log_state_change("stopped")
     for task in tasks:
         task.cancel()
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -282,7 +282,7 @@
         request_task = asyncio.create_task(harness.send_request("/orders/7"))
         await harness.wait_until(lambda: back_end.received)
 
-        await harness.instance.leave(2_000.0)
+        await harness.leave(2_000.0)
 
         assert (await request_task)[0] == 504
         with pytest.raises(aiohttp.ClientConnectionError):
--- a/tests/platform/test_operator_reports.py
+++ b/tests/platform/test_operator_reports.py
@@ -121,7 +121,7 @@
             return request_id, body
 
         callers = [asyncio.create_task(send_during_the_stop(n)) for n in range(KEPT_CONNECTIONS)]
-        await harness.instance.leave(STOP_GRACE_MS)
+        await harness.leave(STOP_GRACE_MS)
         answers = dict(await asyncio.gather(*callers))
         passed_on = {request.request_id for request in back_end.received}
 
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -88,7 +88,7 @@
     ) -> None:
         """Guards against uploads that are read to their end and never answered."""
         connection = await Connection.open(harness)
-        stop = asyncio.create_task(harness.instance.leave(GRACE_MS))
+        stop = asyncio.create_task(harness.leave(GRACE_MS))
         await asyncio.sleep(LISTENING_ENDS_S - 0.15)
         size = len(BODY) // PIECES
         is_chunked = framing == "chunks"
@@ -111,7 +111,7 @@
         """Guards against a request in two segments that meets the end of listening."""
         connection = await Connection.open(harness)
         request = whole_request("q1")
-        stop = asyncio.create_task(harness.instance.leave(GRACE_MS))
+        stop = asyncio.create_task(harness.leave(GRACE_MS))
         await asyncio.sleep(LISTENING_ENDS_S - 0.5)
         connection.send(request[:40])
         await asyncio.sleep(0.55)
@@ -128,7 +128,7 @@
         """Guards against a request that was read and is dropped when the first one is answered."""
         harness.back_ends[0].work_ms = 200.0
         connection = await Connection.open(harness)
-        stop = asyncio.create_task(harness.instance.leave(GRACE_MS))
+        stop = asyncio.create_task(harness.leave(GRACE_MS))
         await asyncio.sleep(0.1)
         connection.send(whole_request("q1") + whole_request("q2"))
         statuses = [(await connection.read_response())[0] for _ in range(2)]
@@ -146,7 +146,7 @@
         idle.send(whole_request("q1"))
         await idle.read_response()
         reading.send(head_of("q2", "Content-Length: 100") + b"x")
-        stop = asyncio.create_task(harness.instance.leave(GRACE_MS))
+        stop = asyncio.create_task(harness.leave(GRACE_MS))
         is_closed = await idle.is_closed()
         was_stopping = not stop.done()  # the request that is being read holds the stop up
         status, _ = await reading.read_response()
@@ -161,7 +161,7 @@
     ) -> None:
         """Guards against requests that are passed on and cut off at the end of the grace period."""
         connection = await Connection.open(harness)
-        stop = asyncio.create_task(harness.instance.leave(GRACE_MS))
+        stop = asyncio.create_task(harness.leave(GRACE_MS))
         await asyncio.sleep(LISTENING_ENDS_S - 0.1)
         request = whole_request("q1")
         connection.send(request[:40])
@@ -183,7 +183,7 @@
         before = await Connection.open(harness)
         before.send(whole_request("q1", time_left_ms=9_000))
         await asyncio.sleep(0.1)
-        stop = asyncio.create_task(harness.instance.leave(GRACE_MS))
+        stop = asyncio.create_task(harness.leave(GRACE_MS))
         await asyncio.sleep(0.5)
         during = await Connection.open(harness)
         during.send(whole_request("q2", time_left_ms=9_000))
@@ -198,7 +198,7 @@
     ) -> None:
         """Guards against an upload that ends with a closed connection instead of a refusal."""
         connection = await Connection.open(harness)
-        stop = asyncio.create_task(harness.instance.leave(GRACE_MS))
+        stop = asyncio.create_task(harness.leave(GRACE_MS))
         await asyncio.sleep(0.1)
         connection.send(head_of("q1", "Content-Length: 100") + b"x")
         status, _ = await connection.read_response()
--- a/tests/platform/test_reload.py
+++ b/tests/platform/test_reload.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from dataclasses import replace
+from dataclasses import fields, replace
+from pathlib import Path
 
 import pytest
 
@@ -15,6 +16,7 @@
     start_platform_harness,
 )
 from radishmount.forwarding import RetryBudgetSettings
+from radishmount.platform import SETTING_EFFECTS, DeploymentSettings, Effect, changed_keys
 
 
 LIMIT_S = 20.0  # ends a test whose condition never becomes true
@@ -127,3 +129,70 @@
         await harness.store.put("op/config", make_configuration(4, [single_route()]))
 
         await wait_for_version(harness, 4)
+
+
+class TestGracePeriod:
+    """The platform changes how long it waits between the two signals of a stop."""
+
+    async def test_a_stop_keeps_to_the_grace_period_of_the_newest_settings(
+        self, harness: PlatformHarness
+    ) -> None:
+        """Guards against requests that are still being answered when the process is killed."""
+        instance = harness.instance
+        instance.apply_settings(replace(instance.settings, stop_grace_ms=100.0))
+        await instance.leave()
+
+        stop = instance.gateway.planned_stop
+        assert stop.answers_until_ms - stop.refuses_from_ms == pytest.approx(0.35 * 100.0)
+
+
+class TestSettingEffects:
+    """Each key of the settings file takes effect at a known time."""
+
+    def test_each_setting_has_one_entry(self) -> None:
+        """Guards against a setting that is added, and of which a reload takes no notice."""
+        names = [setting.field for setting in SETTING_EFFECTS]
+
+        assert sorted(names) == sorted(item.name for item in fields(DeploymentSettings))
+
+    def test_each_key_is_on_the_page_of_operations(self) -> None:
+        """Guards against a page that tells operators of another time than the program keeps."""
+        page = (Path(__file__).parents[2] / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+        rows = [line for line in page.splitlines() if line.startswith("| `")]
+        for setting in SETTING_EFFECTS:
+            for key in setting.keys.split(", "):
+                matches = [row for row in rows if f"`{key}`" in row]
+                assert [row.split("|")[2].strip() for row in matches] == [setting.effect]
+
+    async def test_what_waits_for_the_next_start_is_compared_with_the_last_one(
+        self, harness: PlatformHarness
+    ) -> None:
+        """Guards against a change that is reported once, and then counts as in force."""
+        instance = harness.instance
+        changed = replace(instance.settings, memory_bytes=1, stop_grace_ms=100.0)
+        instance.apply_settings(changed)
+        again = replace(changed, addresses_valid_for_ms=1_000.0)
+
+        assert changed_keys(Effect.AT_ONCE, instance.settings, again) == ["bounds.ttl_max_s"]
+        assert changed_keys(Effect.AT_NEXT_START, instance.started_settings, again) == [
+            "limits.memoryMb"
+        ]
+
+    async def test_addresses_are_given_out_for_as_long_as_the_settings_say(
+        self, harness: PlatformHarness
+    ) -> None:
+        """Guards against callers that keep addresses for longer than the platform allows."""
+        instance = harness.instance
+        instance.apply_settings(replace(instance.settings, addresses_valid_for_ms=700.0))
+
+        assert instance.gateway.addresses("z1").valid_for_ms == 700.0
+
+    async def test_a_first_seed_makes_cold_endpoints_wait_for_peers(
+        self, harness: PlatformHarness
+    ) -> None:
+        """Guards against an instance that goes on as if it were alone."""
+        instance = harness.instance
+        before = instance.gateway.pool.known_instances.has_seeds
+        instance.apply_settings(replace(instance.settings, seeds=("127.0.0.1:8",)))
+
+        assert (before, instance.gateway.pool.known_instances.has_seeds) == (False, True)
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -104,6 +104,12 @@
         self.use_store(str(server.address))
         return moved
 
+    async def leave(self, grace_ms: float) -> None:
+        """Stop the instance gracefully, after a reload with this grace period."""
+        settings = replace(self.instance.settings, stop_grace_ms=grace_ms)
+        self.instance.apply_settings(settings)
+        await self.instance.leave()
+
     def use_store(self, address: str) -> None:
         """Reload settings that name another address of the store."""
         self.instance.apply_settings(settings_for(address))
