--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -25,6 +25,8 @@
     STORE_SLOW = "store slow"
     STORE_FORGETS = "store forgets its history"
     STORE_RESTORED = "store comes back from an older copy"
+    STORE_RESTORED_UNTOLD = "store comes back from an older copy in the same era"
+    STORE_MOVED = "store gets a new address"
     ENDPOINT_KILLED = "endpoint killed"
     ENDPOINT_SLOW = "endpoint slow"
     ENDPOINT_LOSES = "endpoint loses answers"
@@ -43,7 +45,12 @@
 
 
 # Drawn after the series, so that the series of a seed stay as they were before these kinds came.
-LATER_KINDS = (FaultKind.ENDPOINT_ENDLESS, FaultKind.STORE_RESTORED)
+LATER_KINDS = (
+    FaultKind.ENDPOINT_ENDLESS,
+    FaultKind.STORE_RESTORED,
+    FaultKind.STORE_RESTORED_UNTOLD,
+    FaultKind.STORE_MOVED,
+)
 SERIES_KINDS = [kind for kind in FaultKind if kind not in LATER_KINDS]
 LATER_PROBABILITY = 0.5  # of each later kind in a schedule
 MAX_FAULTS_PER_SERIES = 4  # not counting repeated ones
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from random import Random
 
-from radishmount.standins import Direction, Relay, StoreStandIn, serve_stand_in
+from radishmount.standins import Direction, Relay, StoreStandIn, serve_stand_in, start_relay
 from soak._callers import run_callers
 from soak._checks import MAX_RECOVERY_S, STORE, broken_promises
 from soak._endpoints import SLOW_WORK_MS, Endpoints, SoakEndpoint
@@ -24,6 +24,7 @@
 DRAIN_S = 4.5
 NEW_SHARDS_STARTUP_S = 2.0
 STORE_AWAY_S = 0.5  # before the store comes back from an older copy
+SETTINGS_NOTICED_S = 2.0  # twice the interval at which an instance looks at its settings file
 STORE_DELAY_MS = 600.0
 CALLERS_DELAY_MS = 80.0
 STARTUP_S = 2.0
@@ -107,6 +108,9 @@
             case FaultKind.RESHARD:
                 await self._reshard()
                 return None
+            case FaultKind.STORE_MOVED:
+                await self._move_store(fault, instances if fault.target % 2 else [instance])
+                return None
             case FaultKind.ENDPOINT_LEAVES:
                 endpoint = self._target_endpoint(fault)
                 await self.endpoints.replace(endpoint, DRAIN_S)
@@ -156,8 +160,9 @@
             case FaultKind.STORE_FORGETS:
                 await self.store.forget_history()
                 return STORE
-            case FaultKind.STORE_RESTORED:
-                await self._restore_store(fault.duration_s)
+            case FaultKind.STORE_RESTORED | FaultKind.STORE_RESTORED_UNTOLD:
+                tells_era = fault.kind is FaultKind.STORE_RESTORED
+                await self._restore_store(fault.duration_s, tells_era=tells_era)
                 return STORE
             case FaultKind.STORE_SILENT:
                 link.silence()
@@ -167,13 +172,25 @@
                 await _cut_link(link, fault.duration_s)
         return instance.name
 
-    async def _restore_store(self, lost_s: float) -> None:
+    async def _move_store(self, fault: Fault, instances: list[SoakInstance]) -> None:
+        """Have the settings name a new address of the store; the old one goes away later."""
+        old_links = [instance.store_link for instance in instances]
+        for instance in instances:
+            instance.store_link = await start_relay(str(instance.store_link.target), lambda: 0.0)
+            instance.write_settings()
+            if fault.target % 3:
+                self.fleet.signal(instance, signal.SIGHUP)
+        await asyncio.sleep(SETTINGS_NOTICED_S + fault.duration_s)
+        for link in old_links:
+            await link.stop()
+
+    async def _restore_store(self, lost_s: float, *, tells_era: bool) -> None:
         """Have the store lose the changes of `lost_s`; who wrote them writes them again."""
         copy = self.store.copy()
         await asyncio.sleep(lost_s)
         await self.store.set_status(STORE_DOWN_STATUS)
         await asyncio.sleep(STORE_AWAY_S)
-        await self.store.restore(copy)
+        await self.store.restore(copy, tells_era=tells_era)
         await self.store.set_status(HTTPStatus.OK)
         await self.operator.publish_again()
         await self.endpoints.write_again()
--- a/src/radishmount/standins/_store.py
+++ b/src/radishmount/standins/_store.py
@@ -78,10 +78,10 @@
         """Return a copy of the content."""
         return StoreCopy(self.revision, dict(self.values_by_key), tuple(self.history))
 
-    async def restore(self, copy: StoreCopy) -> None:
+    async def restore(self, copy: StoreCopy, *, tells_era: bool = True) -> None:
         """Come back with the content of an older copy; all changes since then are lost."""
         async with self.changed:
-            self.era += 1
+            self.era += int(tells_era)
             self.revision = copy.revision
             self.values_by_key = dict(copy.values_by_key)
             self.history = list(copy.history)
