Refuse a configuration that contradicts itself

What callers would see: after {"version": 90} in the store all routes are gone (404), and each later version below 90 is refused, as a version that was taken is never given up. A route to a service that is not listed, two routes with the same host and prefix, and a version written as text were taken as well.

--- a/src/radishmount/platform/_configuration.py
+++ b/src/radishmount/platform/_configuration.py
@@ -100,9 +100,9 @@
 class ConfigurationModel(PlatformModel):
     """The whole configuration."""
 
-    version: Annotated[int, Field(ge=1)]
-    routes: list[RouteModel] = []
-    services: list[ServiceModel] = []
+    version: Annotated[int, Field(ge=1, strict=True)]
+    routes: list[RouteModel]
+    services: list[ServiceModel]
     limits: LimitsModel = Field(default_factory=lambda: LimitsModel.model_validate({}))
 
     def to_data(self, digest: str) -> Publication:
@@ -131,4 +131,26 @@
         return Err([Diagnostic(Code.BROKEN_SYNTAX, "configuration", str(error))])
     except ValidationError as error:
         return Err([Diagnostic(Code.BROKEN_OBJECT, "configuration", describe_first_error(error))])
+    diagnostics = _check_as_one(model)
+    if diagnostics:
+        return Err(diagnostics)
     return Ok(model.to_data(sha256(body).hexdigest()[:16]))
+
+
+def _check_as_one(model: ConfigurationModel) -> list[Diagnostic]:
+    """Return what contradicts each other in a configuration whose parts are valid by themselves."""
+    diagnostics: list[Diagnostic] = []
+    listed = {service.name for service in model.services}
+    name_by_target: dict[tuple[str, str], str] = {}
+    for route in model.routes:
+        target = (route.host.lower(), route.prefix)
+        if target in name_by_target:
+            detail = f"host and prefix of route {name_by_target[target]}"
+            diagnostics.append(Diagnostic(Code.DUPLICATE_OBJECT, f"route {route.name}", detail))
+        name_by_target[target] = route.name
+        split = [part.service for part in route.split]
+        for service in (*filter(None, [route.service]), *split, *route.shard_services):
+            if service in listed:
+                continue
+            diagnostics.append(Diagnostic(Code.DANGLING_REFERENCE, f"route {route.name}", service))
+    return diagnostics
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -3,6 +3,7 @@
 import base64
 import json
 from pathlib import Path
+from typing import Any
 
 import orjson
 import pytest
@@ -23,6 +24,7 @@
 from radishmount.fleet import Notice, Response
 from radishmount.platform import read_configuration, read_deployment_settings, read_listed_endpoint
 from radishmount.platform._store_client import ItemModel, _parse_entries
+from radishmount.publication import Diagnostic
 
 
 BACK_END = {
@@ -219,6 +221,42 @@
     def test_a_body_that_cannot_be_read_is_an_error(self, body: bytes) -> None:
         assert read_configuration(body).is_err()
 
+    @pytest.mark.parametrize(
+        ("changes", "code"),
+        [
+            ({"version": "8"}, Code.BROKEN_OBJECT),
+            ({"routes": None}, Code.BROKEN_OBJECT),
+            ({"services": None}, Code.BROKEN_OBJECT),
+            ({"services": []}, Code.DANGLING_REFERENCE),
+            (
+                {"routes": [single_route(), single_route(name="r-2", host="SHOP.example")]},
+                Code.DUPLICATE_OBJECT,
+            ),
+        ],
+    )
+    def test_a_configuration_that_contradicts_itself_is_refused(
+        self, changes: dict[str, Any], code: Code
+    ) -> None:
+        """Guards against an odd write that takes all routes away, and each later version with it.
+
+        A version that has been taken is never given up for a lower one.
+        """
+        fields = {**make_configuration(8, [single_route()]), **changes}
+        body = orjson.dumps({key: value for key, value in fields.items() if value is not None})
+
+        diagnostics = read_configuration(body).unwrap_err()
+
+        assert [diagnostic.code for diagnostic in diagnostics] == [code]
+
+    def test_each_service_of_a_split_must_be_listed(self) -> None:
+        split = [{"service": "orders", "weight": 1}, {"service": "unlisted", "weight": 1}]
+        fields = make_configuration(8, [single_route()])
+        fields["routes"][0]["split"] = split
+
+        diagnostics = read_configuration(orjson.dumps(fields)).unwrap_err()
+
+        assert diagnostics == [Diagnostic(Code.DANGLING_REFERENCE, "route r-single", "unlisted")]
+
 
 class TestSettings:
     """The settings file becomes the settings of an instance."""
