Let an announcement lapse that cannot be told from the next start

An endpoint whose entry lacks the time of its start, and that said in a response that it leaves, counted as leaving for as long as an entry of its name was listed, also after it had started again under that name: the note was renewed with every look at the list. Its entry alone decides now after a minute. Found while looking at everything that instances go on believing; entries of the users' platform have the time of the start.

The test failed before.

--- a/src/radishmount/discovery/_endpoint_list.py
+++ b/src/radishmount/discovery/_endpoint_list.py
@@ -27,7 +27,8 @@
     A start of an endpoint that has announced that it is leaving does not come back, whatever an
     entry says that is written or read later: `departed_at_ms_by_start` has the name and the start
     time of each, and when that was last confirmed. Where entries lack the time of the start, they
-    cannot be told from those of a new start, so the newest entry counts.
+    cannot be told from those of a new start, so the newest entry counts, and what an endpoint has
+    announced in a response lapses.
 
     `evacuated_data_centres` are those to which the operator wants nothing sent. These entries do
     not lapse in an outage, so their removal takes effect at once.
@@ -169,7 +170,8 @@
         for start, at_ms in list(self.departed_at_ms_by_start.items()):
             name, started_at_ms = start
             endpoint = self.by_name.get(name)
-            if endpoint is not None and endpoint.started_at_ms == started_at_ms:
+            is_listed = endpoint is not None and endpoint.started_at_ms == started_at_ms
+            if is_listed and started_at_ms:
                 self.departed_at_ms_by_start[start] = now_ms
             elif now_ms - at_ms > DEPARTURE_KEPT_MS:
                 del self.departed_at_ms_by_start[start]
--- a/tests/discovery/test_endpoint_list.py
+++ b/tests/discovery/test_endpoint_list.py
@@ -76,3 +76,16 @@
         endpoints.put("b", make_endpoint("b"), 0.0)
 
         assert endpoints.draining_names == {"a"}
+
+    def test_an_announcement_of_a_start_that_cannot_be_told_from_the_next_one_lapses(self) -> None:
+        """Guards against an endpoint that starts again under its name, and is never used again."""
+        endpoints = EndpointList()
+        endpoints.put("a", make_endpoint("a"), 0.0)
+        endpoints.record_departure("a", 0.0)
+        leaving = endpoints.draining_names
+        endpoints.expire(59_999.0)
+        kept = endpoints.draining_names
+        endpoints.expire(60_001.0)
+
+        assert leaving == kept == {"a"}
+        assert endpoints.draining_names == set()
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -41,6 +41,7 @@
     """Return a configuration with `routes` and all services that they refer to."""
     names = {name for route in routes for name in route.get("shardServices", [])}
     names |= {route["service"] for route in routes if "service" in route}
+    names |= {part["service"] for route in routes for part in route.get("split", [])}
     services = [{"name": name, "healthPath": "/health", "maxConns": 40} for name in sorted(names)]
     return {"version": version, "routes": routes, "services": services, "limits": limits}
 
