Show that a part of a fleet keeps the old address of an instance

Found while looking at everything that instances go on believing: what they tell each other of an instance has no order, so after a cut during which an instance started again with another address, two parts of a fleet take over each other's description, and some list the old address 10 s later (9 and 69 instances, virtual time). Without a cut all know the new one.

--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -46,9 +46,10 @@
         seeds: tuple[str, ...] = SEEDS,
         *,
         forgets: bool = True,
+        caller_port: int = 1,
     ) -> None:
         """Start an instance. Unless it `forgets`, it never drops another one from its list."""
-        own = Instance(name, data_centre, f"{name}:1", f"{name}:2")
+        own = Instance(name, data_centre, f"{name}:{caller_port}", f"{name}:2")
         counters, audit = Counters(), AuditTrail(self.clock)
         started = int(self.clock.now_ms()) + 1
         members = MemberTable(MemberUpdate(name, started, 0, MemberState.LIVE), data_centre)
@@ -191,6 +192,59 @@
         await harness.stop()
 
 
+class TestChangedInstances:
+    """An instance starts again with other settings."""
+
+    @pytest.mark.parametrize("count", [9, 69])
+    async def test_all_know_the_new_address(self, count: int) -> None:
+        """Guards against an old description that one peer takes over from another one."""
+        harness = RosterHarness()
+        for number in range(count):
+            harness.start(f"e{number}", CENTRES[number % 2])
+        await asyncio.sleep(5.0)
+        for port, name in ((8, "e4"), (9, "e4"), (9, "e7")):
+            await harness.kill(name)
+            await asyncio.sleep(0.3)
+            harness.start(name, CENTRES[int(name[1:]) % 2], caller_port=port)
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(5.0)
+
+        addresses = {
+            (name, roster.fleet.by_name[name].caller_address)
+            for roster in harness.rosters_by_name.values()
+            for name in ("e4", "e7")
+        }
+        assert addresses == {("e4", "e4:9"), ("e7", "e7:9")}
+        await harness.stop()
+
+    @pytest.mark.parametrize("count", [9, 69])
+    async def test_a_part_that_was_cut_off_learns_the_new_address(self, count: int) -> None:
+        """Guards against two parts of a fleet that take over each other's descriptions."""
+        harness = RosterHarness()
+        for number in range(count):
+            harness.start(f"e{number}", CENTRES[number % 2])
+        await asyncio.sleep(5.0)
+        names = sorted(harness.rosters_by_name)
+        near = [name for name in names if int(name[1:]) % 3]
+        far = [name for name in names if name not in near]
+        harness.network.cut_pairs |= {frozenset((one, other)) for one in near for other in far}
+        harness.network.silent_pairs |= {frozenset((one, other)) for one in near for other in far}
+        await asyncio.sleep(3.0)
+        await harness.kill("e4")
+        await asyncio.sleep(0.3)
+        harness.start("e4", CENTRES[0], caller_port=9)
+        await asyncio.sleep(5.0)
+        harness.network.cut_pairs.clear()
+        harness.network.silent_pairs.clear()
+        await asyncio.sleep(10.0)
+
+        addresses = {
+            roster.fleet.by_name["e4"].caller_address for roster in harness.rosters_by_name.values()
+        }
+        assert addresses == {"e4:9"}
+        await harness.stop()
+
+
 class TestInstancesThatAreOff:
     """Callers are not sent to instances that have been off for long."""
 
