Move what applies the entries of an answer out of the store follower

Three plain functions take the list and the answer now; nothing else changes. The tests of discovery and of the platform pass.

--- a/src/radishmount/discovery/_follower.py
+++ b/src/radishmount/discovery/_follower.py
@@ -11,6 +11,7 @@
 from radishmount.clock import Clock
 from radishmount.codes import Code, Refusal
 from radishmount.counters import Counters
+from radishmount.discovery._answers import apply_changes, apply_evacuations, apply_full_read
 from radishmount.discovery._endpoint_list import EndpointList
 from radishmount.discovery._history_check import HistoryCheck, KnownView
 from radishmount.discovery._listed_endpoint import ListedEndpoint
@@ -20,8 +21,6 @@
 from radishmount.discovery._refused_entries import RefusedEntries
 from radishmount.discovery._store import (
     ConfigurationEntry,
-    EndpointEntry,
-    EvacuationEntry,
     Store,
     StoreAnswer,
     StoreFailure,
@@ -464,10 +463,10 @@
         cause = f"read from the store: {answer.position}, after {self.known_position}"
         self._begin_era(answer.position.era, cause)
         if is_full:
-            changed_names = self._apply_full_read(answer, now_ms)
+            changed_names = apply_full_read(self.endpoints, answer, now_ms, self.audit)
         else:
-            changed_names = self._apply_changes(answer, now_ms)
-        has_evacuations = self._apply_evacuations(answer, is_full=is_full)
+            changed_names = apply_changes(self.endpoints, answer, now_ms)
+        has_evacuations = apply_evacuations(self.endpoints, answer, is_full=is_full)
         after, self.known_position = self.known_position, answer.position
         changed_at = StorePosition(answer.position.era, answer.last_change)
         if is_full:
@@ -488,51 +487,6 @@
             )
         return True
 
-    def _apply_evacuations(self, answer: StoreAnswer, *, is_full: bool) -> bool:
-        """Apply the evacuations of an answer; return whether news of it must tell of them.
-
-        A watch may return the beginning and the end of an evacuation together. A peer that has the
-        beginning only must learn of the end, although nothing changes here.
-        """
-        entries = [entry for entry in answer.entries if isinstance(entry, EvacuationEntry)]
-        evacuated = set() if is_full else set(self.endpoints.evacuated_data_centres)
-        for entry in entries:
-            if entry.is_requested:
-                evacuated.add(entry.data_centre)
-            else:
-                evacuated.discard(entry.data_centre)
-        has_changed = self.endpoints.set_evacuated(evacuated)
-        return has_changed or (bool(entries) and not is_full)
-
-    def _apply_full_read(self, answer: StoreAnswer, now_ms: float) -> set[str]:
-        """Replace the list by a full read; return the names of the endpoints that changed."""
-        listed = {e.name: e.endpoint for e in answer.entries if isinstance(e, EndpointEntry)}
-        before = self.endpoints.present_by_name()
-        self.endpoints.replace_all(listed, now_ms)
-        present = self.endpoints.present_by_name()
-        changed = {n for n in {*before, *present} if before.get(n) != present.get(n)}
-        self.audit.record(
-            "endpoints",
-            "read in full",
-            cause=f"{len(present)} listed, {len(changed)} changed, {len(changed - set(present))} "
-            f"of them gone, newest entry {answer.last_change}, {answer.position}",
-            version=answer.position.revision,
-        )
-        return changed
-
-    def _apply_changes(self, answer: StoreAnswer, now_ms: float) -> set[str]:
-        """Apply the changes that a watch returned; return the names of their endpoints."""
-        names: set[str] = set()
-        for entry in answer.entries:
-            if isinstance(entry, ConfigurationEntry | EvacuationEntry):
-                continue
-            names.add(entry.name)
-            if isinstance(entry, EndpointEntry):
-                self.endpoints.put(entry.name, entry.endpoint, now_ms)
-            else:
-                self.endpoints.remove(entry.name, now_ms)
-        return names
-
 
 async def _wait_for(event: asyncio.Event, limit_ms: float) -> None:
     """Wait for an event for at most `limit_ms`."""
