Notice a settings file that was replaced under the same time and size

A file that another tool copies may keep the time of its last change, and an address has often as many characters as the one before. Such a change was not noticed until a SIGHUP. The two tests of a change failed before.

--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -84,6 +84,9 @@
 ANSWER_SHARE = 0.85
 CLOSE_TIMEOUT_S = 0.1  # for connections that are left after that
 
+# Modification time, size, time of the last change of the inode, number of the inode.
+Fingerprint = tuple[int, int, int, int]
+
 
 @dataclass(slots=True)
 class RunningInstance:
@@ -222,7 +225,7 @@
     """
 
     path: Path
-    fingerprint: tuple[int, int]
+    fingerprint: Fingerprint
 
 
 class RunCommand(Command):
@@ -257,7 +260,7 @@
         if isinstance(max_response_bytes, Err):
             print_error_line(self, f"{PROGRAM}: {max_response_bytes.err_value}")
             return Exit.BAD_USAGE
-        fingerprint = _fingerprint_of(Path(path))
+        fingerprint = fingerprint_of(Path(path))
         match read_deployment_settings(Path(path)):
             case Err(refusal):
                 print_error_line(self, f"{PROGRAM}: {refusal}")
@@ -296,10 +299,10 @@
             async with asyncio.timeout(SETTINGS_POLL_INTERVAL_S):
                 await reload.wait()
         except TimeoutError:
-            if _fingerprint_of(file.path) == file.fingerprint:
+            if fingerprint_of(file.path) == file.fingerprint:
                 continue
         reload.clear()
-        fingerprint = _fingerprint_of(file.path)
+        fingerprint = fingerprint_of(file.path)
         match read_deployment_settings(file.path):
             case Err(refusal):
                 log_state_change("settings refused", cause=str(refusal))
@@ -321,13 +324,16 @@
     )
 
 
-def _fingerprint_of(path: Path) -> tuple[int, int]:
-    """Return the modification time in nanoseconds and the size in bytes; zeros without a file."""
+def fingerprint_of(path: Path) -> Fingerprint:
+    """Return what shows that a file has changed; zeros without a file.
+
+    A file that is replaced or copied may keep the modification time, and has often the same size.
+    """
     try:
         status = path.stat()
     except OSError:
-        return (0, 0)  # the read that follows reports the error
-    return (status.st_mtime_ns, status.st_size)
+        return (0, 0, 0, 0)  # the read that follows reports the error
+    return (status.st_mtime_ns, status.st_size, status.st_ctime_ns, status.st_ino)
 
 
 async def _serve_operators(instance: RunningInstance, address: SocketAddress) -> None:
--- a/tests/platform/test_reload.py
+++ b/tests/platform/test_reload.py
@@ -1,6 +1,7 @@
 """Tests of settings that are reloaded while an instance runs."""
 
 import asyncio
+import os
 from collections.abc import AsyncIterator
 from dataclasses import fields, replace
 from pathlib import Path
@@ -17,6 +18,7 @@
 )
 from radishmount.forwarding import RetryBudgetSettings
 from radishmount.platform import SETTING_EFFECTS, DeploymentSettings, Effect, changed_keys
+from radishmount.platform._program import fingerprint_of
 
 
 LIMIT_S = 20.0  # ends a test whose condition never becomes true
@@ -131,6 +133,32 @@
         await wait_for_version(harness, 4)
 
 
+class TestFingerprint:
+    """A changed settings file is noticed without a signal."""
+
+    @pytest.mark.parametrize("replaces", [False, True])
+    def test_a_change_that_keeps_time_and_size_is_noticed(
+        self, tmp_path: Path, replaces: bool
+    ) -> None:
+        """Guards against settings that a tool has copied with the time of the file before."""
+        path = tmp_path / "settings.toml"
+        path.write_text('address = "10.0.0.1:8229"')
+        before, status = fingerprint_of(path), path.stat()
+        target = tmp_path / "new" if replaces else path
+        target.write_text('address = "10.0.0.1:8230"')
+        os.utime(target, ns=(status.st_atime_ns, status.st_mtime_ns))
+        target.replace(path)
+
+        assert fingerprint_of(path) != before
+        assert fingerprint_of(path)[:2] == before[:2]
+
+    def test_a_file_that_stays_is_not_read_again(self, tmp_path: Path) -> None:
+        path = tmp_path / "settings.toml"
+        path.write_text("a = 1")
+
+        assert fingerprint_of(path) == fingerprint_of(path)
+
+
 class TestGracePeriod:
     """The platform changes how long it waits between the two signals of a stop."""
 
