--- a/tests/discovery/test_follower.py
+++ b/tests/discovery/test_follower.py
@@ -382,3 +382,28 @@
             await asyncio.sleep(1.0)
 
             assert [news.evacuated for news in harness.news] == [()]
+
+
+class TestSingleFailure:
+    """One call of the store fails, and the next one is answered."""
+
+    async def test_a_removal_is_known_in_time_where_no_outage_has_been(self) -> None:
+        """Guards against requests to an endpoint that is gone, as for a grace period after one.
+
+        An instance that is no watcher, and that nobody has confirmed for a while, takes a single
+        failed call for the end of an outage that began with its last confirmation.
+        """
+        async with follow_store(endpoint_entry("a"), endpoint_entry("b")) as harness:
+            follower = harness.follower
+            follower.is_watcher = lambda: False
+            await asyncio.sleep(5.0)
+            follower.confirmed_at_ms = follower.clock.now_ms()
+            harness.store.write(EndpointRemoval("a"))
+            harness.store.failure_kind = StoreFailureKind.UNAVAILABLE
+            calls = len(harness.store.calls)
+            while len(harness.store.calls) == calls:
+                await asyncio.sleep(0.01)
+            harness.store.failure_kind = None
+            await asyncio.sleep(0.35)  # the longest wait before the next call, and the call
+
+            assert set(follower.endpoints.by_name) == {"b"}
