Keep the exit status of a stop when a signal comes at its very end

Cause: a second SIGTERM came 7 ms later, while the interpreter exited. A closed event loop restores the default of the signals that it handled. Signals are ignored once the stop is complete. Three tests with a process of their own failed before.

--- a/src/radishmount/platform/_program.py
+++ b/src/radishmount/platform/_program.py
@@ -393,9 +393,21 @@
     for task in tasks:
         task.cancel()
     output.flush()
+    ignore_signals(loop)
     return Exit.OK
 
 
+def ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore signals from now on, as there is nothing left to stop or to reload.
+
+    A loop that is closed restores the default of the signals that it still handles, so that one
+    that comes while the interpreter exits would change the exit status.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 def main() -> None:
     """Run the program."""
     raise SystemExit(run_program(PROGRAM, [RunCommand()]))
--- a/tests/platform/test_instance_script.py
+++ b/tests/platform/test_instance_script.py
@@ -5,6 +5,8 @@
 import sys
 from pathlib import Path
 
+import pytest
+
 
 SCRIPT = Path(__file__).resolve().parents[2] / "deploy" / "instance.py"
 
@@ -41,3 +43,25 @@
         ended = run_with(program, tmp_path)
 
         assert (ended.returncode, ended.stdout) == (0, "")
+
+
+class TestSignalsAtTheEnd:
+    """Signals that arrive while the interpreter exits change nothing."""
+
+    @pytest.mark.parametrize("name", ["SIGTERM", "SIGINT", "SIGHUP"])
+    def test_the_exit_status_stays_zero(self, name: str) -> None:
+        """Guards against a stop in good order that counts as a process ended by a signal."""
+        program = (
+            "import asyncio, os, signal\n"
+            "from radishmount.platform._program import ignore_signals\n"
+            "async def main():\n"
+            "    loop = asyncio.get_running_loop()\n"
+            f"    loop.add_signal_handler(signal.{name}, print)\n"
+            "    ignore_signals(loop)\n"
+            "asyncio.run(main())\n"
+            f"os.kill(os.getpid(), signal.{name})\n"
+        )
+
+        ended = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True)
+
+        assert (ended.returncode, ended.stderr) == (0, "")
